--- /dev/null
+++ b/cmd/cassia-demo/main.go
@@ -0,0 +1,79 @@
+// Command cassia-demo runs the whole path in one process over loopback and
+// prints what each team got.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cassiachute/cassiachute/fleet"
+	"github.com/cassiachute/cassiachute/load"
+	"github.com/cassiachute/cassiachute/program"
+)
+
+// options are the flags.
+type options struct {
+	Seconds int    `long:"seconds" default:"15" description:"time of the load"`
+	JSON    bool   `long:"json" description:"print the measures as one line of JSON at the end"`
+	Policy  string `long:"policy" default:"fair" description:"dispatch policy: fair, estimate, elapsed, fifo or robin"`
+	Alone   bool   `long:"alone" description:"let each entry host dispatch on its own (baseline)"`
+	Level   string `long:"level" default:"disabled" description:"least level of log lines"`
+}
+
+// stepTime slows the engines so that one machine carries them all.
+const (
+	stepBase  = 8 * time.Millisecond
+	stepSlope = 300 * time.Microsecond
+)
+
+func main() {
+	var o options
+	if proceed, code := program.Parse(&o, os.Args[1:], os.Stdout); !proceed {
+		os.Exit(code)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(program.ExitFailed)
+	}
+}
+
+func run(ctx context.Context, o options) error {
+	log, err := program.NewLog(os.Stderr, o.Level)
+	if err != nil {
+		return err
+	}
+	config := fleet.NewConfig()
+	config.Teams = fleet.DemoTeams()
+	config.Policy, config.Alone, config.Log = o.Policy, o.Alone, log
+	config.Engine.Base, config.Engine.Slope = stepBase, stepSlope
+	f, err := fleet.Start(ctx, config)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	fmt.Printf("%d entry hosts in %d places, %d targets, policy %s\n",
+		len(f.Entries), config.Places, len(f.Targets), o.Policy)
+	r, err := load.New(f.Plan(time.Duration(o.Seconds) * time.Second))
+	if err != nil {
+		return err
+	}
+	m, err := r.Do(ctx, func(p load.Progress) {
+		fmt.Fprintf(os.Stderr, "%3.0f s  sent %d  answered %d  refused %d\n",
+			p.Elapsed.Seconds(), p.Sent, p.Answered, p.Refused)
+	})
+	if err != nil {
+		return err
+	}
+	m.WriteText(os.Stdout)
+	if o.JSON {
+		return json.NewEncoder(os.Stdout).Encode(m)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/cassia-entry/main.go
@@ -0,0 +1,33 @@
+// Command cassia-entry is the data plane of one entry host.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cassiachute/cassiachute/entry"
+	"github.com/cassiachute/cassiachute/program"
+)
+
+func main() {
+	var common program.Common
+	if proceed, code := program.Parse(&common, os.Args[1:], os.Stdout); !proceed {
+		os.Exit(code)
+	}
+	s := entry.NewSettings()
+	os.Exit(program.Server{
+		Common: &common,
+		Load:   &s,
+		Check:  s.Check,
+		Level:  func() string { return s.Level },
+		Serve: func(ctx context.Context, log zerolog.Logger) error {
+			e, err := entry.New(s, entry.WithLog(log))
+			if err != nil {
+				return err
+			}
+			return e.Run(ctx)
+		},
+	}.Run())
+}
--- /dev/null
+++ b/dispatch/report.go
@@ -0,0 +1,105 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cassiachute/cassiachute/wire"
+)
+
+const keepAliveEvery = time.Second
+
+// notice makes a report due at once if slots became free or tickets began or
+// ceased to wait.
+func (s *Shard) notice() {
+	if s.state != s.current() {
+		s.urgent = true
+	}
+}
+
+func (s *Shard) current() [2]bool {
+	return [2]bool{len(s.free) > 0, len(s.tickets) > 0}
+}
+
+// report tells the owners in other places and the standby what changed.
+func (s *Shard) report(now time.Time) {
+	period := max(minReportPeriod, time.Duration(len(s.peers))*reportPerPeer)
+	since := now.Sub(s.reported)
+	if since < minReportDelay || since < period && !s.urgent {
+		return
+	}
+	rows := s.changed(now)
+	if len(rows) == 0 && !s.urgent && since < keepAliveEvery {
+		return
+	}
+	s.tell(now, rows, false)
+}
+
+// changed returns the rows of the teams that changed since the last report,
+// or of all teams now and then.
+func (s *Shard) changed(now time.Time) []wire.Row {
+	whole := s.sequence%wholeReportEvery == 0
+	var rows []wire.Row
+	for _, number := range slices.Sorted(maps.Keys(s.teams)) {
+		row := s.teams[number]
+		if row.dirty || whole {
+			rows = append(rows, s.row(now, row))
+			row.dirty = false
+		}
+	}
+	return rows
+}
+
+func (s *Shard) row(now time.Time, row *team) wire.Row {
+	r := wire.Row{
+		Team:    row.number,
+		Served:  row.served,
+		Charged: uint64(s.charge(now, row)),
+		Lift:    s.book.Lift(row.number),
+		Waiting: uint32(len(row.queue)),
+		Running: uint32(row.running),
+	}
+	s.book.Set(s.config.Shard.Place, r)
+	return r
+}
+
+// tell sends a report. A report that is over gives the shard up.
+func (s *Shard) tell(now time.Time, rows []wire.Row, over bool) {
+	whole := s.sequence%wholeReportEvery == 0
+	s.sequence++
+	s.reported, s.urgent, s.state = now, false, s.current()
+	m := &wire.Totals{
+		Shard:       s.config.Shard,
+		Incarnation: s.config.Incarnation,
+		Sequence:    s.sequence,
+		Whole:       whole || over,
+		Over:        over,
+		Slots:       uint32(s.slots),
+		Level:       s.book.Level(),
+		Rows:        rows,
+	}
+	if s.settled {
+		m.Free = uint32(max(0, s.slots-s.used))
+	}
+	for _, peer := range s.peers {
+		s.send(peer.Owner, m)
+	}
+	if s.standby.IsValid() {
+		s.send(s.standby, m)
+	}
+}
+
+// Introduce sends a whole report to one host, such as a new owner.
+func (s *Shard) Introduce(now time.Time) {
+	s.sequence += wholeReportEvery - s.sequence%wholeReportEvery
+	s.tell(now, s.changed(now), false)
+}
+
+// HandOver tells the standby and the other places that this owner stops.
+func (s *Shard) HandOver(now time.Time) {
+	for _, row := range s.teams {
+		row.dirty = true
+	}
+	s.tell(now, s.changed(now), true)
+}
--- /dev/null
+++ b/dispatch/team.go
@@ -0,0 +1,195 @@
+package dispatch
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/cassiachute/cassiachute/wire"
+)
+
+const (
+	learningRate      = 0.1
+	initialRate       = 20.0 // cost units a second
+	initialDuration   = 1.0  // seconds
+	costlyDecay       = 0.9995
+	minDurationSecond = 0.001
+)
+
+// estimate is what is known of the requests of a team.
+type estimate struct {
+	rate     float64 // cost units that a slot gives in a second
+	cost     float64 // mean cost of a request
+	duration float64 // mean time in a slot, in seconds
+	samples  int
+}
+
+func newEstimate() estimate {
+	return estimate{rate: initialRate, cost: initialRate * initialDuration, duration: initialDuration}
+}
+
+// learn moves the estimate towards a finished request.
+func (e *estimate) learn(cost, duration float64) {
+	duration = max(duration, minDurationSecond)
+	e.samples++
+	part := max(learningRate, 1/float64(e.samples))
+	e.cost += part * (cost - e.cost)
+	e.duration += part * (duration - e.duration)
+	e.rate = e.cost / e.duration
+}
+
+// team is a row for one team that has or had work in the shard.
+type team struct {
+	number  uint32
+	weight  float64
+	queue   ticketHeap
+	running int
+	starts  float64 // sum of the start times of running requests, in seconds since the shard's start
+	served  uint64  // measured service from this shard
+	known   estimate
+	level   float64 // virtual service at the last refresh
+	turn    uint64  // number of the last grant
+	index   int     // position among the waiting teams, -1 if none waits
+	dirty   bool    // changed since the last report
+}
+
+// teamHeap orders the teams with waiting tickets by their level.
+type teamHeap []*team
+
+func (h teamHeap) Len() int { return len(h) }
+func (h teamHeap) Less(i, j int) bool {
+	if h[i].level != h[j].level {
+		return h[i].level < h[j].level
+	}
+	return h[i].turn < h[j].turn
+}
+
+func (h teamHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *teamHeap) Push(x any) {
+	t := x.(*team)
+	t.index = len(*h)
+	*h = append(*h, t)
+}
+
+// Pop implements heap.Interface.
+func (h *teamHeap) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return t
+}
+
+// team returns the row of a team and makes it if there is none. A new row
+// starts from what the book knows of the shard's former owner.
+func (s *Shard) team(number uint32) *team {
+	row := s.teams[number]
+	if row == nil {
+		row = &team{number: number, weight: s.weight(number), index: -1, known: newEstimate()}
+		if a := s.book.Account(s.config.Shard.Place); a != nil {
+			row.served = a.Rows[number].Served
+		}
+		s.teams[number] = row
+	}
+	return row
+}
+
+// estimateOf returns the estimate of a team, or of all teams if the team has
+// finished nothing yet.
+func (s *Shard) estimateOf(row *team) estimate {
+	if row.known.samples == 0 {
+		return s.mean
+	}
+	return row.known
+}
+
+// charge returns the service charged to a team for its running requests.
+func (s *Shard) charge(now time.Time, row *team) float64 {
+	elapsed := float64(row.running)*now.Sub(s.started).Seconds() - row.starts
+	return s.config.Policy.Charge(Holding{
+		Running:  row.running,
+		Elapsed:  max(0, elapsed),
+		Rate:     s.estimateOf(row).rate,
+		Cost:     s.estimateOf(row).cost,
+		Duration: s.mean.duration,
+	})
+}
+
+// virtual returns the virtual service of a team, fleet-wide.
+func (s *Shard) virtual(now time.Time, row *team) float64 {
+	others := s.book.Others(row.number, s.config.Shard.Place)
+	received := float64(others+row.served) + s.charge(now, row)
+	return received/row.weight + float64(s.book.Lift(row.number))
+}
+
+// refresh recomputes the level of a team.
+func (s *Shard) refresh(now time.Time, row *team) {
+	row.dirty = true
+	head := now
+	if len(row.queue) > 0 {
+		head = row.queue[0].arrived
+	}
+	row.level = s.config.Policy.Level(Standing{
+		Virtual: s.virtual(now, row), Turn: row.turn, Head: head.Sub(s.started).Seconds(),
+	})
+	if row.index >= 0 {
+		heap.Fix(&s.waiting, row.index)
+	}
+}
+
+// raise lifts a team that becomes backlogged to the level at which others are
+// served, so that idleness banks no credit.
+func (s *Shard) raise(now time.Time, row *team) {
+	if s.book.Waiting(row.number, s.config.Shard.Place, now.Add(-staleAfter)) {
+		return
+	}
+	s.raiseTo(now, row, float64(s.book.Level()))
+}
+
+func (s *Shard) raiseTo(now time.Time, row *team, level float64) {
+	missing := level - s.virtual(now, row)
+	if missing >= 1 {
+		s.book.Raise(row.number, s.book.Lift(row.number)+uint64(missing))
+	}
+}
+
+// lift refreshes the levels of the teams with work and bounds how far one of
+// them lags behind another, so that a healed cut brings no burst to repay.
+func (s *Shard) lift(now time.Time) {
+	highest := 0.0
+	for _, row := range s.teams {
+		if len(row.queue) > 0 || row.running > 0 {
+			s.refresh(now, row)
+		}
+		if len(row.queue) > 0 {
+			highest = max(highest, row.level)
+		}
+	}
+	if !s.config.Policy.Fair {
+		return
+	}
+	debt := debtRequests * max(s.costly, s.mean.cost)
+	for _, row := range append(teamHeap(nil), s.waiting...) {
+		if row.level < highest-debt {
+			s.raiseTo(now, row, highest-debt)
+			s.refresh(now, row)
+		}
+	}
+}
+
+// learn takes the measured cost of an ended grant.
+func (s *Shard) learn(now time.Time, g *grant, m *wire.End) {
+	g.team.served += m.Cost
+	s.judge(now, g.target, m)
+	if m.Fate != wire.FateDone {
+		return
+	}
+	duration := now.Sub(g.since).Seconds()
+	g.team.known.learn(float64(m.Cost), duration)
+	s.mean.learn(float64(m.Cost), duration)
+	s.costly = max(s.costly*costlyDecay, float64(m.Cost))
+}
--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,178 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/catalog"
+	"github.com/cassiachute/cassiachute/dispatch"
+)
+
+const (
+	bearerPrefix  = "Bearer "
+	maxDeadline   = time.Hour
+	maxOrderBytes = 128
+	maxIDBytes    = 128
+)
+
+// prefixBytes are the lengths of the leading parts of a prompt by which targets
+// that have it cached are found.
+var prefixBytes = []int{256, 1024, 4096, 16384}
+
+// call is what a request says of itself.
+type call struct {
+	id       string
+	service  *catalog.ServiceRow
+	team     uint32
+	teamName string
+	kind     string
+	class    uint8
+	deadline time.Time
+	order    string
+	digest   uint64 // team, service, method, path and body
+	arrived  time.Time
+}
+
+// identify authenticates the caller and reads the headers of a request.
+func (e *Entry) identify(ctx *fasthttp.RequestCtx, view *catalog.View, service string) (*call, *problem) {
+	key, ok := bytes.CutPrefix(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization), []byte(bearerPrefix))
+	if !ok {
+		return nil, notRun(fasthttp.StatusUnauthorized, "no_key", fasthttp.HeaderAuthorization, "a bearer key is needed")
+	}
+	teams, ok := view.Speaks(key)
+	if !ok {
+		return nil, notRun(fasthttp.StatusUnauthorized, "wrong_key", fasthttp.HeaderAuthorization, "the key is not known")
+	}
+	c := &call{arrived: time.Now(), kind: string(ctx.Request.Header.Peek(HeaderKind))}
+	steps := []func() *problem{
+		func() *problem { return c.readTeam(ctx, view, teams) },
+		func() *problem { return c.readService(view, service) },
+		func() *problem { return c.readUrgency(ctx) },
+		func() *problem { return c.readDeadline(ctx) },
+		func() *problem { return c.readNames(ctx) },
+		func() *problem { return c.readSize(ctx) },
+	}
+	for _, step := range steps {
+		if p := step(); p != nil {
+			return nil, p
+		}
+	}
+	c.fingerprint(ctx)
+	return c, nil
+}
+
+// readTeam finds the team that the caller speaks for. It may be left out if the
+// key is for one team only.
+func (c *call) readTeam(ctx *fasthttp.RequestCtx, view *catalog.View, teams []uint32) *problem {
+	c.teamName = string(ctx.Request.Header.Peek(HeaderTeam))
+	if c.teamName == "" && len(teams) == 1 {
+		c.team = teams[0]
+		c.teamName = view.Teams[c.team].Name
+		return nil
+	}
+	if c.teamName == "" {
+		return notRun(fasthttp.StatusBadRequest, "no_team", HeaderTeam, "the key is for several teams; name one")
+	}
+	c.team = view.TeamNumber(c.teamName)
+	if c.team == 0 || !slices.Contains(teams, c.team) {
+		return notRun(fasthttp.StatusForbidden, "foreign_team", HeaderTeam, "the key does not speak for this team")
+	}
+	return nil
+}
+
+func (c *call) readService(view *catalog.View, name string) *problem {
+	c.service = view.Services[view.ServiceNumber(name)]
+	if c.service == nil {
+		return notRun(fasthttp.StatusNotFound, "no_service", "", "no service "+quote(name))
+	}
+	return nil
+}
+
+func (c *call) readUrgency(ctx *fasthttp.RequestCtx) *problem {
+	switch text := string(ctx.Request.Header.Peek(HeaderUrgency)); text {
+	case "urgent":
+		c.class = dispatch.ClassUrgent
+	case "", "normal":
+		c.class = dispatch.ClassNormal
+	case "bulk":
+		c.class = dispatch.ClassBulk
+	default:
+		return notRun(fasthttp.StatusBadRequest, "bad_urgency", HeaderUrgency, "must be urgent, normal or bulk")
+	}
+	return nil
+}
+
+func (c *call) readDeadline(ctx *fasthttp.RequestCtx) *problem {
+	wait := c.service.Patient.Duration
+	if text := string(ctx.Request.Header.Peek(HeaderDeadline)); text != "" {
+		parsed, err := time.ParseDuration(text)
+		if err != nil || parsed <= 0 || parsed > maxDeadline {
+			return notRun(fasthttp.StatusBadRequest, "bad_deadline", HeaderDeadline, "must be a time such as 1500ms, at most 1h")
+		}
+		wait = parsed
+	}
+	c.deadline = c.arrived.Add(wait)
+	return nil
+}
+
+func (c *call) readNames(ctx *fasthttp.RequestCtx) *problem {
+	c.order = string(ctx.Request.Header.Peek(HeaderOrder))
+	if len(c.order) > maxOrderBytes {
+		return notRun(fasthttp.StatusBadRequest, "bad_order", HeaderOrder, "must have at most 128 characters")
+	}
+	c.id = string(ctx.Request.Header.Peek(HeaderRequest))
+	if len(c.id) > maxIDBytes {
+		return notRun(fasthttp.StatusBadRequest, "bad_id", HeaderRequest, "must have at most 128 characters")
+	}
+	if c.id == "" {
+		c.id = uuid.NewString()
+	}
+	return nil
+}
+
+func (c *call) readSize(ctx *fasthttp.RequestCtx) *problem {
+	if len(ctx.PostBody()) > c.service.Largest {
+		return notRun(fasthttp.StatusRequestEntityTooLarge, "too_large", "", "the body is larger than the service takes")
+	}
+	return nil
+}
+
+func (c *call) fingerprint(ctx *fasthttp.RequestCtx) {
+	d := xxhash.New()
+	key := binary.BigEndian.AppendUint32(nil, c.team)
+	key = binary.BigEndian.AppendUint32(key, c.service.Service.Number)
+	_, _ = d.Write(key)
+	_, _ = d.Write(ctx.Method())
+	_, _ = d.Write(ctx.RequestURI())
+	_, _ = d.Write(ctx.PostBody())
+	c.digest = d.Sum64()
+}
+
+// blocks returns the hash chain of the leading parts of a prompt.
+func (c *call) blocks(prompt string) []uint32 {
+	var chain []uint32
+	for _, size := range prefixBytes {
+		if len(prompt) < size {
+			break
+		}
+		key := binary.BigEndian.AppendUint32(nil, c.service.Service.Number)
+		chain = append(chain, uint32(xxhash.Sum64(append(key, prompt[:size]...))))
+	}
+	return chain
+}
+
+func quote(text string) string {
+	body, err := json.Marshal(text)
+	if err != nil {
+		return text
+	}
+	return strings.ToValidUTF8(string(body), "?")
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,255 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/catalog"
+	"github.com/cassiachute/cassiachute/host"
+	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/publish"
+	"github.com/cassiachute/cassiachute/target"
+	"github.com/cassiachute/cassiachute/wire"
+)
+
+const (
+	platformWorkers = 16
+	readTimeout     = 30 * time.Second // for the head and body of a caller's request
+	idleTimeout     = 2 * time.Minute
+	maxHeadBytes    = 16 << 10
+	drainTimeout    = 2 * time.Second
+	stopPoll        = 20 * time.Millisecond
+)
+
+// Entry is the process of one entry host.
+type Entry struct {
+	settings  Settings
+	log       zerolog.Logger
+	core      *core
+	hub       *wire.Hub
+	pool      *target.Pool
+	platform  *platform.Client
+	store     *publish.Store
+	workers   pond.Pool
+	metrics   *metrics
+	view      atomic.Pointer[catalog.View]
+	ready     atomic.Bool
+	stopping  atomic.Bool
+	polling   atomic.Bool
+	listeners listeners
+	server    *fasthttp.Server
+	status    *fasthttp.Server
+}
+
+// listeners are the sockets of an entry host.
+type listeners struct {
+	callers net.Listener
+	peers   net.Listener
+	status  net.Listener
+}
+
+// Option changes an Entry.
+type Option func(e *Entry)
+
+// WithLog sets the log.
+func WithLog(log zerolog.Logger) Option { return func(e *Entry) { e.log = log } }
+
+// New returns an Entry that listens at its addresses and serves once Run is
+// called. The error is marked settings.ErrInvalid if the settings are at fault.
+func New(s Settings, options ...Option) (*Entry, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	e := &Entry{settings: s, log: zerolog.Nop(), metrics: newMetrics(), workers: pond.NewPool(platformWorkers)}
+	for _, option := range options {
+		option(e)
+	}
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	routes := map[netip.AddrPort]netip.AddrPort{}
+	for _, r := range s.Routes {
+		routes[r.To] = r.Via
+	}
+	e.pool = target.NewPool(routes)
+	e.platform = platform.NewClient(s.Platform)
+	e.store = publish.NewStore(e.platform, time.Now)
+	e.wire(routes)
+	return e, nil
+}
+
+func (e *Entry) listen() error {
+	bind := e.settings.Bind
+	if !bind.IsValid() {
+		bind = e.settings.Peer
+	}
+	var err error
+	for _, l := range []struct {
+		into    *net.Listener
+		address netip.AddrPort
+	}{
+		{&e.listeners.callers, e.settings.Listen},
+		{&e.listeners.peers, bind},
+		{&e.listeners.status, e.settings.Status},
+	} {
+		if *l.into, err = net.Listen("tcp", l.address.String()); err != nil {
+			return errors.Wrapf(err, "listen at %s", l.address)
+		}
+	}
+	return nil
+}
+
+// wire connects the decisions, the peers and the callers.
+func (e *Entry) wire(routes map[netip.AddrPort]netip.AddrPort) {
+	boot := uint64(time.Now().UnixMilli())
+	config := host.NewConfig(e.settings.Peer, boot, e.settings.Place)
+	config.Policy, _ = policyOf(e.settings.Policy)
+	config.Alone = e.settings.Alone
+	for _, p := range e.settings.Peers {
+		config.Seeds = append(config.Seeds, host.Seed{Address: p.Address, Place: p.Place})
+	}
+	h := host.New(config)
+	e.view.Store(h.View())
+	e.core = newCore(h, time.Now, e.carry)
+	e.hub = wire.NewHub(wire.Config{
+		Address: e.settings.Peer, Boot: boot, Key: []byte(e.settings.Secret),
+		Silence: e.settings.Silence.Duration, Routes: routes,
+	}, wire.Events{
+		Received: e.core.received,
+		Up: func(peer netip.AddrPort, boot uint64, fresh bool) {
+			e.core.post(func(now time.Time, h *host.Host) { h.PeerUp(now, peer, boot, fresh) })
+		},
+		Down: func(peer netip.AddrPort, refused bool) {
+			e.core.post(func(now time.Time, h *host.Host) { h.PeerDown(now, peer, refused) })
+		},
+		Rejected: func(remote netip.AddrPort, err error) {
+			e.metrics.rejected.Inc()
+			e.log.Warn().Stringer("remote", remote).Err(err).Msg("peer rejected")
+		},
+	}, e.listeners.peers)
+	e.metrics.watchHub(e.hub)
+	e.server = &fasthttp.Server{
+		Handler: e.handle, NoDefaultServerHeader: true, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		ReadBufferSize: maxHeadBytes, MaxRequestBodySize: catalog.MaxLargestBytes, ErrorHandler: e.malformed,
+		CloseOnShutdown: true,
+	}
+	e.status = &fasthttp.Server{Handler: e.handleStatus, NoDefaultServerHeader: true}
+}
+
+// malformed answers a request that is not well-formed HTTP.
+func (e *Entry) malformed(ctx *fasthttp.RequestCtx, err error) {
+	p := notRun(fasthttp.StatusBadRequest, "bad_request", "", "the request is malformed")
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		p = notRun(fasthttp.StatusRequestEntityTooLarge, "too_large", "", "the body is too large")
+	}
+	e.refuse(ctx, nil, p)
+	ctx.SetConnectionClose()
+}
+
+// carry carries out commands of the decisions.
+func (e *Entry) carry(c host.Commands) {
+	for _, peer := range c.Connect {
+		e.hub.Connect(peer)
+	}
+	for _, s := range c.Sends {
+		e.hub.Send(s.To, s.Message)
+	}
+	for _, peer := range c.Forget {
+		e.hub.Forget(peer)
+	}
+	if c.View != nil {
+		e.view.Store(c.View)
+		e.ready.Store(!e.stopping.Load())
+		e.metrics.revision.Set(float64(c.View.Set.Revision))
+		e.log.Info().Uint64("revision", c.View.Set.Revision).Msg("configuration in force")
+	}
+	if c.Poll && e.polling.CompareAndSwap(false, true) {
+		e.workers.Submit(e.poll)
+	}
+}
+
+// poll asks the platform for a newer configuration and the list of hosts.
+func (e *Entry) poll() {
+	defer e.polling.Store(false)
+	set, err := e.store.Newest(e.view.Load().Set)
+	if err != nil {
+		e.log.Warn().Err(err).Msg("platform gives no configuration")
+		return
+	}
+	hosts, hostsErr := e.platform.Hosts()
+	e.core.post(func(now time.Time, h *host.Host) {
+		if set.Revision > 0 {
+			h.Apply(now, set)
+		}
+		if hostsErr == nil {
+			h.Listed(now, seeds(hosts))
+		}
+	})
+}
+
+func seeds(hosts []platform.Host) []host.Seed {
+	list := make([]host.Seed, 0, len(hosts))
+	for _, h := range hosts {
+		list = append(list, host.Seed{Address: h.Address, Place: h.Place, Leaving: h.Leaving})
+	}
+	return list
+}
+
+// Run serves until the context ends, then stops as planned: peers take over,
+// requests in flight finish.
+func (e *Entry) Run(ctx context.Context) error {
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	deciding := e.core.run(inner)
+	peering := e.hub.Run(inner)
+	served := make(chan error, 2)
+	go func() { served <- e.server.Serve(e.listeners.callers) }()
+	go func() { served <- e.status.Serve(e.listeners.status) }()
+	e.log.Info().Stringer("listen", e.settings.Listen).Stringer("peer", e.settings.Peer).Msg("serving")
+	var err error
+	select {
+	case <-ctx.Done():
+		e.stop()
+	case err = <-served:
+	}
+	_ = e.status.Shutdown()
+	cancel()
+	<-peering
+	<-deciding
+	e.workers.StopAndWait()
+	e.log.Info().Msg("stopped")
+	return err
+}
+
+// stop is the planned stop.
+func (e *Entry) stop() {
+	e.log.Info().Msg("stopping")
+	e.stopping.Store(true)
+	e.ready.Store(false)
+	e.core.ask(func(now time.Time, h *host.Host) { h.Leave(now) })
+	time.Sleep(e.settings.Grace.Duration)
+	_ = e.server.Shutdown()
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	for e.inFlight() > 0 {
+		<-ticker.C
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	e.hub.Drain(ctx)
+}
+
+// inFlight returns the number of requests that are not answered yet.
+func (e *Entry) inFlight() int {
+	all := 0
+	e.core.ask(func(_ time.Time, h *host.Host) { _, all = h.Waiting() })
+	return all + int(e.server.GetCurrentConcurrency())
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/wire"
+)
+
+const namespace = "cassia"
+
+// metrics are the measures of one entry host.
+type metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	waits    *prometheus.HistogramVec
+	heads    *prometheus.HistogramVec
+	cost     *prometheus.CounterVec
+	waiting  prometheus.Gauge
+	running  prometheus.Gauge
+	revision prometheus.Gauge
+	slots    *prometheus.GaugeVec
+	used     *prometheus.GaugeVec
+	queued   *prometheus.GaugeVec
+	virtual  *prometheus.GaugeVec
+	rejected prometheus.Counter
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: counter("requests_total", "Requests by team, service, status and outcome.",
+			"team", "service", "status", "outcome"),
+		retries: counter("retries_total", "Attempts that failed.", "service"),
+		cost:    counter("service_units_total", "Service received, in cost units.", "team", "service"),
+		waits:   histogram("wait_seconds", "Time without a slot.", "team", "service", "class"),
+		heads:   histogram("first_byte_seconds", "Time from sending to the first byte.", "service"),
+		waiting: gauge("waiting_requests", "Requests of callers of this host that wait for a slot."),
+		running: gauge("running_requests", "Requests of callers of this host that have a slot."),
+		revision: gauge("configuration_revision",
+			"Revision of the configuration in force."),
+		slots:    gaugeVec("shard_slots", "Slots of the shards owned here.", "service"),
+		used:     gaugeVec("shard_slots_used", "Slots in use of the shards owned here.", "service"),
+		queued:   gaugeVec("shard_waiting", "Tickets that wait at the shards owned here.", "service"),
+		virtual:  gaugeVec("virtual_service", "Service per weight that counts for the order.", "service", "team"),
+		rejected: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "peer_rejections_total", Help: "Peer connections rejected."}),
+	}
+	m.registry.MustRegister(m.requests, m.retries, m.cost, m.waits, m.heads, m.waiting, m.running,
+		m.revision, m.slots, m.used, m.queued, m.virtual, m.rejected)
+	return m
+}
+
+// watchHub publishes the bytes that peers exchange.
+func (m *metrics) watchHub(h *wire.Hub) {
+	m.registry.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "control_sent_bytes_total", Help: "Bytes sent to peers, without TCP headers.",
+		}, func() float64 { return float64(h.Sent()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "control_received_bytes_total", Help: "Bytes received from peers, without TCP headers.",
+		}, func() float64 { return float64(h.Received()) }),
+	)
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+func gaugeVec(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help,
+		Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
+	}, labels)
+}
+
+var classNames = []string{"urgent", "normal", "bulk"}
+
+// observe notes a request that was answered, or whose answer broke off.
+func (e *Entry) observe(x *exchange, status int, outcome string, cost uint64) {
+	c := x.call
+	m := e.metrics
+	m.requests.WithLabelValues(c.teamName, c.service.Name, strconv.Itoa(status), outcome).Inc()
+	m.waits.WithLabelValues(c.teamName, c.service.Name, classNames[c.class]).Observe(x.waited.Seconds())
+	m.heads.WithLabelValues(c.service.Name).Observe(x.head.Seconds())
+	m.cost.WithLabelValues(c.teamName, c.service.Name).Add(float64(cost))
+	name := ""
+	if x.target != nil {
+		name = x.target.Name
+	}
+	e.log.Info().Str("request", c.id).Str("team", c.teamName).Str("service", c.service.Name).
+		Str("kind", c.kind).Str("target", name).Int("status", status).Str("outcome", outcome).
+		Int64("wait", x.waited.Milliseconds()).Int64("took", time.Since(c.arrived).Milliseconds()).
+		Uint64("cost", cost).Msg("answered")
+}
+
+// observeRefusal notes a request that was refused.
+func (e *Entry) observeRefusal(c *call, p *problem) {
+	team, service, id := "", "", ""
+	if c != nil {
+		team, service, id = c.teamName, c.service.Name, c.id
+	}
+	e.metrics.requests.WithLabelValues(team, service, strconv.Itoa(p.status), p.outcome).Inc()
+	event := e.log.Info()
+	if p.status >= fasthttp.StatusInternalServerError {
+		event = e.log.Warn()
+	}
+	event.Str("request", id).Str("team", team).Str("service", service).Int("status", p.status).
+		Str("outcome", p.outcome).Str("code", p.code).Msg("refused")
+}
--- /dev/null
+++ b/entry/model.go
@@ -0,0 +1,422 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tidwall/gjson"
+	"github.com/tidwall/sjson"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/target"
+	"github.com/cassiachute/cassiachute/wire"
+)
+
+const (
+	eventReaderBytes = 16 << 10
+	maxEventBytes    = 1 << 20
+	bytesPerToken    = 4 // rough size of a prompt token where the engine does not tell
+)
+
+var (
+	dataPrefix = []byte("data:")
+	doneMark   = []byte("[DONE]")
+
+	errTooLong = errors.New("event too long")
+	errEnded   = errors.New("answer ended")
+)
+
+// stream is a model request whose answer comes in events. It goes on on another
+// engine where one breaks.
+type stream struct {
+	*exchange
+	body      []byte // as the caller sent it, with the options that the entry needs
+	wantUsage bool   // the caller asked for the usage
+	line      *target.Line
+	response  *fasthttp.Response
+	rd        *bufio.Reader
+	passed    int    // tokens passed on to the caller
+	attempt   int    // tokens of the present attempt
+	first     string // id of the answer, from the first attempt
+	last      time.Time
+	usage     usage
+	charged   uint64 // cost reported for earlier attempts
+	ended     bool
+	finish    string
+	created   int64
+}
+
+// usage is what the engine says of the tokens of an attempt.
+type usage struct {
+	prompt     int64
+	cached     int64
+	completion int64
+	known      bool
+}
+
+// part is one event of the answer.
+type part struct {
+	raw     []byte // the event's data
+	text    string
+	refusal *answer // the engine's answer is not a stream
+}
+
+// answer is a whole answer of a target.
+type answer struct {
+	status int
+	kind   []byte
+	body   []byte
+}
+
+// prepare makes the body to send to engines.
+func prepare(body []byte) ([]byte, error) {
+	body, err := sjson.SetBytes(body, "stream", true)
+	if err != nil {
+		return nil, err
+	}
+	return sjson.SetBytes(body, "stream_options.include_usage", true)
+}
+
+// next returns the next event of the answer, errEnded after the last one, or a
+// problem if the answer can't be completed.
+func (s *stream) next() (*part, *problem, error) {
+	for {
+		if s.ended {
+			return nil, nil, errEnded
+		}
+		if s.line == nil {
+			if p := s.connect(); p != nil {
+				return nil, p, nil
+			}
+		}
+		if s.rd == nil {
+			if refused, p := s.receive(); p != nil || refused != nil {
+				return refused, p, nil
+			}
+			continue
+		}
+		event, err := s.read()
+		if err != nil {
+			if p := s.lost(err); p != nil {
+				return nil, p, nil
+			}
+			continue
+		}
+		if event != nil {
+			return event, nil, nil
+		}
+	}
+}
+
+// connect waits for a slot and sends the request.
+func (s *stream) connect() *problem {
+	for {
+		line, p := s.slot()
+		if p != nil {
+			return p
+		}
+		s.line, s.rd, s.attempt, s.usage = line, nil, 0, usage{}
+		body := s.body
+		if s.passed > 0 {
+			resumed, err := sjson.SetBytes(body, "resume", s.passed)
+			if err != nil {
+				return notRun(fasthttp.StatusBadRequest, "bad_body", "", err.Error())
+			}
+			body = resumed
+		}
+		s.request.SetBodyRaw(body)
+		err := line.Send(s.request)
+		s.handed = s.handed || line.Wrote()
+		if err == nil {
+			return nil
+		}
+		if p := s.lost(err); p != nil {
+			return p
+		}
+	}
+}
+
+// receive reads the head of the answer.
+func (s *stream) receive() (*part, *problem) {
+	s.response = &fasthttp.Response{}
+	err := s.line.Receive(s.response, s.service.First.Duration, s.service.Idle.Duration)
+	if err != nil {
+		return nil, s.lost(err)
+	}
+	s.head = time.Since(s.begun)
+	body := target.NewBody(s.line, s.response)
+	if s.response.StatusCode() == fasthttp.StatusOK {
+		s.rd = bufio.NewReaderSize(body, eventReaderBytes)
+		s.last = time.Now()
+		return nil, nil
+	}
+	return s.refused(body)
+}
+
+// refused takes an answer that is not a stream. Overload is tried elsewhere;
+// other answers go to the caller as they are.
+func (s *stream) refused(body *target.Body) (*part, *problem) {
+	text, err := io.ReadAll(io.LimitReader(body, maxEventBytes))
+	if err != nil {
+		return nil, s.lost(err)
+	}
+	status := s.response.StatusCode()
+	if status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests {
+		s.drop(false)
+		return nil, s.fail(s.target, wire.End{Fate: wire.FateRefused})
+	}
+	kind := append([]byte(nil), s.response.Header.ContentType()...)
+	s.drop(true)
+	s.done(wire.End{})
+	s.ended = true
+	return &part{refusal: &answer{status: status, kind: kind, body: text}}, nil
+}
+
+// drop ends the use of the line.
+func (s *stream) drop(reuse bool) bool {
+	preempted := s.release(s.line, reuse)
+	s.line, s.rd = nil, nil
+	return preempted
+}
+
+// lost takes the failure of the present attempt.
+func (s *stream) lost(err error) *problem {
+	end := s.end()
+	s.charged += end.Cost
+	if s.drop(false) {
+		err = errPreempted
+	}
+	return s.broke(err, end)
+}
+
+// end returns the report of the present attempt.
+func (s *stream) end() wire.End {
+	prompt, output := s.usage.prompt-s.usage.cached, s.usage.completion
+	if !s.usage.known {
+		output = int64(s.attempt)
+		if s.attempt > 0 {
+			prompt = int64(len(s.body) / bytesPerToken)
+		}
+	}
+	end := wire.End{
+		Cost: s.service.Input*uint64(max(0, prompt)) + s.service.Output*uint64(max(0, output)),
+	}
+	if s.attempt > 1 {
+		end.Pace = uint32((time.Since(s.begun) - s.head).Microseconds() / int64(s.attempt))
+	}
+	return end
+}
+
+// read reads one event. It returns nil for what is not passed on.
+func (s *stream) read() (*part, error) {
+	data, err := s.readData()
+	if err != nil {
+		if errors.Is(err, io.EOF) {
+			err = errors.Mark(io.ErrUnexpectedEOF, target.ErrBroken)
+		}
+		return nil, err
+	}
+	if bytes.Equal(data, doneMark) {
+		s.close()
+		return nil, nil
+	}
+	return s.take(data), nil
+}
+
+// readData returns the data of the next event.
+func (s *stream) readData() ([]byte, error) {
+	var data []byte
+	for {
+		text, err := s.rd.ReadBytes('\n')
+		if err != nil {
+			return nil, err
+		}
+		text = bytes.TrimRight(text, "\r\n")
+		if len(text) == 0 && data != nil {
+			return data, nil
+		}
+		if rest, ok := bytes.CutPrefix(text, dataPrefix); ok {
+			data = append(data, bytes.TrimSpace(rest)...)
+		}
+		if len(data) > maxEventBytes {
+			return nil, errors.Mark(errTooLong, target.ErrBroken)
+		}
+	}
+}
+
+// take notes what an event says. It returns nil if the caller is not to have it.
+func (s *stream) take(data []byte) *part {
+	s.last = time.Now()
+	if u := gjson.GetBytes(data, "usage"); u.IsObject() {
+		s.usage = usage{
+			prompt:     u.Get("prompt_tokens").Int(),
+			cached:     u.Get("prompt_tokens_details.cached_tokens").Int(),
+			completion: u.Get("completion_tokens").Int(),
+			known:      true,
+		}
+		if !s.wantUsage && len(gjson.GetBytes(data, "choices").Array()) == 0 {
+			return nil
+		}
+	}
+	text := gjson.GetBytes(data, "choices.0.delta.content").String()
+	if text == "" {
+		text = gjson.GetBytes(data, "choices.0.text").String()
+	}
+	if text != "" {
+		s.passed++
+		s.attempt++
+	}
+	if f := gjson.GetBytes(data, "choices.0.finish_reason").String(); f != "" {
+		s.finish = f
+	}
+	id := gjson.GetBytes(data, "id").String()
+	if s.first == "" {
+		s.first = id
+		s.created = gjson.GetBytes(data, "created").Int()
+	}
+	if id != s.first {
+		if renamed, err := sjson.SetBytes(data, "id", s.first); err == nil {
+			data = renamed
+		}
+	}
+	return &part{raw: data, text: text}
+}
+
+// close ends a complete answer. What follows the last event is the end of the
+// body; a line that has more is not used again.
+func (s *stream) close() {
+	rest, err := io.Copy(io.Discard, io.LimitReader(s.rd, maxEventBytes))
+	end := s.end()
+	s.drop(err == nil && rest <= 2)
+	s.done(end)
+	s.charged += end.Cost
+	s.ended = true
+}
+
+// abandon ends the exchange because the caller went away.
+func (s *stream) abandon() {
+	if s.ended {
+		return
+	}
+	end := s.end()
+	end.Fate = wire.FateWithdrawn
+	if s.line != nil {
+		s.drop(false)
+	}
+	s.entry.core.finish(s.exchange, end)
+	s.ended = true
+}
+
+// pipe passes the events on to the caller. A stream that can't be completed
+// ends with an error event and a broken connection, never cleanly.
+func (s *stream) pipe(w *bufio.Writer, current *part) {
+	for current != nil {
+		if !writeEvent(w, current.raw) {
+			s.abandon()
+			return
+		}
+		following, p, err := s.next()
+		if errors.Is(err, errEnded) {
+			writeEvent(w, doneMark)
+			s.entry.observe(s.exchange, fasthttp.StatusOK, "", s.charged)
+			return
+		}
+		if p != nil {
+			s.cut(w, p)
+			return
+		}
+		current = following
+	}
+}
+
+// cut breaks the caller's connection after an error event.
+func (s *stream) cut(w *bufio.Writer, p *problem) {
+	body, err := json.Marshal(errorBody{Error: errorDetail{Message: p.message, Type: "server_error", Code: p.code}})
+	if err == nil {
+		writeEvent(w, body)
+	}
+	s.caller.Close()
+	s.entry.observe(s.exchange, p.status, OutcomeUnknown, s.charged)
+}
+
+func writeEvent(w *bufio.Writer, data []byte) bool {
+	_, _ = w.WriteString("data: ")
+	_, _ = w.Write(data)
+	_, _ = w.WriteString("\n\n")
+	return w.Flush() == nil
+}
+
+// whole collects the answer into one body, as for a caller that does not
+// stream.
+func (s *stream) whole(chat bool, current *part) ([]byte, *problem) {
+	var text strings.Builder
+	for {
+		text.WriteString(current.text)
+		following, p, err := s.next()
+		if errors.Is(err, errEnded) {
+			return s.compose(chat, text.String()), nil
+		}
+		if p != nil {
+			return nil, p
+		}
+		current = following
+	}
+}
+
+// wholeChoice is the one alternative of a whole answer.
+type wholeChoice struct {
+	Index   int           `json:"index"`
+	Text    *string       `json:"text,omitempty"`
+	Message *wholeMessage `json:"message,omitempty"`
+	Finish  string        `json:"finish_reason"`
+}
+
+// wholeMessage is the message of a whole chat answer.
+type wholeMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// wholeUsage is the usage in a whole answer.
+type wholeUsage struct {
+	Prompt     int64 `json:"prompt_tokens"`
+	Completion int64 `json:"completion_tokens"`
+	Total      int64 `json:"total_tokens"`
+	Details    struct {
+		Cached int64 `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+// wholeAnswer is an answer that does not stream.
+type wholeAnswer struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Created int64         `json:"created"`
+	Model   string        `json:"model"`
+	Choices []wholeChoice `json:"choices"`
+	Usage   wholeUsage    `json:"usage"`
+}
+
+func (s *stream) compose(chat bool, text string) []byte {
+	a := wholeAnswer{ID: s.first, Object: "text_completion", Created: s.created, Model: s.service.Name}
+	c := wholeChoice{Finish: s.finish}
+	if chat {
+		a.Object = "chat.completion"
+		c.Message = &wholeMessage{Role: "assistant", Content: text}
+	} else {
+		c.Text = &text
+	}
+	a.Choices = []wholeChoice{c}
+	a.Usage = wholeUsage{Prompt: s.usage.prompt, Completion: int64(s.passed), Total: s.usage.prompt + int64(s.passed)}
+	a.Usage.Details.Cached = s.usage.cached
+	body, err := json.Marshal(a)
+	if err != nil {
+		return nil
+	}
+	return body
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"github.com/cassiachute/cassiachute/host"
+)
+
+// Status is the state of an entry host.
+type Status struct {
+	Peer     string        `json:"peer"`
+	Place    string        `json:"place"`
+	Revision uint64        `json:"revision"`
+	Ready    bool          `json:"ready"`
+	Waiting  int           `json:"waiting"`
+	Running  int           `json:"running"`
+	Live     []string      `json:"live"` // hosts of this place that can own shards
+	Sent     uint64        `json:"sent"` // control bytes
+	Received uint64        `json:"received"`
+	Reads    uint64        `json:"reads"` // calls to the platform
+	Writes   uint64        `json:"writes"`
+	Shards   []ShardStatus `json:"shards"`
+}
+
+// ShardStatus is the state of a shard that the host owns.
+type ShardStatus struct {
+	Service string         `json:"service"`
+	Place   string         `json:"place"`
+	Number  uint64         `json:"number"` // incarnation of the owner
+	Used    int            `json:"used"`
+	Slots   int            `json:"slots"`
+	Waiting int            `json:"waiting"`
+	Teams   []TeamStatus   `json:"teams"`
+	Targets []TargetStatus `json:"targets"`
+}
+
+// TeamStatus is the state of a team at a shard.
+type TeamStatus struct {
+	Team    string  `json:"team"`
+	Served  uint64  `json:"served"`  // cost units from this shard
+	Virtual float64 `json:"virtual"` // service per weight, fleet-wide
+	Waiting int     `json:"waiting"`
+	Running int     `json:"running"`
+}
+
+// TargetStatus is the state of a target at its shard.
+type TargetStatus struct {
+	Target  string `json:"target"`
+	Running int    `json:"running"`
+	Limit   int    `json:"limit"`
+	Slots   int    `json:"slots"`
+	Leaving bool   `json:"leaving,omitempty"`
+	Resting bool   `json:"resting,omitempty"`
+}
+
+func (e *Entry) handleStatus(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/healthz":
+		ctx.SetBodyString("ok\n")
+	case "/readyz":
+		if !e.ready.Load() {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			ctx.SetBodyString("not ready\n")
+			return
+		}
+		ctx.SetBodyString("ready\n")
+	case "/metrics":
+		e.gather(e.snapshot())
+		handler := promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{})
+		fasthttpadaptor.NewFastHTTPHandler(handler)(ctx)
+	case "/status":
+		body, err := json.Marshal(e.snapshot())
+		if err != nil {
+			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+			return
+		}
+		ctx.SetContentType("application/json")
+		ctx.SetBody(body)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+// snapshot returns the state of this host.
+func (e *Entry) snapshot() Status {
+	s := Status{Peer: e.settings.Peer.String(), Place: e.settings.Place, Ready: e.ready.Load()}
+	s.Sent, s.Received = e.hub.Sent(), e.hub.Received()
+	s.Reads, s.Writes = e.platform.Calls()
+	e.core.ask(func(now time.Time, h *host.Host) {
+		view := h.View()
+		s.Revision = view.Set.Revision
+		all := 0
+		s.Waiting, all = h.Waiting()
+		s.Running = all - s.Waiting
+		for _, address := range h.Live() {
+			s.Live = append(s.Live, address.String())
+		}
+		for _, shard := range h.Status(now) {
+			s.Shards = append(s.Shards, describe(h, shard))
+		}
+	})
+	return s
+}
+
+// describe replaces the numbers in the state of a shard by names.
+func describe(h *host.Host, shard host.Status) ShardStatus {
+	view := h.View()
+	d := ShardStatus{
+		Number: shard.Incarnation, Used: shard.Used, Slots: shard.Slots, Waiting: shard.Waiting,
+	}
+	if row := view.Services[shard.Shard.Service]; row != nil {
+		d.Service = row.Name
+	}
+	if row := view.Places[shard.Shard.Place]; row != nil {
+		d.Place = row.Name
+	}
+	for _, t := range shard.Teams {
+		if row := view.Teams[t.Team]; row != nil {
+			d.Teams = append(d.Teams, TeamStatus{
+				Team: row.Name, Served: t.Served, Virtual: t.Virtual, Waiting: t.Waiting, Running: t.Running,
+			})
+		}
+	}
+	for _, t := range shard.Targets {
+		if row := view.Targets[t.Target]; row != nil {
+			d.Targets = append(d.Targets, TargetStatus{
+				Target: row.Name, Running: t.Running, Limit: t.Limit, Slots: t.Slots,
+				Leaving: t.Leaving, Resting: t.Resting,
+			})
+		}
+	}
+	return d
+}
+
+// gather sets the gauges from the state.
+func (e *Entry) gather(s Status) {
+	m := e.metrics
+	m.waiting.Set(float64(s.Waiting))
+	m.running.Set(float64(s.Running))
+	m.slots.Reset()
+	m.used.Reset()
+	m.queued.Reset()
+	m.virtual.Reset()
+	for _, shard := range s.Shards {
+		m.slots.WithLabelValues(shard.Service).Set(float64(shard.Slots))
+		m.used.WithLabelValues(shard.Service).Set(float64(shard.Used))
+		m.queued.WithLabelValues(shard.Service).Set(float64(shard.Waiting))
+		for _, team := range shard.Teams {
+			m.virtual.WithLabelValues(shard.Service, team.Team).Set(team.Virtual)
+		}
+	}
+}
--- /dev/null
+++ b/intake/table.go
@@ -0,0 +1,410 @@
+// Package intake holds the requests of the callers of one entry host: those
+// that wait for a slot and those that run.
+//
+// The table is the truth about waiting and running work. When the owner of a
+// shard changes, the table tells the next owner what it holds.
+package intake
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cassiachute/cassiachute/dispatch"
+	"github.com/cassiachute/cassiachute/retry"
+	"github.com/cassiachute/cassiachute/wire"
+)
+
+// State is the state of a request.
+type State uint8
+
+// The states of a request.
+const (
+	Waiting State = iota // no slot yet
+	Granted              // has a slot, no byte is sent
+	Sent                 // bytes went to the target
+)
+
+const (
+	grantLife     = time.Second // a grant not used by then is stale
+	resendDelay   = 50 * time.Millisecond
+	renewEvery    = 15 * time.Second
+	resendsATick  = 200 // tickets sent again in one tick at most, for paced recovery
+	maxPreempts   = 2   // preemptions of one request before it is fixed
+	refusedRetry  = time.Second
+	unplacedDelay = 200 * time.Millisecond
+)
+
+// Request is what a caller asks for.
+type Request struct {
+	Service  uint32
+	Team     uint32
+	Class    uint8
+	Deadline time.Time // a request without a slot by then is refused
+	Fixed    bool      // cannot be preempted
+	Blocks   []uint32  // hash chain of the prompt's leading blocks
+	Suspect  bool      // was on a target that crashed
+}
+
+// row is one request.
+type row struct {
+	id          uint64
+	request     Request
+	state       State
+	shard       wire.Shard
+	owner       netip.AddrPort // host that has the ticket, invalid if none has
+	submitted   time.Time
+	presented   time.Time // when the ticket was last sent
+	retry       time.Time // not presented before then
+	granted     time.Time
+	sent        time.Time
+	incarnation uint64
+	target      uint32
+	avoid       uint32
+	hops        uint8
+	attempts    uint8
+	preempts    int
+}
+
+// Start tells that a request has a slot on a target.
+type Start struct {
+	ID     uint64
+	Target uint32
+}
+
+// Refusal tells that a request gets no slot.
+type Refusal struct {
+	ID     uint64
+	Reason uint8
+	Retry  time.Duration
+}
+
+// Cancel tells that the stream of a request is to be cancelled at its target
+// and its remainder queued again.
+type Cancel struct {
+	ID uint64
+}
+
+// Seams are the functions that a Table asks for what it does not hold.
+type Seams struct {
+	Owner func(shard wire.Shard) (netip.AddrPort, bool) // owner of a shard
+	Home  func(service uint32) (uint32, bool)           // place to present tickets of a service to
+	Send  func(to netip.AddrPort, m wire.Message)       // sends a message
+}
+
+// Table holds the requests of one entry host.
+type Table struct {
+	seams    Seams
+	rows     map[uint64]*row
+	waiting  int
+	last     uint64
+	known    map[wire.Shard]uint64 // highest incarnation of each shard
+	starts   []Start
+	refusals []Refusal
+	cancels  []Cancel
+}
+
+// NewTable returns an empty Table. Numbers of requests start above first.
+func NewTable(seams Seams, first uint64) *Table {
+	return &Table{seams: seams, rows: map[uint64]*row{}, known: map[wire.Shard]uint64{}, last: first}
+}
+
+// Count returns the number of waiting requests and of all requests.
+func (t *Table) Count() (waiting, all int) { return t.waiting, len(t.rows) }
+
+// Known returns the highest incarnation of a shard's owner that was heard of.
+func (t *Table) Known(shard wire.Shard) uint64 { return t.known[shard] }
+
+// Observe takes the incarnation of a shard's owner.
+func (t *Table) Observe(shard wire.Shard, incarnation uint64) {
+	t.known[shard] = max(t.known[shard], incarnation)
+}
+
+// Drain returns the commands since the last call.
+func (t *Table) Drain() ([]Start, []Refusal, []Cancel) {
+	starts, refusals, cancels := t.starts, t.refusals, t.cancels
+	t.starts, t.refusals, t.cancels = nil, nil, nil
+	return starts, refusals, cancels
+}
+
+// Submit enters a request and returns its number.
+func (t *Table) Submit(now time.Time, request Request) uint64 {
+	t.last++
+	r := &row{id: t.last, request: request, submitted: now}
+	t.rows[r.id] = r
+	t.waiting++
+	t.goHome(now, r)
+	return r.id
+}
+
+// goHome presents a request to its home shard.
+func (t *Table) goHome(now time.Time, r *row) {
+	r.owner = netip.AddrPort{}
+	place, ok := t.seams.Home(r.request.Service)
+	if !ok {
+		t.refuse(r, dispatch.ReasonNoTarget, refusedRetry)
+		return
+	}
+	r.shard = wire.Shard{Service: r.request.Service, Place: place}
+	t.present(now, r)
+}
+
+// present sends the ticket of a request to the owner of its shard.
+func (t *Table) present(now time.Time, r *row) {
+	owner, ok := t.seams.Owner(r.shard)
+	if !ok {
+		r.owner, r.retry = netip.AddrPort{}, now.Add(unplacedDelay)
+		return
+	}
+	r.owner, r.presented = owner, now
+	t.seams.Send(owner, &wire.Ticket{
+		ID:      r.id,
+		Shard:   r.shard,
+		Team:    r.request.Team,
+		Class:   r.request.Class,
+		Age:     uint32(max(0, now.Sub(r.submitted).Milliseconds())),
+		Hops:    r.hops,
+		Fixed:   r.request.Fixed || r.preempts >= maxPreempts,
+		Blocks:  r.request.Blocks,
+		Avoid:   r.avoid,
+		Suspect: r.request.Suspect,
+	})
+}
+
+// Granted takes a grant. A grant that is not for a waiting request of the
+// shard, or that comes from an older owner, is returned.
+func (t *Table) Granted(now time.Time, from netip.AddrPort, m *wire.Grant) {
+	r := t.rows[m.ID]
+	stale := m.Incarnation < t.known[m.Shard]
+	t.Observe(m.Shard, m.Incarnation)
+	if stale || r == nil || r.state != Waiting || r.shard != m.Shard {
+		t.seams.Send(from, &wire.End{ID: m.ID, Shard: m.Shard, Fate: wire.FateStale})
+		if r != nil && r.state == Waiting && r.shard == m.Shard {
+			r.owner, r.retry = netip.AddrPort{}, now.Add(resendDelay)
+		}
+		return
+	}
+	r.state, r.owner, r.granted = Granted, from, now
+	r.incarnation, r.target = m.Incarnation, m.Target
+	t.waiting--
+	t.starts = append(t.starts, Start{ID: r.id, Target: m.Target})
+}
+
+// Begin is called right before the first byte goes to the target. It returns
+// false if the grant is no longer good; the request then waits again.
+func (t *Table) Begin(now time.Time, id uint64) bool {
+	r := t.rows[id]
+	if r == nil || r.state != Granted {
+		return false
+	}
+	if r.incarnation < t.known[r.shard] || now.Sub(r.granted) > grantLife {
+		t.requeue(now, r, wire.End{Fate: wire.FateStale})
+		return false
+	}
+	r.state, r.sent = Sent, now
+	return true
+}
+
+// Retry ends a request's use of its slot and queues it again. Targets that
+// failed it are avoided.
+func (t *Table) Retry(now time.Time, id uint64, end wire.End) {
+	r := t.rows[id]
+	if r == nil || r.state == Waiting {
+		return
+	}
+	switch end.Fate {
+	case wire.FatePreempted:
+		r.preempts++
+	case wire.FateBroken, wire.FateRefused, wire.FateSilent:
+		r.avoid = r.target
+		r.attempts++
+		t.wait(r, end)
+		r.retry = now.Add(retry.Backoff(int(r.attempts), r.id))
+		return
+	case wire.FateDone, wire.FateWithdrawn, wire.FateStale:
+	}
+	t.requeue(now, r, end)
+}
+
+// Suspect marks a request as having been on a target that crashed.
+func (t *Table) Suspect(id uint64) {
+	if r := t.rows[id]; r != nil {
+		r.request.Suspect = true
+	}
+}
+
+// requeue presents a request again at once.
+func (t *Table) requeue(now time.Time, r *row, end wire.End) {
+	t.wait(r, end)
+	t.goHome(now, r)
+}
+
+// wait puts a request back among those that wait. No owner has its ticket.
+func (t *Table) wait(r *row, end wire.End) {
+	t.report(r, end)
+	if r.state == Sent && !r.request.Deadline.IsZero() {
+		r.request.Deadline = r.request.Deadline.Add(r.sent.Sub(r.submitted))
+	}
+	r.state = Waiting
+	r.owner = netip.AddrPort{}
+	r.hops = 0
+	t.waiting++
+}
+
+// report tells the owner that a ticket no longer waits or runs.
+func (t *Table) report(r *row, end wire.End) {
+	if !r.owner.IsValid() {
+		return
+	}
+	end.ID, end.Shard = r.id, r.shard
+	t.seams.Send(r.owner, &end)
+}
+
+// Finish removes a request. The end carries its fate and measured cost.
+func (t *Table) Finish(id uint64, end wire.End) {
+	r := t.rows[id]
+	if r == nil {
+		return
+	}
+	t.report(r, end)
+	t.remove(r)
+}
+
+func (t *Table) remove(r *row) {
+	if r.state == Waiting {
+		t.waiting--
+	}
+	delete(t.rows, r.id)
+}
+
+func (t *Table) refuse(r *row, reason uint8, retry time.Duration) {
+	t.remove(r)
+	t.refusals = append(t.refusals, Refusal{ID: r.id, Reason: reason, Retry: retry})
+}
+
+// Denied takes the refusal of a ticket.
+func (t *Table) Denied(m *wire.Deny) {
+	r := t.rows[m.ID]
+	if r != nil && r.state == Waiting && r.shard == m.Shard {
+		t.refuse(r, m.Reason, time.Duration(m.Retry)*time.Millisecond)
+	}
+}
+
+// Moved presents a ticket to another place. If the place is the same one, the
+// owner was not the right one, and the ticket is presented anew after a delay.
+func (t *Table) Moved(now time.Time, m *wire.Move) {
+	r := t.rows[m.ID]
+	if r == nil || r.state != Waiting || r.shard != m.Shard {
+		return
+	}
+	if m.Place == m.Shard.Place {
+		r.owner, r.retry = netip.AddrPort{}, now.Add(resendDelay)
+		return
+	}
+	r.hops++
+	r.shard.Place = m.Place
+	t.present(now, r)
+}
+
+// Preempted takes the order to cancel a running stream.
+func (t *Table) Preempted(m *wire.Preempt) {
+	r := t.rows[m.ID]
+	if r != nil && r.state == Sent && r.shard == m.Shard && m.Incarnation == r.incarnation {
+		t.cancels = append(t.cancels, Cancel{ID: m.ID})
+	}
+}
+
+// Resync tells the owner of a shard what runs here and, in paced steps, what
+// waits.
+func (t *Table) Resync(now time.Time, shard wire.Shard, owner netip.AddrPort) {
+	m := &wire.Resync{Shard: shard, Known: t.known[shard]}
+	for _, r := range t.sorted() {
+		if r.shard != shard {
+			continue
+		}
+		if r.state == Waiting {
+			r.owner, r.retry = netip.AddrPort{}, now
+			continue
+		}
+		r.owner = owner
+		m.Running = append(m.Running, r.running(now))
+	}
+	t.seams.Send(owner, m)
+}
+
+func (r *row) running(now time.Time) wire.Running {
+	return wire.Running{
+		ID: r.id, Team: r.request.Team, Class: r.request.Class, Target: r.target,
+		Age:   uint32(max(0, now.Sub(r.granted).Milliseconds())),
+		Fixed: r.request.Fixed || r.preempts >= maxPreempts, Suspect: r.request.Suspect,
+	}
+}
+
+// Lost tells that the owner of a shard cannot be reached and that no other
+// owner is known. Its waiting tickets go home.
+func (t *Table) Lost(now time.Time, owner netip.AddrPort) {
+	for _, r := range t.sorted() {
+		if r.state == Waiting && r.owner == owner {
+			r.hops = 0
+			t.goHome(now, r)
+		}
+	}
+}
+
+func byID(a, b *row) int { return cmp.Compare(a.id, b.id) }
+
+// sorted returns the rows in the order of their numbers.
+func (t *Table) sorted() []*row {
+	list := make([]*row, 0, len(t.rows))
+	for _, r := range t.rows {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, byID)
+	return list
+}
+
+// Tick refuses requests whose deadline passed and presents tickets that no
+// owner has, at most a fixed number at once.
+func (t *Table) Tick(now time.Time) {
+	sends := 0
+	for _, r := range t.due(now) {
+		if !r.request.Deadline.IsZero() && now.After(r.request.Deadline) {
+			t.report(r, wire.End{Fate: wire.FateWithdrawn})
+			t.refuse(r, dispatch.ReasonDeadline, refusedRetry)
+			continue
+		}
+		if sends < resendsATick {
+			sends++
+			t.again(now, r)
+		}
+	}
+}
+
+// due returns the waiting requests that are past their deadline or to be
+// presented, in the order of their numbers.
+func (t *Table) due(now time.Time) []*row {
+	var list []*row
+	for _, r := range t.rows {
+		if r.state != Waiting {
+			continue
+		}
+		late := !r.request.Deadline.IsZero() && now.After(r.request.Deadline)
+		lost := !r.owner.IsValid() && !now.Before(r.retry)
+		if late || lost || now.Sub(r.presented) > renewEvery {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, byID)
+	return list
+}
+
+// again presents a ticket that no owner has. A ticket at a place that cannot
+// be reached goes home.
+func (t *Table) again(now time.Time, r *row) {
+	if _, ok := t.seams.Owner(r.shard); !ok {
+		t.goHome(now, r)
+		return
+	}
+	t.present(now, r)
+}
--- /dev/null
+++ b/load/record.go
@@ -0,0 +1,67 @@
+package load
+
+import "time"
+
+// Record is what became of one request. Times are since the start of the run.
+type Record struct {
+	Stream  int
+	ID      string
+	Order   string
+	Sent    time.Duration
+	Waited  time.Duration // time without a slot, as the entry tells
+	First   time.Duration // first token or byte
+	End     time.Duration
+	Status  int
+	Outcome string // outcome of a refusal
+	Code    string // code of a refusal
+	Prompt  int    // uncached prompt tokens
+	Tokens  int
+	Broken  bool // the answer broke off, and the caller could see it
+	Wrong   bool // the answer is incomplete or not one's own, and ended cleanly
+	Lost    bool // no answer at all
+	Replay  bool // stored result of an earlier run
+}
+
+// Served returns whether the request got its answer.
+func (r *Record) Served() bool {
+	return r.Status == statusOK && !r.Broken && !r.Wrong && !r.Lost
+}
+
+// Granted returns when the request got its slot.
+func (r *Record) Granted() time.Duration { return min(r.Sent+r.Waited, r.End) }
+
+// Cost returns the cost of the request in cost units.
+func (r *Record) Cost(plain bool) float64 {
+	if plain {
+		return float64((r.End - r.Granted()).Milliseconds())
+	}
+	return float64(r.Prompt + r.Tokens)
+}
+
+// Received returns the cost units received until a time. Tokens are taken to
+// arrive evenly between the first and the last one.
+func (r *Record) Received(at time.Duration, plain bool) float64 {
+	if r.Status != statusOK || at <= r.Granted() {
+		return 0
+	}
+	if at >= r.End {
+		return r.Cost(plain)
+	}
+	if plain {
+		return float64((at - r.Granted()).Milliseconds())
+	}
+	if at < r.First || r.First == 0 {
+		return 0
+	}
+	part := float64(at-r.First) / float64(max(1, r.End-r.First))
+	return float64(r.Prompt) + part*float64(r.Tokens)
+}
+
+// Sample is the state of all targets of a service at a time.
+type Sample struct {
+	At      time.Duration
+	Running int
+	Waiting int
+	Batch   int
+	Busy    float64 // slot-seconds since the start
+}
--- /dev/null
+++ b/roster/remote.go
@@ -0,0 +1,95 @@
+package roster
+
+import (
+	"encoding/binary"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cassiachute/cassiachute/wire"
+)
+
+// Own returns the roster of this host's place. The version is the time in Unix
+// milliseconds, but always higher than the one before.
+func (t *Table) Own(now time.Time) *wire.Roster {
+	t.version = max(t.version+1, uint64(now.UnixMilli()))
+	r := &wire.Roster{Place: t.config.Place, Version: t.version}
+	r.Members = append(r.Members, wire.Member{Address: t.config.Self, Boot: t.config.Boot, Leaving: t.leaving})
+	for _, address := range t.Present() {
+		m := t.members[address]
+		r.Members = append(r.Members, wire.Member{Address: address, Boot: m.boot, Leaving: m.leaving})
+	}
+	return r
+}
+
+// Learn takes the roster of another place. It returns true if the roster is
+// newer than the one known.
+func (t *Table) Learn(r *wire.Roster) bool {
+	if r.Place == t.config.Place || r.Place == 0 {
+		return false
+	}
+	known := t.remote[r.Place]
+	if known != nil && known.Version >= r.Version {
+		return false
+	}
+	if r.Same {
+		if known == nil {
+			return false
+		}
+		r = &wire.Roster{Place: r.Place, Version: r.Version, Revision: r.Revision, Members: known.Members}
+	}
+	t.remote[r.Place] = r
+	return true
+}
+
+// Rosters returns the known rosters of other places, ordered by place.
+func (t *Table) Rosters() []*wire.Roster {
+	var list []*wire.Roster
+	for _, place := range slices.Sorted(maps.Keys(t.remote)) {
+		list = append(list, t.remote[place])
+	}
+	return list
+}
+
+// Digest returns a hash of the known hosts of other places.
+func (t *Table) Digest() uint32 {
+	var key []byte
+	for _, r := range t.Rosters() {
+		key = binary.BigEndian.AppendUint32(key, r.Place)
+		for _, m := range r.Members {
+			address, _ := m.Address.MarshalBinary()
+			key = append(key, address...)
+			key = binary.BigEndian.AppendUint64(key, m.Boot)
+		}
+	}
+	return uint32(xxhash.Sum64(key))
+}
+
+// PlaceOf returns the place of a host, or 0 if the host is not known.
+func (t *Table) PlaceOf(address netip.AddrPort) uint32 {
+	if _, ok := t.members[address]; ok || address == t.config.Self {
+		return t.config.Place
+	}
+	for place, r := range t.remote {
+		for _, m := range r.Members {
+			if m.Address == address {
+				return place
+			}
+		}
+	}
+	return 0
+}
+
+// Drop removes the hosts of another place that the link found dead from the
+// known roster, until a newer roster names them again.
+func (t *Table) Drop(address netip.AddrPort) {
+	for place, r := range t.remote {
+		kept := slices.DeleteFunc(slices.Clone(r.Members), func(m wire.Member) bool { return m.Address == address })
+		if len(kept) < len(r.Members) {
+			t.remote[place] = &wire.Roster{Place: place, Version: r.Version, Members: kept}
+		}
+	}
+}
--- /dev/null
+++ b/target/line.go
@@ -0,0 +1,271 @@
+// Package target holds the connections to targets and tells exactly what was
+// handed to a target when something fails.
+package target
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	dialTimeout     = time.Second
+	writeTimeout    = 5 * time.Second
+	maxIdleAge      = 5 * time.Second // an older idle connection is not used again
+	maxIdlePerHost  = 64
+	lineBufferBytes = 4 << 10
+	maxHeaderBytes  = 64 << 10
+)
+
+var (
+	// ErrUnreached means that no connection could be made, so no byte was sent.
+	ErrUnreached = errors.New("target not reached")
+	// ErrSilent means that the target did not answer, or did not go on, in time.
+	ErrSilent = errors.New("target silent")
+	// ErrBroken means that the connection ended before the answer was complete.
+	ErrBroken = errors.New("connection to target broken")
+)
+
+// Line is one connection to a target. It carries one exchange at a time.
+type Line struct {
+	conn  net.Conn
+	rd    *bufio.Reader
+	wait  time.Duration // longest time that one read may take
+	wrote bool
+	bad   bool
+	since time.Time // when it became idle
+}
+
+// lineReader applies the line's timeout to each read.
+type lineReader struct{ line *Line }
+
+// Read implements io.Reader.
+func (r lineReader) Read(p []byte) (int, error) {
+	l := r.line
+	if err := l.conn.SetReadDeadline(time.Now().Add(l.wait)); err != nil {
+		return 0, err
+	}
+	return l.conn.Read(p)
+}
+
+// lineWriter notes that bytes were handed over.
+type lineWriter struct{ line *Line }
+
+// Write implements io.Writer.
+func (w lineWriter) Write(p []byte) (int, error) {
+	w.line.wrote = true
+	return w.line.conn.Write(p)
+}
+
+// Send writes a request. Wrote tells whether any byte was handed over.
+func (l *Line) Send(request *fasthttp.Request) error {
+	l.wrote = false
+	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return errors.Mark(err, ErrBroken)
+	}
+	wr := bufio.NewWriterSize(lineWriter{line: l}, lineBufferBytes)
+	err := request.Write(wr)
+	if err == nil {
+		err = wr.Flush()
+	}
+	if err != nil {
+		l.bad = true
+		return errors.Mark(err, ErrBroken)
+	}
+	return nil
+}
+
+// Wrote returns whether a byte of the last request was handed to the target.
+func (l *Line) Wrote() bool { return l.wrote }
+
+// Receive reads the head of the answer. The body is read from the response's
+// body stream. first is the timeout for the head, idle the one between two
+// parts of the body.
+func (l *Line) Receive(response *fasthttp.Response, first, idle time.Duration) error {
+	l.wait = first
+	response.StreamBody = true
+	if err := response.ReadLimitBody(l.rd, 0); err != nil {
+		l.bad = true
+		return classify(err)
+	}
+	l.wait = idle
+	return nil
+}
+
+// Body reads the body of an answer and checks that it is complete.
+type Body struct {
+	line *Line
+	src  io.Reader
+	left int // bytes that the head announced, -1 if chunked, -2 if not framed
+}
+
+// NewBody returns the body of a response that Receive read.
+func NewBody(l *Line, response *fasthttp.Response) *Body {
+	b := &Body{line: l, src: response.BodyStream(), left: response.Header.ContentLength()}
+	if b.src == nil {
+		b.left = 0
+	}
+	return b
+}
+
+// Framed returns whether the end of the body can be told from a broken
+// connection.
+func (b *Body) Framed() bool { return b.left != -2 }
+
+// Read implements io.Reader. It returns io.EOF only after a complete body;
+// other errors are marked ErrSilent or ErrBroken.
+func (b *Body) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := b.src.Read(p)
+	if b.left > 0 {
+		b.left -= n
+		if b.left == 0 {
+			return n, io.EOF
+		}
+	}
+	if err == nil {
+		return n, nil
+	}
+	if errors.Is(err, io.EOF) && b.left < 0 {
+		b.line.bad = b.line.bad || b.left == -2
+		return n, io.EOF
+	}
+	b.line.bad = true
+	return n, classify(err)
+}
+
+func classify(err error) error {
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		return errors.Mark(err, ErrSilent)
+	}
+	return errors.Mark(err, ErrBroken)
+}
+
+// Close ends the connection, which cancels what runs on it.
+func (l *Line) Close() {
+	l.bad = true
+	l.conn.Close()
+}
+
+// Pool keeps idle connections by target address.
+type Pool struct {
+	mu     sync.Mutex
+	idle   map[netip.AddrPort][]*Line
+	routes map[netip.AddrPort]netip.AddrPort
+}
+
+// NewPool returns an empty Pool. Routes replace addresses to dial.
+func NewPool(routes map[netip.AddrPort]netip.AddrPort) *Pool {
+	return &Pool{idle: map[netip.AddrPort][]*Line{}, routes: routes}
+}
+
+// Get returns a connection to a target. fresh asks for a new one. The error is
+// marked ErrUnreached.
+func (p *Pool) Get(ctx context.Context, address netip.AddrPort, fresh bool) (*Line, error) {
+	if !fresh {
+		if l := p.take(address); l != nil {
+			return l, nil
+		}
+	}
+	if via, ok := p.routes[address]; ok {
+		address = via
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "dial %s", address), ErrUnreached)
+	}
+	l := &Line{conn: conn, wait: dialTimeout}
+	l.rd = bufio.NewReaderSize(lineReader{line: l}, maxHeaderBytes)
+	return l, nil
+}
+
+// take returns an idle connection that is still usable, or nil.
+func (p *Pool) take(address netip.AddrPort) *Line {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for lines := p.idle[address]; len(lines) > 0; lines = p.idle[address] {
+		l := lines[len(lines)-1]
+		p.idle[address] = lines[:len(lines)-1]
+		if time.Since(l.since) < maxIdleAge && l.quiet() {
+			return l
+		}
+		l.conn.Close()
+	}
+	return nil
+}
+
+// quiet returns whether nothing arrived on an idle connection, not even its end.
+func (l *Line) quiet() bool { return l.rd.Buffered() == 0 && !Readable(l.conn) }
+
+// Put returns a connection whose exchange is complete. Any other is closed.
+func (p *Pool) Put(address netip.AddrPort, l *Line) {
+	if l.bad || l.rd.Buffered() > 0 {
+		l.conn.Close()
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[address]) >= maxIdlePerHost {
+		l.conn.Close()
+		return
+	}
+	l.since = time.Now()
+	p.idle[address] = append(p.idle[address], l)
+}
+
+// Forget closes the idle connections to a target.
+func (p *Pool) Forget(address netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.idle[address] {
+		l.conn.Close()
+	}
+	delete(p.idle, address)
+}
+
+// Readable returns whether bytes or the end of the connection can be read. It
+// consumes nothing.
+func Readable(conn net.Conn) bool {
+	_, state := peek(conn)
+	return state
+}
+
+// Gone returns whether the other side closed the connection. Bytes that wait
+// to be read mean that it did not. It consumes nothing.
+func Gone(conn net.Conn) bool {
+	n, readable := peek(conn)
+	return readable && n <= 0
+}
+
+func peek(conn net.Conn) (int, bool) {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, true
+	}
+	n, readable := 0, true
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		var peekErr error
+		n, _, peekErr = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if errors.Is(peekErr, syscall.EAGAIN) || errors.Is(peekErr, syscall.EINTR) {
+			readable = false
+		}
+	})
+	return n, readable || err != nil
+}
--- /dev/null
+++ b/wire/frame.go
@@ -0,0 +1,91 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// MaxFrameBytes is the largest body of a frame that a host sends or accepts.
+const MaxFrameBytes = 8 << 20
+
+const lengthBytes = 4
+
+var (
+	// ErrFrameTooLarge means that a frame is larger than its limit.
+	ErrFrameTooLarge = errors.New("frame too large")
+	// ErrUnknownKind means that a frame holds a message of a kind that this
+	// version does not know.
+	ErrUnknownKind = errors.New("unknown message kind")
+	// ErrMalformed means that a frame is not well-formed.
+	ErrMalformed = errors.New("malformed frame")
+)
+
+// Encode returns the body of a frame with the messages.
+func Encode(messages []Message) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseCompactInts(true)
+	for _, m := range messages {
+		buf.WriteByte(byte(m.Kind()))
+		if err := enc.Encode(m); err != nil {
+			return nil, errors.Wrap(err, "encode message")
+		}
+	}
+	return buf.Bytes(), nil
+}
+
+// Decode returns the messages in the body of a frame. The error is
+// ErrUnknownKind or ErrMalformed.
+func Decode(body []byte) ([]Message, error) {
+	rd := bytes.NewReader(body)
+	dec := msgpack.NewDecoder(rd)
+	var messages []Message
+	for rd.Len() > 0 {
+		tag, err := rd.ReadByte()
+		if err != nil {
+			return nil, errors.Mark(err, ErrMalformed)
+		}
+		m := blank(Kind(tag))
+		if m == nil {
+			return nil, errors.Wrapf(ErrUnknownKind, "kind %d", tag)
+		}
+		if err := dec.Decode(m); err != nil {
+			return nil, errors.Mark(errors.Wrapf(err, "kind %d", tag), ErrMalformed)
+		}
+		messages = append(messages, m)
+	}
+	return messages, nil
+}
+
+// writeFrame writes the length and the body in one call.
+func writeFrame(w io.Writer, body []byte) error {
+	if len(body) > MaxFrameBytes {
+		return ErrFrameTooLarge
+	}
+	frame := make([]byte, lengthBytes+len(body))
+	binary.BigEndian.PutUint32(frame, uint32(len(body)))
+	copy(frame[lengthBytes:], body)
+	_, err := w.Write(frame)
+	return err
+}
+
+// readFrame reads one body of at most limit bytes.
+func readFrame(r io.Reader, limit int) ([]byte, error) {
+	var head [lengthBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if size > uint32(limit) {
+		return nil, errors.Wrapf(ErrFrameTooLarge, "%d bytes", size)
+	}
+	var buf bytes.Buffer
+	if _, err := io.CopyN(&buf, r, int64(size)); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
