--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -12,7 +12,7 @@
 
 const (
 	bufferPart = 4 // a shard keeps this part of its slots as waiting tickets
-	pullPart   = 8 // most tickets pulled for fairness at once, as a part of the slots
+	pullPart   = 2 // most tickets pulled for fairness at once, as a part of the slots
 )
 
 // pullKey names the tickets of a team at a place.
@@ -21,8 +21,12 @@
 	team  uint32
 }
 
-// Merged takes the news that the book has a new account of a place.
-func (s *Shard) Merged(place uint32) {
+// Merged takes the news that the book has a new account of a place. silent is
+// the time since the account before.
+func (s *Shard) Merged(now time.Time, place uint32, silent time.Duration) {
+	if silent > staleAfter {
+		s.healed = now
+	}
 	delete(s.pushed, place)
 	for key := range s.pulled {
 		if key.place == place {
@@ -124,12 +128,9 @@
 		return 0
 	}
 	row := s.team(number)
-	if len(row.queue) > 0 {
-		return 0
-	}
 	step := s.estimateOf(row).rate * s.mean.duration / row.weight
 	behind := (local - s.virtual(now, row)) / max(step, 1)
-	return min(int(behind), s.slots/pullPart+1)
+	return min(int(behind)-len(row.queue), s.slots/pullPart+1)
 }
 
 // Pulled moves tickets of a team to the place that asks for them.
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -15,10 +15,10 @@
 		return
 	}
 	next := s.waiting[0]
-	if next.queue[0].class != ClassUrgent || s.full(next, 1) {
+	if next.queue[0].class != ClassUrgent || s.full(now, next, 1) {
 		return
 	}
-	victim := s.victim()
+	victim := s.victim(now)
 	if victim == nil {
 		return
 	}
@@ -29,22 +29,37 @@
 	})
 }
 
-// full returns whether a team with so many more slots holds more than its share.
-func (s *Shard) full(row *team, more int) bool {
-	total := 0.0
-	for _, other := range s.teams {
-		if other.running > 0 || len(other.queue) > 0 {
-			total += other.weight
+// full returns whether a team with so many more slots holds more than its share
+// of the slots of all places.
+func (s *Shard) full(now time.Time, row *team, more int) bool {
+	slots, held, total := s.slots, row.running+more, 0.0
+	active := map[uint32]bool{}
+	for number, other := range s.teams {
+		active[number] = other.running > 0 || len(other.queue) > 0
+	}
+	for _, peer := range s.peers {
+		a := s.account(now, peer.Place)
+		if a == nil {
+			continue
+		}
+		slots += a.Slots
+		held += int(a.Rows[row.number].Running)
+		for number, r := range a.Rows {
+			active[number] = active[number] || r.Running > 0 || r.Waiting > 0
+		}
+	}
+	for number, is := range active {
+		if is {
+			total += s.weight(number)
 		}
 	}
-	share := float64(s.slots) * row.weight / max(total, row.weight)
-	return float64(row.running+more) > share
+	return float64(held) > float64(slots)*row.weight/max(total, row.weight)
 }
 
-func (s *Shard) victim() *grant {
+func (s *Shard) victim(now time.Time) *grant {
 	over := map[*team]bool{}
 	for _, row := range s.teams {
-		over[row] = row.running > 0 && s.full(row, 0)
+		over[row] = row.running > 0 && s.full(now, row, 0)
 	}
 	var best *grant
 	for _, g := range s.grants {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -96,10 +96,14 @@
 	s.tell(now, s.changed(now), false)
 }
 
-// HandOver tells the standby and the other places that this owner stops.
+// HandOver tells the standby and the other places that this owner stops, and
+// returns the waiting tickets to their entries.
 func (s *Shard) HandOver(now time.Time) {
 	for _, row := range s.teams {
 		row.dirty = true
 	}
 	s.tell(now, s.changed(now), true)
+	for key := range s.tickets {
+		s.send(key.Host, &wire.Move{ID: key.ID, Shard: s.config.Shard, Place: s.config.Shard.Place})
+	}
 }
--- a/dispatch/shard.go
+++ b/dispatch/shard.go
@@ -41,9 +41,11 @@
 	maxHops          = 8
 	prefixEntries    = 1 << 16
 	retryDelay       = time.Second
-	urgentPreempts   = 4 // most preemptions under way per shard
-	debtRequests     = 8 // service that a team may lag behind others, in costliest requests
+	urgentPreempts   = 4   // most preemptions under way per shard
+	creditRequests   = 1.0 // service that an idle team may have in store, in costliest requests
+	debtRequests     = 8   // service that a team may lag behind others, in costliest requests
 	staleAfter       = 3 * time.Second
+	healTime         = time.Second // for which debts are bounded after a cut has healed
 	minReportDelay   = 25 * time.Millisecond
 	reportPerPeer    = 50 * time.Millisecond
 	minReportPeriod  = 250 * time.Millisecond
@@ -100,6 +102,7 @@
 	mean     estimate // of all teams
 	costly   float64  // cost of the costliest request seen, decaying
 	preempts int
+	healed   time.Time // when a place was heard of again after a cut
 	turn     uint64
 
 	peers    []Peer
--- a/dispatch/team.go
+++ b/dispatch/team.go
@@ -141,13 +141,13 @@
 	}
 }
 
-// raise lifts a team that becomes backlogged to the level at which others are
-// served, so that idleness banks no credit.
+// raise lifts a team that becomes backlogged to just below the level at which
+// others are served, so that idleness banks no more credit than one request.
 func (s *Shard) raise(now time.Time, row *team) {
 	if s.book.Waiting(row.number, s.config.Shard.Place, now.Add(-staleAfter)) {
 		return
 	}
-	s.raiseTo(now, row, float64(s.book.Level()))
+	s.raiseTo(now, row, float64(s.book.Level())-creditRequests*s.costly)
 }
 
 func (s *Shard) raiseTo(now time.Time, row *team, level float64) {
@@ -157,8 +157,9 @@
 	}
 }
 
-// lift refreshes the levels of the teams with work and bounds how far one of
-// them lags behind another, so that a healed cut brings no burst to repay.
+// lift refreshes the levels of the teams with work. After a cut has healed, it
+// bounds how far one of them lags behind another, so that there is no burst to
+// repay what was served on the other side.
 func (s *Shard) lift(now time.Time) {
 	highest := 0.0
 	for _, row := range s.teams {
@@ -169,7 +170,7 @@
 			highest = max(highest, row.level)
 		}
 	}
-	if !s.config.Policy.Fair {
+	if !s.config.Policy.Fair || now.Sub(s.healed) > healTime {
 		return
 	}
 	debt := debtRequests * max(s.costly, s.mean.cost)
--- a/entry/core.go
+++ b/entry/core.go
@@ -8,6 +8,7 @@
 	"github.com/cassiachute/cassiachute/catalog"
 	"github.com/cassiachute/cassiachute/host"
 	"github.com/cassiachute/cassiachute/intake"
+	"github.com/cassiachute/cassiachute/order"
 	"github.com/cassiachute/cassiachute/wire"
 )
 
@@ -21,10 +22,10 @@
 
 // outcome is what the decisions tell a waiting exchange.
 type outcome struct {
-	target  *catalog.TargetRow // slot on this target, or nil if refused
-	reason  uint8
-	retry   time.Duration
-	granted time.Time
+	target *catalog.TargetRow // slot on this target, or nil if refused
+	reason uint8
+	retry  time.Duration
+	grant  uint64
 }
 
 // core runs the decisions on one goroutine.
@@ -32,6 +33,8 @@
 	host      *host.Host
 	events    chan event
 	exchanges map[uint64]*exchange
+	verdicts  map[uint64]chan<- order.Verdict // who waits for the write of an order's record
+	writes    uint64
 	now       func() time.Time
 	carry     func(c host.Commands) // carries out what does not concern exchanges
 	ctx       context.Context
@@ -39,7 +42,8 @@
 
 func newCore(h *host.Host, now func() time.Time, carry func(c host.Commands)) *core {
 	return &core{
-		host: h, events: make(chan event, eventQueue), exchanges: map[uint64]*exchange{}, now: now, carry: carry,
+		host: h, events: make(chan event, eventQueue), exchanges: map[uint64]*exchange{},
+		verdicts: map[uint64]chan<- order.Verdict{}, now: now, carry: carry,
 	}
 }
 
@@ -101,6 +105,12 @@
 			x.outcomes <- outcome{reason: r.Reason, retry: r.Retry}
 		}
 	}
+	for _, a := range commands.Verdicts {
+		if waiter := c.verdicts[a.Ref.ID]; waiter != nil {
+			delete(c.verdicts, a.Ref.ID)
+			waiter <- a.Verdict
+		}
+	}
 	for _, k := range commands.Cancels {
 		if x := c.exchanges[k.ID]; x != nil {
 			x.preempt()
@@ -118,7 +128,7 @@
 		}
 		return
 	}
-	x.outcomes <- outcome{target: row, granted: c.now()}
+	x.outcomes <- outcome{target: row, grant: s.Grant}
 }
 
 // submit enters an exchange.
@@ -130,9 +140,9 @@
 }
 
 // begin returns whether the grant of an exchange is still good.
-func (c *core) begin(x *exchange) bool {
+func (c *core) begin(x *exchange, grant uint64) bool {
 	good := false
-	c.ask(func(now time.Time, h *host.Host) { good = h.Begin(now, x.id) })
+	c.ask(func(now time.Time, h *host.Host) { good = h.Begin(now, x.id, grant) })
 	return good
 }
 
@@ -159,3 +169,14 @@
 func (c *core) received(peer netip.AddrPort, boot uint64, messages []wire.Message) {
 	c.post(func(now time.Time, h *host.Host) { h.Receive(now, peer, boot, messages) })
 }
+
+// write queues a write of an order's record. The verdict comes on the channel.
+func (c *core) write(op order.Op, limit time.Duration) <-chan order.Verdict {
+	verdict := make(chan order.Verdict, 1)
+	c.post(func(now time.Time, h *host.Host) {
+		c.writes++
+		c.verdicts[c.writes] = verdict
+		h.WriteOrder(now, c.writes, op, now.Add(limit))
+	})
+	return verdict
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,6 +40,7 @@
 	store     *publish.Store
 	workers   pond.Pool
 	metrics   *metrics
+	prompts   promptMeans
 	view      atomic.Pointer[catalog.View]
 	ready     atomic.Bool
 	stopping  atomic.Bool
@@ -69,6 +70,7 @@
 		return nil, err
 	}
 	e := &Entry{settings: s, log: zerolog.Nop(), metrics: newMetrics(), workers: pond.NewPool(platformWorkers)}
+	e.prompts.means = map[uint32]float64{}
 	for _, option := range options {
 		option(e)
 	}
@@ -171,6 +173,13 @@
 		e.metrics.revision.Set(float64(c.View.Set.Revision))
 		e.log.Info().Uint64("revision", c.View.Set.Revision).Msg("configuration in force")
 	}
+	e.logChanges(c)
+	for _, commit := range c.Commits {
+		e.workers.Submit(func() { e.commit(commit) })
+	}
+	for _, read := range c.Reads {
+		e.workers.Submit(func() { e.readBack(read) })
+	}
 	if c.Poll && e.polling.CompareAndSwap(false, true) {
 		e.workers.Submit(e.poll)
 	}
@@ -253,3 +262,16 @@
 	e.core.ask(func(_ time.Time, h *host.Host) { _, all = h.Waiting() })
 	return all + int(e.server.GetCurrentConcurrency())
 }
+
+// logChanges notes what changed in the fleet.
+func (e *Entry) logChanges(c host.Commands) {
+	for _, shard := range c.Taken {
+		e.log.Info().Uint32("service", shard.Service).Uint32("place", shard.Place).Msg("shard taken")
+	}
+	for _, shard := range c.Given {
+		e.log.Info().Uint32("service", shard.Service).Uint32("place", shard.Place).Msg("shard given up")
+	}
+	if c.Live != nil {
+		e.log.Info().Int("live", len(c.Live)).Msg("hosts of this place")
+	}
+}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -117,12 +117,15 @@
 	if err != nil {
 		return nil, x.fail(o.target, wire.End{Fate: wire.FateBroken})
 	}
-	if !x.entry.core.begin(x) {
+	if !x.entry.core.begin(x, o.grant) {
 		x.entry.pool.Put(o.target.Address, line)
 		return nil, nil
 	}
 	x.mu.Lock()
-	x.line, x.preempted = line, false
+	x.line = line
+	if x.preempted {
+		line.Close()
+	}
 	x.mu.Unlock()
 	x.target, x.begun, x.head = o.target, time.Now(), 0
 	return line, nil
@@ -132,8 +135,8 @@
 func (x *exchange) preempt() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.line != nil && !x.preempted {
-		x.preempted = true
+	x.preempted = true
+	if x.line != nil {
 		x.line.Close()
 	}
 }
@@ -142,13 +145,14 @@
 func (x *exchange) release(line *target.Line, reuse bool) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.line = nil
-	if reuse && !x.preempted {
+	preempted := x.preempted
+	x.line, x.preempted = nil, false
+	if reuse && !preempted {
 		x.entry.pool.Put(x.target.Address, line)
 	} else {
 		line.Close()
 	}
-	return x.preempted
+	return preempted
 }
 
 // fail takes the failure of an attempt. It queues the exchange again, or
--- a/entry/model.go
+++ b/entry/model.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,7 +21,7 @@
 const (
 	eventReaderBytes = 16 << 10
 	maxEventBytes    = 1 << 20
-	bytesPerToken    = 4 // rough size of a prompt token where the engine does not tell
+	promptLearning   = 0.05 // weight of one request in the mean of uncached tokens a byte
 )
 
 var (
@@ -200,7 +201,7 @@
 	if !s.usage.known {
 		output = int64(s.attempt)
 		if s.attempt > 0 {
-			prompt = int64(len(s.body) / bytesPerToken)
+			prompt = int64(s.entry.prompts.estimate(s.service.Service.Number, len(s.body)))
 		}
 	}
 	end := wire.End{
@@ -292,6 +293,9 @@
 func (s *stream) close() {
 	rest, err := io.Copy(io.Discard, io.LimitReader(s.rd, maxEventBytes))
 	end := s.end()
+	if s.usage.known && s.passed == s.attempt {
+		s.entry.prompts.learn(s.service.Service.Number, len(s.body), s.usage.prompt-s.usage.cached)
+	}
 	s.drop(err == nil && rest <= 2)
 	s.done(end)
 	s.charged += end.Cost
@@ -420,3 +424,27 @@
 	}
 	return body
 }
+
+// promptMeans holds, by service, the mean number of uncached prompt tokens for a
+// byte of a request. It stands in where a stream ends before its usage is told.
+type promptMeans struct {
+	mu    sync.Mutex
+	means map[uint32]float64
+}
+
+func (p *promptMeans) learn(service uint32, size int, tokens int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	mean, ok := p.means[service]
+	sample := float64(tokens) / float64(max(1, size))
+	if !ok {
+		mean = sample
+	}
+	p.means[service] = mean + promptLearning*(sample-mean)
+}
+
+func (p *promptMeans) estimate(service uint32, size int) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.means[service] * float64(size)
+}
--- a/entry/status.go
+++ b/entry/status.go
@@ -24,9 +24,17 @@
 	Received uint64        `json:"received"`
 	Reads    uint64        `json:"reads"` // calls to the platform
 	Writes   uint64        `json:"writes"`
+	Traffic  []Traffic     `json:"traffic"`
 	Shards   []ShardStatus `json:"shards"`
 }
 
+// Traffic is what the host sent of one kind of control message.
+type Traffic struct {
+	Kind     string `json:"kind"`
+	Messages uint64 `json:"messages"`
+	Bytes    uint64 `json:"bytes"`
+}
+
 // ShardStatus is the state of a shard that the host owns.
 type ShardStatus struct {
 	Service string         `json:"service"`
@@ -90,6 +98,9 @@
 func (e *Entry) snapshot() Status {
 	s := Status{Peer: e.settings.Peer.String(), Place: e.settings.Place, Ready: e.ready.Load()}
 	s.Sent, s.Received = e.hub.Sent(), e.hub.Received()
+	for _, t := range e.hub.Traffic() {
+		s.Traffic = append(s.Traffic, Traffic{Kind: t.Kind.String(), Messages: t.Messages, Bytes: t.Bytes})
+	}
 	s.Reads, s.Writes = e.platform.Calls()
 	e.core.ask(func(now time.Time, h *host.Host) {
 		view := h.View()
--- a/host/host.go
+++ b/host/host.go
@@ -15,6 +15,7 @@
 	"github.com/cassiachute/cassiachute/dispatch"
 	"github.com/cassiachute/cassiachute/intake"
 	"github.com/cassiachute/cassiachute/ledger"
+	"github.com/cassiachute/cassiachute/order"
 	"github.com/cassiachute/cassiachute/retry"
 	"github.com/cassiachute/cassiachute/roster"
 	"github.com/cassiachute/cassiachute/wire"
@@ -71,8 +72,14 @@
 	Starts   []intake.Start
 	Refusals []intake.Refusal
 	Cancels  []intake.Cancel
-	Poll     bool          // ask the platform for a newer configuration
-	View     *catalog.View // configuration that came into force, or nil
+	Commits  []order.Commit
+	Reads    []order.Read
+	Verdicts []order.Answer
+	Poll     bool             // ask the platform for a newer configuration
+	View     *catalog.View    // configuration that came into force, or nil
+	Taken    []wire.Shard     // shards that this host owns from now on
+	Given    []wire.Shard     // shards that it owns no more
+	Live     []netip.AddrPort // live hosts of this place, if they changed
 }
 
 // Host is the decisions of one entry host.
@@ -86,6 +93,7 @@
 	owners  map[wire.Shard]netip.AddrPort
 	intake  *intake.Table
 	suspect *suspects
+	orders  *order.Table
 	links   map[netip.AddrPort]*link
 	budgets map[uint32]*retry.Budget
 	seeds   []Seed
@@ -116,6 +124,7 @@
 	h.roster = roster.NewTable(roster.Config{
 		Self: config.Self, Boot: config.Boot, Dead: config.Dead, Doubt: config.Doubt,
 	})
+	h.orders = order.NewTable(h.orderPeers)
 	h.intake = intake.NewTable(intake.Seams{Owner: h.ownerOf, Home: h.home, Send: h.send}, 0)
 	return h
 }
@@ -125,6 +134,7 @@
 
 // Drain returns the commands since the last call.
 func (h *Host) Drain() Commands {
+	h.drainOrders()
 	h.settle()
 	h.out.Starts, h.out.Refusals, h.out.Cancels = h.intake.Drain()
 	out := h.out
@@ -172,9 +182,9 @@
 
 // Begin is called right before the first byte of a request goes to its target.
 // It returns false if the grant is no longer good; the request waits again.
-func (h *Host) Begin(now time.Time, id uint64) bool {
+func (h *Host) Begin(now time.Time, id, grant uint64) bool {
 	h.tickAt(now)
-	return h.intake.Begin(now, id)
+	return h.intake.Begin(now, id, grant)
 }
 
 // Retry ends a request's use of its slot and queues it again.
--- a/host/own.go
+++ b/host/own.go
@@ -16,6 +16,7 @@
 	h.tickAt(now)
 	h.watch(now)
 	h.intake.Tick(now)
+	h.orders.Tick(now)
 	h.settle()
 	share := h.roster.Share(now)
 	for _, shard := range h.ownShards() {
@@ -92,6 +93,7 @@
 // reshard compares the owners of all shards with those before and hands over
 // what changed hands.
 func (h *Host) reshard(now time.Time) {
+	h.out.Live = h.roster.Live()
 	shards := h.allShards()
 	h.served = map[uint32]map[uint32]bool{}
 	current := map[wire.Shard]bool{}
@@ -131,6 +133,7 @@
 		s.HandOver(now)
 		h.settle()
 		delete(h.shards, shard)
+		h.out.Given = append(h.out.Given, shard)
 	}
 	if h.owners[shard] != owner {
 		h.owners[shard] = owner
@@ -153,6 +156,7 @@
 	s := dispatch.NewShard(now, config, h.book(shard.Service), expected)
 	s.Configure(now, h.view)
 	h.shards[shard] = s
+	h.out.Taken = append(h.out.Taken, shard)
 }
 
 // incarnation returns a number above all that were heard of for a shard.
--- a/host/receive.go
+++ b/host/receive.go
@@ -36,13 +36,13 @@
 	case *wire.Move:
 		h.intake.Moved(now, m)
 	case *wire.Preempt:
-		h.intake.Preempted(m)
+		h.intake.Preempted(now, m)
 	case *wire.End:
 		if s := h.shards[m.Shard]; s != nil {
 			s.End(now, from, m)
 		}
 	case *wire.Totals:
-		h.totals(now, from, m)
+		h.totals(now, m)
 	case *wire.Pull:
 		if s := h.shards[m.Shard]; s != nil {
 			s.Pulled(now, m)
@@ -57,6 +57,10 @@
 		h.takeSteps(now, from, m)
 	case *wire.Suspect:
 		h.takeSuspect(now, from, m)
+	case *wire.Claim:
+		h.claim(now, from, m)
+	case *wire.Claimed:
+		h.claimed(now, m)
 	}
 }
 
@@ -84,7 +88,7 @@
 }
 
 // totals takes the report of a shard's owner.
-func (h *Host) totals(now time.Time, from netip.AddrPort, m *wire.Totals) {
+func (h *Host) totals(now time.Time, m *wire.Totals) {
 	if s := h.shards[m.Shard]; s != nil {
 		if m.Incarnation > s.Incarnation() {
 			h.intake.Observe(m.Shard, m.Incarnation)
@@ -95,6 +99,10 @@
 	book := h.book(m.Shard.Service)
 	known := book.Account(m.Shard.Place)
 	isNew := known == nil || known.Incarnation != m.Incarnation
+	silent := time.Duration(0)
+	if known != nil {
+		silent = now.Sub(known.Heard)
+	}
 	if !book.Merge(now, m) {
 		return
 	}
@@ -103,11 +111,10 @@
 	if own == nil {
 		return
 	}
-	own.Merged(m.Shard.Place)
+	own.Merged(now, m.Shard.Place, silent)
 	if isNew {
 		own.Introduce(now)
 	}
-	_ = from
 }
 
 func sortAddresses(list []netip.AddrPort) []netip.AddrPort {
--- a/intake/table.go
+++ b/intake/table.go
@@ -29,9 +29,9 @@
 const (
 	grantLife     = time.Second // a grant not used by then is stale
 	resendDelay   = 50 * time.Millisecond
-	renewEvery    = 15 * time.Second
-	resendsATick  = 200 // tickets sent again in one tick at most, for paced recovery
-	maxPreempts   = 2   // preemptions of one request before it is fixed
+	renewAfter    = 2 * time.Second // a ticket that waits this long is sent again, then after twice the time
+	resendsATick  = 200             // tickets sent again in one tick at most, for paced recovery
+	maxPreempts   = 2               // preemptions of one request before it is fixed
 	refusedRetry  = time.Second
 	unplacedDelay = 200 * time.Millisecond
 )
@@ -55,8 +55,9 @@
 	shard       wire.Shard
 	owner       netip.AddrPort // host that has the ticket, invalid if none has
 	submitted   time.Time
-	presented   time.Time // when the ticket was last sent
-	retry       time.Time // not presented before then
+	presented   time.Time     // when the ticket was last sent
+	renewal     time.Duration // wait until it is sent again
+	retry       time.Time     // not presented before then
 	granted     time.Time
 	sent        time.Time
 	incarnation uint64
@@ -65,12 +66,14 @@
 	hops        uint8
 	attempts    uint8
 	preempts    int
+	grants      uint64 // grants so far
 }
 
 // Start tells that a request has a slot on a target.
 type Start struct {
 	ID     uint64
 	Target uint32
+	Grant  uint64 // number of the grant, for Begin
 }
 
 // Refusal tells that a request gets no slot.
@@ -147,6 +150,7 @@
 		return
 	}
 	r.shard = wire.Shard{Service: r.request.Service, Place: place}
+	r.renewal = renewAfter
 	t.present(now, r)
 }
 
@@ -188,14 +192,15 @@
 	r.state, r.owner, r.granted = Granted, from, now
 	r.incarnation, r.target = m.Incarnation, m.Target
 	t.waiting--
-	t.starts = append(t.starts, Start{ID: r.id, Target: m.Target})
+	r.grants++
+	t.starts = append(t.starts, Start{ID: r.id, Target: m.Target, Grant: r.grants})
 }
 
 // Begin is called right before the first byte goes to the target. It returns
 // false if the grant is no longer good; the request then waits again.
-func (t *Table) Begin(now time.Time, id uint64) bool {
+func (t *Table) Begin(now time.Time, id, grant uint64) bool {
 	r := t.rows[id]
-	if r == nil || r.state != Granted {
+	if r == nil || r.state != Granted || r.grants != grant {
 		return false
 	}
 	if r.incarnation < t.known[r.shard] || now.Sub(r.granted) > grantLife {
@@ -307,11 +312,20 @@
 	t.present(now, r)
 }
 
-// Preempted takes the order to cancel a running stream.
-func (t *Table) Preempted(m *wire.Preempt) {
+// Preempted takes the order to cancel a running stream. A grant that is not
+// used yet is given back.
+func (t *Table) Preempted(now time.Time, m *wire.Preempt) {
 	r := t.rows[m.ID]
-	if r != nil && r.state == Sent && r.shard == m.Shard && m.Incarnation == r.incarnation {
+	if r == nil || r.shard != m.Shard || m.Incarnation != r.incarnation {
+		return
+	}
+	switch r.state {
+	case Sent:
 		t.cancels = append(t.cancels, Cancel{ID: m.ID})
+	case Granted:
+		r.preempts++
+		t.requeue(now, r, wire.End{Fate: wire.FatePreempted})
+	case Waiting:
 	}
 }
 
@@ -391,7 +405,7 @@
 		}
 		late := !r.request.Deadline.IsZero() && now.After(r.request.Deadline)
 		lost := !r.owner.IsValid() && !now.Before(r.retry)
-		if late || lost || now.Sub(r.presented) > renewEvery {
+		if late || lost || now.Sub(r.presented) > r.renewal {
 			list = append(list, r)
 		}
 	}
@@ -406,5 +420,8 @@
 		t.goHome(now, r)
 		return
 	}
+	if r.owner.IsValid() {
+		r.renewal *= 2
+	}
 	t.present(now, r)
 }
--- a/load/measure.go
+++ b/load/measure.go
@@ -16,6 +16,7 @@
 	maxLatencyMicros = 10 * 60 * 1e6
 	latencyDigits    = 3
 	idleWindow       = 300 * time.Millisecond
+	maxFaults        = 10
 )
 
 // Measures are the results of a run.
@@ -36,6 +37,8 @@
 	Broken   int            `json:"broken"` // answers that broke off visibly
 	Lost     int            `json:"lost"`   // connections that ended without an answer
 	Codes    []Count        `json:"codes,omitempty"`
+	Faults   []string       `json:"faults,omitempty"` // of the first lost or broken answers
+	Traffic  []KindMeasure  `json:"traffic,omitempty"`
 	Teams    []TeamMeasure  `json:"teams"`
 	Phases   []PhaseMeasure `json:"phases,omitempty"`
 	Series   []Point        `json:"series,omitempty"`
@@ -48,6 +51,13 @@
 	Count int    `json:"count"`
 }
 
+// KindMeasure is the control traffic of one kind of message, mean over hosts.
+type KindMeasure struct {
+	Kind     string  `json:"kind"`
+	Messages float64 `json:"messages"` // sent a second
+	Bytes    float64 `json:"bytes"`    // sent a second
+}
+
 // GapMeasure is the gap and the use of one service.
 type GapMeasure struct {
 	Service  string  `json:"service"`
@@ -104,6 +114,7 @@
 	}
 	m.Busy = r.allBusy()
 	m.Control, m.Mean = r.control()
+	m.Traffic = r.traffic()
 	m.Phases = r.phases()
 	for _, p := range m.Phases {
 		if p.Flood {
@@ -119,6 +130,9 @@
 	for _, record := range r.records {
 		m.Sent++
 		ran := r.runs[record.ID] > 0
+		if record.Fault != "" && len(m.Faults) < maxFaults {
+			m.Faults = append(m.Faults, record.ID+": "+record.Fault)
+		}
 		switch {
 		case record.Lost:
 			m.Lost++
@@ -474,3 +488,30 @@
 	}
 	return float64(s.Least+s.Most)/2 + float64(s.Prompt)
 }
+
+// traffic returns what a host sent a second of each kind of message, on average.
+func (r *Run) traffic() []KindMeasure {
+	totals := map[string]*KindMeasure{}
+	for i, after := range r.after {
+		addTraffic(totals, after.Traffic, 1)
+		addTraffic(totals, r.before[i].Traffic, -1)
+	}
+	var list []KindMeasure
+	for _, t := range totals {
+		t.Messages /= r.plan.Length.Seconds() * float64(len(r.after))
+		t.Bytes /= r.plan.Length.Seconds() * float64(len(r.after))
+		list = append(list, *t)
+	}
+	slices.SortFunc(list, func(a, b KindMeasure) int { return cmp.Compare(b.Bytes, a.Bytes) })
+	return list
+}
+
+func addTraffic(totals map[string]*KindMeasure, list []entry.Traffic, sign float64) {
+	for _, t := range list {
+		if totals[t.Kind] == nil {
+			totals[t.Kind] = &KindMeasure{Kind: t.Kind}
+		}
+		totals[t.Kind].Messages += sign * float64(t.Messages)
+		totals[t.Kind].Bytes += sign * float64(t.Bytes)
+	}
+}
--- a/load/report.go
+++ b/load/report.go
@@ -30,6 +30,12 @@
 		m.Gap, m.Half, m.Busy, m.Kept, m.Control, m.Mean)
 	fmt.Fprintf(out, "sent %d  served %d  refused %d  broken %d  lost %d  waited %d  wrong %d  doubled %d  untrue %d\n",
 		m.Sent, m.Served, m.Refused, m.Broken, m.Lost, m.Waited, m.Wrong, m.Doubled, m.Untrue)
+	for _, t := range m.Traffic {
+		fmt.Fprintf(out, "control %-8s %7.1f messages/s %8.1f B/s sent by a host\n", t.Kind, t.Messages, t.Bytes)
+	}
+	for _, f := range m.Faults {
+		fmt.Fprintln(out, "fault", f)
+	}
 	for _, c := range m.Codes {
 		fmt.Fprintf(out, "refused %s: %d\n", c.Code, c.Count)
 	}
--- a/load/run.go
+++ b/load/run.go
@@ -331,7 +331,7 @@
 	defer func() { record.End = time.Since(start) }()
 	line, err := c.pool.Get(ctx, c.address, false)
 	if err != nil {
-		record.Lost = true
+		record.Lost, record.Fault = true, err.Error()
 		return
 	}
 	stop := context.AfterFunc(ctx, line.Close)
@@ -340,13 +340,13 @@
 	c.compose(request, s, q, record)
 	response := &fasthttp.Response{}
 	if err := line.Send(request); err != nil {
-		record.Lost = true
+		record.Lost, record.Fault = true, err.Error()
 		line.Close()
 		return
 	}
 	patience := time.Hour
 	if err := line.Receive(response, patience, patience); err != nil {
-		record.Lost = true
+		record.Lost, record.Fault = true, err.Error()
 		line.Close()
 		return
 	}
@@ -365,7 +365,9 @@
 	} else {
 		err = readWhole(body, start, s, q, record)
 	}
-	record.Broken = err != nil
+	if err != nil {
+		record.Broken, record.Fault = true, err.Error()
+	}
 	c.pool.Put(c.address, line)
 }
 
--- /dev/null
+++ b/order/record.go
@@ -0,0 +1,51 @@
+// Package order makes sure that an order runs at most once.
+//
+// An order is claimed by a conditional write of a record in the platform's
+// table before any byte of it goes to a target. The record carries the token of
+// one attempt, so that a lost reply is settled by reading back one's own token.
+// The package does no I/O: it returns commands and takes their results.
+package order
+
+import "time"
+
+// State is the state of an order.
+type State string
+
+// The states of an order.
+const (
+	Claimed State = "claimed" // an attempt may run it
+	Done    State = "done"    // it ran, and its result is kept
+	Unknown State = "unknown" // it may have run
+	Void    State = "void"    // no attempt ran it; it may be claimed anew
+)
+
+// Record is the row of one order.
+type Record struct {
+	Token  string    `json:"token"`            // attempt that wrote the record
+	State  State     `json:"state"`            // state of the order
+	Digest uint64    `json:"digest"`           // hash of the request, to tell a repeat from another request
+	Fence  uint64    `json:"fence"`            // fencing number of the attempt
+	Holder string    `json:"holder"`           // host of the attempt
+	Boot   uint64    `json:"boot"`             // start time of the holder's process
+	At     time.Time `json:"at"`               // when the record was written
+	Status int       `json:"status,omitempty"` // HTTP status of the result
+	Kind   string    `json:"kind,omitempty"`   // content type of the result
+	Body   []byte    `json:"body,omitempty"`   // result
+	Whole  bool      `json:"whole,omitempty"`  // the result is kept; false if it is too large
+}
+
+// Op is one conditional write of an order's record.
+type Op struct {
+	Name   string `json:"name"`   // key of the row
+	Expect uint64 `json:"expect"` // version of the row, 0 if there is none
+	Record Record `json:"record"`
+}
+
+// Verdict is the result of an Op. At most one of Won and Failed is true. If
+// neither is, Record is the record that is in the way.
+type Verdict struct {
+	Won     bool   `json:"won"`
+	Failed  bool   `json:"failed"` // the table was not reached; the write may still take effect
+	Version uint64 `json:"version"`
+	Record  Record `json:"record"`
+}
--- a/roster/table.go
+++ b/roster/table.go
@@ -255,3 +255,25 @@
 	key = binary.BigEndian.AppendUint32(key, shard.Place)
 	return xxhash.Sum64(key)
 }
+
+// Boot returns the start time of the process at an address, as far as a live
+// roster names it.
+func (t *Table) Boot(address netip.AddrPort) (uint64, bool) {
+	if m := t.members[address]; m != nil && m.live {
+		return m.boot, true
+	}
+	for _, r := range t.remote {
+		for _, m := range r.Members {
+			if m.Address == address {
+				return m.Boot, true
+			}
+		}
+	}
+	return 0, false
+}
+
+// IsRefused returns whether no process listened at a member's address lately.
+func (t *Table) IsRefused(address netip.AddrPort) bool {
+	m := t.members[address]
+	return m != nil && m.refused
+}
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -32,6 +32,7 @@
 // sequence is one request in the engine.
 type sequence struct {
 	ctx     context.Context
+	gone    func() bool // whether the caller closed its connection
 	prompt  string
 	words   int
 	cached  int
@@ -144,12 +145,13 @@
 				}
 				continue
 			}
+			began := time.Now()
 			timer := time.NewTimer(wait)
 			select {
 			case <-ctx.Done():
 				timer.Stop()
 			case <-timer.C:
-				b.step(wait)
+				b.step(time.Since(began))
 			}
 		}
 		b.abort()
@@ -218,7 +220,7 @@
 
 // advance returns false if the sequence has ended.
 func (q *sequence) advance(prefill int) bool {
-	if q.ctx.Err() != nil {
+	if q.ctx.Err() != nil || q.gone() {
 		return false
 	}
 	if q.prefill > prefill {
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/target"
 )
 
 // Headers that the engine reads.
@@ -184,6 +186,8 @@
 		ctx: streamCtx, prompt: prompt, words: Words(prompt), length: Length(prompt, c.Limit),
 		next: c.Resume,
 	}
+	conn := ctx.Conn()
+	q.gone = func() bool { return target.Gone(conn) }
 	q.tokens = make(chan int, max(0, q.length-q.next)+1)
 	e.batch.enter(q)
 	chat := string(ctx.Path()) == "/v1/chat/completions"
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -26,16 +26,25 @@
 
 // Encode returns the body of a frame with the messages.
 func Encode(messages []Message) ([]byte, error) {
+	body, _, err := encode(messages)
+	return body, err
+}
+
+// encode returns the body of a frame and the size of each message.
+func encode(messages []Message) ([]byte, []int, error) {
 	var buf bytes.Buffer
 	enc := msgpack.NewEncoder(&buf)
 	enc.UseCompactInts(true)
+	sizes := make([]int, 0, len(messages))
 	for _, m := range messages {
+		before := buf.Len()
 		buf.WriteByte(byte(m.Kind()))
 		if err := enc.Encode(m); err != nil {
-			return nil, errors.Wrap(err, "encode message")
+			return nil, nil, errors.Wrap(err, "encode message")
 		}
+		sizes = append(sizes, buf.Len()-before)
 	}
-	return buf.Bytes(), nil
+	return buf.Bytes(), sizes, nil
 }
 
 // Decode returns the messages in the body of a frame. The error is
--- a/wire/hub.go
+++ b/wire/hub.go
@@ -45,6 +45,7 @@
 	listener net.Listener
 	sent     atomic.Uint64
 	received atomic.Uint64
+	kinds    [kindLimit]traffic
 
 	mu       sync.Mutex
 	sessions map[netip.AddrPort]*session
@@ -53,6 +54,39 @@
 	ctx      context.Context
 }
 
+// traffic counts the messages of one kind that were sent.
+type traffic struct {
+	messages atomic.Uint64
+	bytes    atomic.Uint64
+}
+
+// Traffic is what was sent of one kind of message.
+type Traffic struct {
+	Kind     Kind
+	Messages uint64
+	Bytes    uint64
+}
+
+// Traffic returns what was sent of each kind, without the kinds never sent.
+func (h *Hub) Traffic() []Traffic {
+	var list []Traffic
+	for kind := range h.kinds {
+		t := &h.kinds[kind]
+		if t.messages.Load() > 0 {
+			list = append(list, Traffic{Kind: Kind(kind), Messages: t.messages.Load(), Bytes: t.bytes.Load()})
+		}
+	}
+	return list
+}
+
+func (h *Hub) count(messages []Message, sizes []int) {
+	for i, m := range messages {
+		t := &h.kinds[m.Kind()]
+		t.messages.Add(1)
+		t.bytes.Add(uint64(sizes[i]))
+	}
+}
+
 // inbound is the receiving side of one peer.
 type inbound struct {
 	mu   sync.Mutex
--- a/wire/message.go
+++ b/wire/message.go
@@ -30,8 +30,25 @@
 	KindSuspect  Kind = 15
 	KindClaim    Kind = 16
 	KindClaimed  Kind = 17
+
+	kindLimit = 18
 )
 
+var kindNames = [kindLimit]string{
+	KindBeat: "beat", KindRoster: "roster", KindTicket: "ticket", KindGrant: "grant", KindDeny: "deny",
+	KindEnd: "end", KindMove: "move", KindPreempt: "preempt", KindTotals: "totals", KindPull: "pull",
+	KindResync: "resync", KindAsk: "ask", KindSnapshot: "snapshot", KindSteps: "steps",
+	KindSuspect: "suspect", KindClaim: "claim", KindClaimed: "claimed",
+}
+
+// String returns the name of the kind.
+func (k Kind) String() string {
+	if k >= kindLimit || kindNames[k] == "" {
+		return "unknown"
+	}
+	return kindNames[k]
+}
+
 // Message is one typed message between hosts.
 type Message interface {
 	// Kind returns the tag that precedes the message in a frame.
--- a/wire/session.go
+++ b/wire/session.go
@@ -180,11 +180,12 @@
 		s.mu.Unlock()
 		return nil
 	}
-	body, err := Encode(messages)
+	body, sizes, err := encode(messages)
 	if err != nil {
 		s.mu.Unlock()
 		return err
 	}
+	s.hub.count(messages, sizes)
 	if len(s.retained) == 0 {
 		s.since = time.Now()
 	}
