--- a/cmd/cassia-demo/main.go
+++ b/cmd/cassia-demo/main.go
@@ -11,11 +11,9 @@
 	"syscall"
 	"time"
 
-	"github.com/cassiachute/cassiachute/entry"
 	"github.com/cassiachute/cassiachute/fleet"
 	"github.com/cassiachute/cassiachute/load"
 	"github.com/cassiachute/cassiachute/program"
-	"github.com/valyala/fasthttp"
 )
 
 // options are the flags.
@@ -67,7 +65,6 @@
 		return err
 	}
 	m, err := r.Do(ctx, func(p load.Progress) {
-		debug(f)
 		fmt.Fprintf(os.Stderr, "%3.0f s  sent %d  answered %d  refused %d\n",
 			p.Elapsed.Seconds(), p.Sent, p.Answered, p.Refused)
 	})
@@ -80,23 +77,3 @@
 	}
 	return nil
 }
-
-func debug(f *fleet.Fleet) {
-	for _, n := range f.Entries {
-		_, body, _ := fasthttp.GetTimeout(nil, "http://"+n.Settings.Status.String()+"/status", time.Second)
-		var s entry.Status
-		json.Unmarshal(body, &s)
-		for _, sh := range s.Shards {
-			if sh.Service != "model" {
-				continue
-			}
-			fmt.Fprintf(os.Stderr, "%s %s used %d/%d waiting %d:", s.Peer, sh.Place, sh.Used, sh.Slots, sh.Waiting)
-			for _, t := range sh.Teams {
-				if t.Team == "night" || t.Team == "rush" || t.Team == "crew1" {
-					fmt.Fprintf(os.Stderr, " %s v=%.0f served=%d w=%d r=%d;", t.Team, t.Virtual, t.Served, t.Waiting, t.Running)
-				}
-			}
-			fmt.Fprintln(os.Stderr)
-		}
-	}
-}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -103,7 +103,7 @@
 		row.dirty = true
 	}
 	s.tell(now, s.changed(now), true)
-	for key := range s.tickets {
+	for _, key := range sortedKeys(s.tickets) {
 		s.send(key.Host, &wire.Move{ID: key.ID, Shard: s.config.Shard, Place: s.config.Shard.Place})
 	}
 }
--- a/dispatch/shard.go
+++ b/dispatch/shard.go
@@ -41,9 +41,10 @@
 	maxHops          = 8
 	prefixEntries    = 1 << 16
 	retryDelay       = time.Second
-	urgentPreempts   = 4   // most preemptions under way per shard
-	creditRequests   = 1.0 // service that an idle team may have in store, in costliest requests
-	debtRequests     = 8   // service that a team may lag behind others, in costliest requests
+	grantAnswer      = time.Second // within which an entry has a grant
+	urgentPreempts   = 4           // most preemptions under way per shard
+	creditRequests   = 1.0         // service that an idle team may have in store, in costliest requests
+	debtRequests     = 8           // service that a team may lag behind others, in costliest requests
 	staleAfter       = 3 * time.Second
 	healTime         = time.Second // for which debts are bounded after a cut has healed
 	minReportDelay   = 25 * time.Millisecond
--- a/dispatch/team.go
+++ b/dispatch/team.go
@@ -13,6 +13,7 @@
 	initialDuration   = 1.0  // seconds
 	costlyDecay       = 0.9995
 	minDurationSecond = 0.001
+	heldDurations     = 8.0 // a slot is charged for so many mean durations at most, until its request ends
 )
 
 // estimate is what is known of the requests of a team.
@@ -110,6 +111,7 @@
 // charge returns the service charged to a team for its running requests.
 func (s *Shard) charge(now time.Time, row *team) float64 {
 	elapsed := float64(row.running)*now.Sub(s.started).Seconds() - row.starts
+	elapsed = min(elapsed, float64(row.running)*heldDurations*s.mean.duration)
 	return s.config.Policy.Charge(Holding{
 		Running:  row.running,
 		Elapsed:  max(0, elapsed),
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"container/heap"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cassiachute/cassiachute/wire"
@@ -78,12 +80,19 @@
 }
 
 // Submit takes a ticket of an entry. A ticket that is known already is not
-// entered twice.
+// entered twice. A ticket that was granted a while ago is entered again, as its
+// entry does not have the grant.
 func (s *Shard) Submit(now time.Time, host netip.AddrPort, m *wire.Ticket) {
 	key := Key{Host: host, ID: m.ID}
-	if s.tickets[key] != nil || s.grants[key] != nil {
+	if s.tickets[key] != nil {
 		return
 	}
+	if g := s.grants[key]; g != nil {
+		if now.Sub(g.since) < grantAnswer {
+			return
+		}
+		s.drop(g)
+	}
 	row := s.team(m.Team)
 	if reason := s.refusal(row); reason != 0 {
 		s.send(host, &wire.Deny{
@@ -158,9 +167,9 @@
 	for _, r := range m.Running {
 		named[r.ID] = true
 	}
-	for key, g := range s.grants {
+	for _, key := range sortedKeys(s.grants) {
 		if key.Host == host && !named[key.ID] {
-			s.drop(g)
+			s.drop(s.grants[key])
 		}
 	}
 	for _, r := range m.Running {
@@ -185,16 +194,24 @@
 
 // Drop removes all tickets and grants of a host that is gone.
 func (s *Shard) Drop(now time.Time, host netip.AddrPort) {
-	for key, tk := range s.tickets {
+	for _, key := range sortedKeys(s.tickets) {
 		if key.Host == host {
-			s.unqueue(now, tk)
+			s.unqueue(now, s.tickets[key])
 		}
 	}
-	for key, g := range s.grants {
+	for _, key := range sortedKeys(s.grants) {
 		if key.Host == host {
+			g := s.grants[key]
 			s.drop(g)
 			s.refresh(now, g.team)
 		}
 	}
 	delete(s.expected, host)
 }
+
+// sortedKeys returns the keys of a table in a fixed order.
+func sortedKeys[T any](rows map[Key]T) []Key {
+	return slices.SortedFunc(maps.Keys(rows), func(a, b Key) int {
+		return cmp.Or(a.Host.Compare(b.Host), cmp.Compare(a.ID, b.ID))
+	})
+}
--- a/host/host.go
+++ b/host/host.go
@@ -148,6 +148,7 @@
 		h.local = append(h.local, m)
 		return
 	}
+	h.link(to)
 	h.out.Sends = append(h.out.Sends, Send{To: to, Message: m})
 }
 
@@ -205,8 +206,8 @@
 
 // pick grants free slots of the shards that have waiting tickets.
 func (h *Host) pick(now time.Time) {
-	for _, s := range h.shards {
-		if s.Waiting() > 0 {
+	for _, shard := range h.ownShards() {
+		if s := h.shards[shard]; s.Waiting() > 0 {
 			s.Pick(now)
 		}
 	}
--- a/host/member.go
+++ b/host/member.go
@@ -1,7 +1,9 @@
 package host
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cassiachute/cassiachute/roster"
@@ -126,7 +128,6 @@
 		l := h.links[peer]
 		if l != nil && !l.up && !l.cut && !l.down.IsZero() && now.Sub(l.down) > cutAfter {
 			l.cut = true
-			h.roster.Drop(peer)
 			h.lose(now, peer)
 			h.reshard(now)
 		}
@@ -157,6 +158,9 @@
 }
 
 func (h *Host) beat(_ time.Time, peer netip.AddrPort) {
+	if peer == h.config.Self {
+		return
+	}
 	l := h.link(peer)
 	if !l.up || h.isRemote(peer) {
 		return
@@ -199,13 +203,13 @@
 	if h.roster.Place() == 0 {
 		return
 	}
-	for _, place := range h.view.Places {
+	for _, number := range slices.Sorted(maps.Keys(h.view.Places)) {
+		place := h.view.Places[number]
 		if place.Number == h.roster.Place() {
 			continue
 		}
 		head, ok := h.roster.Head(place.Number)
 		if ok {
-			h.link(head)
 			h.send(head, h.ownRoster(now, whole))
 			continue
 		}
@@ -216,7 +220,7 @@
 // trySeeds sends the roster to all seeds of a place whose hosts are not known.
 func (h *Host) trySeeds(now time.Time, place string) {
 	for _, s := range h.seeds {
-		if s.Place == place && h.link(s.Address).up {
+		if s.Place == place && s.Address != h.config.Self && h.link(s.Address).up {
 			h.send(s.Address, h.ownRoster(now, true))
 		}
 	}
@@ -253,7 +257,12 @@
 		return
 	}
 	before := h.roster.Digest()
-	newer := h.roster.Learn(m)
+	newer, lacks := h.roster.Learn(m)
+	if lacks || m.Want {
+		reply := h.ownRoster(now, true)
+		reply.Want = lacks
+		h.send(from, reply)
+	}
 	if !newer || before == h.roster.Digest() {
 		return
 	}
--- a/host/world_run_test.go
+++ b/host/world_run_test.go
@@ -50,7 +50,7 @@
 }
 
 func TestEveryRequestIsGrantedWhileHostsComeAndGo(t *testing.T) {
-	for seed := range uint64(20) {
+	for seed := range uint64(40) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := newFleet(t, seed, 3, 5)
 			service := w.set.Services["model"].Number
--- a/host/world_test.go
+++ b/host/world_test.go
@@ -214,6 +214,11 @@
 	}
 	key := pair{n.address, to}
 	other := w.node(to)
+	ch := w.channels[key]
+	if ch == nil {
+		ch = &channel{}
+		w.channels[key] = ch
+	}
 	if other == nil || w.cuts[key] {
 		refused := other == nil && !w.cuts[key]
 		w.after(5*time.Millisecond, func() {
@@ -222,13 +227,11 @@
 		w.after(200*time.Millisecond, func() { w.connect(n, to) })
 		return
 	}
-	ch := w.channels[key]
-	fresh := ch == nil || ch.boot != other.boot
-	if fresh {
-		ch = &channel{boot: other.boot}
-		w.channels[key] = ch
+	fresh := ch.boot != other.boot
+	if fresh && ch.boot != 0 {
+		ch.pending = nil
 	}
-	ch.open = true
+	ch.boot, ch.open = other.boot, true
 	pending := ch.pending
 	ch.pending = nil
 	w.after(time.Millisecond, func() {
--- a/roster/remote.go
+++ b/roster/remote.go
@@ -22,27 +22,42 @@
 		m := t.members[address]
 		r.Members = append(r.Members, wire.Member{Address: address, Boot: m.boot, Leaving: m.leaving})
 	}
+	slices.SortFunc(r.Members, func(a, b wire.Member) int { return a.Address.Compare(b.Address) })
+	r.Digest = digest(r.Members)
 	return r
 }
 
-// Learn takes the roster of another place. It returns true if the roster is
-// newer than the one known.
-func (t *Table) Learn(r *wire.Roster) bool {
+// Learn takes the roster of another place. newer tells that it is newer than
+// the one known, lacks that its members were left out and are not known.
+func (t *Table) Learn(r *wire.Roster) (newer, lacks bool) {
 	if r.Place == t.config.Place || r.Place == 0 {
-		return false
+		return false, false
 	}
 	known := t.remote[r.Place]
 	if known != nil && known.Version >= r.Version {
-		return false
+		return false, false
 	}
 	if r.Same {
-		if known == nil {
-			return false
+		if known == nil || digest(known.Members) != r.Digest {
+			return false, true
 		}
 		r = &wire.Roster{Place: r.Place, Version: r.Version, Revision: r.Revision, Members: known.Members}
 	}
 	t.remote[r.Place] = r
-	return true
+	return true, false
+}
+
+func digest(members []wire.Member) uint32 {
+	var key []byte
+	for _, m := range members {
+		address, _ := m.Address.MarshalBinary()
+		key = append(key, address...)
+		key = binary.BigEndian.AppendUint64(key, m.Boot)
+		if m.Leaving {
+			key = append(key, 1)
+		}
+	}
+	return uint32(xxhash.Sum64(key))
 }
 
 // Rosters returns the known rosters of other places, ordered by place.
@@ -59,11 +74,7 @@
 	var key []byte
 	for _, r := range t.Rosters() {
 		key = binary.BigEndian.AppendUint32(key, r.Place)
-		for _, m := range r.Members {
-			address, _ := m.Address.MarshalBinary()
-			key = append(key, address...)
-			key = binary.BigEndian.AppendUint64(key, m.Boot)
-		}
+		key = binary.BigEndian.AppendUint32(key, digest(r.Members))
 	}
 	return uint32(xxhash.Sum64(key))
 }
--- a/wire/message.go
+++ b/wire/message.go
@@ -88,7 +88,9 @@
 	Place    uint32
 	Version  uint64 // Unix milliseconds at the sender; the higher one supersedes
 	Revision uint64 // configuration revision in force at the sender
-	Same     bool   // the members are those of the version sent before
+	Same     bool   // the members are left out; Digest is theirs
+	Want     bool   // the sender lacks the receiver's members
+	Digest   uint32 // hash of the members
 	Members  []Member
 }
 
--- a/wire/session.go
+++ b/wire/session.go
@@ -39,6 +39,7 @@
 	acked    uint64   // number of the last acknowledged frame
 	boot     uint64   // boot of the peer that the numbers belong to
 	since    time.Time
+	overflow bool // too much is retained; the next connection starts afresh
 	wake     chan struct{}
 	done     chan struct{}
 }
@@ -110,15 +111,19 @@
 }
 
 // resume drops the frames that the peer has, or all if the peer is a new
-// process, and returns the number to start after.
+// process, and returns the number to start after. Messages that were queued
+// before the first connection are kept.
 func (s *session) resume(boot, got uint64) (uint64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	last := s.acked + uint64(len(s.retained))
-	if boot != s.boot || got < s.acked || got > last {
-		s.boot = boot
-		s.retained, s.bytes, s.queue = nil, 0, nil
-		s.acked = got
+	if s.boot == 0 {
+		s.boot, s.acked = boot, got
+		return got, true
+	}
+	if boot != s.boot || s.overflow || got < s.acked || got > last {
+		s.boot, s.acked = boot, got
+		s.retained, s.bytes, s.queue, s.overflow = nil, 0, nil, false
 		return got, true
 	}
 	s.release(got)
@@ -192,7 +197,7 @@
 	s.retained = append(s.retained, body)
 	s.bytes += len(body)
 	if s.bytes > maxRetainedBytes {
-		s.boot = 0
+		s.overflow = true
 	}
 	s.mu.Unlock()
 	return s.write(conn, [][]byte{body})
@@ -214,7 +219,7 @@
 func (s *session) checkSilence() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.retained) > 0 && time.Since(s.since) > s.hub.config.Silence {
+	if s.overflow || len(s.retained) > 0 && time.Since(s.since) > s.hub.config.Silence {
 		return errSilent
 	}
 	return nil
