--- a/cmd/cassia-demo/main.go
+++ b/cmd/cassia-demo/main.go
@@ -36,15 +36,15 @@
 	if proceed, code := program.Parse(&o, os.Args[1:], os.Stdout); !proceed {
 		os.Exit(code)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := run(ctx, o); err != nil {
+	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(program.ExitFailed)
 	}
 }
 
-func run(ctx context.Context, o options) error {
+func run(o options) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	log, err := program.NewLog(os.Stderr, o.Level)
 	if err != nil {
 		return err
