Fairness across places: owners account for what the others do meanwhile

Cause: found in the test world with the difference between two backlogged teams at every 100 ms. All owners saw the same team lag and gave it all their free slots until the next report, so the slots swung between the teams: a relay with delay. Change: an owner takes the change of its own slots since its last report for what the others do as well; every place keeps a stock of tickets of each waiting team; streams are preempted for every pressing team, up to four at once, among all teams above their share of the slots of all places; shares are worked out once a tick; interrupted attempts are charged their tokens only, the prompt once.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -97,7 +97,7 @@
 		if waiting <= 0 {
 			continue
 		}
-		count := max(room, min(buffer, spare), s.lag(now, number, local))
+		count := max(room, min(buffer, spare), s.lag(now, number, local), s.stock(number, waiting))
 		count = min(count, waiting)
 		if count <= 0 {
 			continue
@@ -133,6 +133,19 @@
 	return min(int(behind)-len(row.queue), s.slots/pullPart+1)
 }
 
+// stock returns how many tickets of a team to fetch so that the team can be
+// served here until the next report, without taking more than half of what
+// waits elsewhere beyond what waits here.
+func (s *Shard) stock(number uint32, waiting int) int {
+	turnover := float64(s.slots) * s.period().Seconds() / max(s.mean.duration, minDurationSecond)
+	wanted := int(turnover/float64(len(s.waiting)+1)) + 1
+	here := 0
+	if row := s.teams[number]; row != nil {
+		here = len(row.queue)
+	}
+	return min(wanted-here, (waiting-here)/2)
+}
+
 // Pulled moves tickets of a team to the place that asks for them.
 func (s *Shard) Pulled(now time.Time, m *wire.Pull) {
 	row := s.teams[m.Team]
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -24,9 +24,13 @@
 	Level  func(s Standing) float64
 }
 
+// horizonPart is the part of the mean duration for which a running request is
+// charged ahead. It damps the control of the numbers of slots.
+const horizonPart = 0.15
+
 // FairPolicy serves the team with the least virtual service. A running request
-// is charged by the time that it has held its slot so far plus the mean time of
-// a request, so its unknown length does not matter.
+// is charged by the time that it has held its slot so far plus a part of the mean
+// time of a request, so its unknown length does not matter.
 func FairPolicy() Policy {
 	return Policy{Name: "fair", Fair: true, Charge: chargeRate, Level: levelVirtual}
 }
@@ -59,7 +63,7 @@
 func levelVirtual(s Standing) float64 { return s.Virtual }
 
 func chargeRate(h Holding) float64 {
-	return h.Rate * (h.Elapsed + float64(h.Running)*h.Duration)
+	return h.Rate * (h.Elapsed + float64(h.Running)*h.Duration*horizonPart)
 }
 
 func chargeEstimate(h Holding) float64 { return h.Cost * float64(h.Running) }
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -7,66 +7,103 @@
 	"github.com/cassiachute/cassiachute/wire"
 )
 
-// preempt frees a slot for an urgent ticket of a team that holds less than its
-// share of the slots. It cancels the youngest stream of the least urgent class
-// among the teams that hold more than their share.
-func (s *Shard) preempt(now time.Time) {
-	if !s.config.Policy.Fair || len(s.waiting) == 0 || s.preempts >= urgentPreempts {
-		return
-	}
-	next := s.waiting[0]
-	if next.queue[0].class != ClassUrgent || s.full(now, next, 1) {
-		return
-	}
-	victim := s.victim(now)
-	if victim == nil {
-		return
-	}
-	victim.preempted = true
-	s.preempts++
-	s.send(victim.key.Host, &wire.Preempt{
-		ID: victim.key.ID, Shard: s.config.Shard, Incarnation: s.config.Incarnation,
-	})
+// survey is what the shares of the slots of all places are worked out from. It
+// is renewed each tick.
+type survey struct {
+	slots  int            // slots of all places
+	weight float64        // of the teams with work
+	held   map[uint32]int // slots held in other places, by team
 }
 
-// full returns whether a team with so many more slots holds more than its share
-// of the slots of all places.
-func (s *Shard) full(now time.Time, row *team, more int) bool {
-	slots, held, total := s.slots, row.running+more, 0.0
+// burstPart is the part of its share that a team may hold beyond it for urgent
+// tickets, as long as it has received less than others.
+const burstPart = 0.5
+
+// takeSurvey renews the survey.
+func (s *Shard) takeSurvey(now time.Time) {
+	v := survey{slots: s.slots, held: map[uint32]int{}}
 	active := map[uint32]bool{}
-	for number, other := range s.teams {
-		active[number] = other.running > 0 || len(other.queue) > 0
+	for number, row := range s.teams {
+		active[number] = row.running > 0 || len(row.queue) > 0
 	}
 	for _, peer := range s.peers {
 		a := s.account(now, peer.Place)
 		if a == nil {
 			continue
 		}
-		slots += a.Slots
-		held += int(a.Rows[row.number].Running)
+		v.slots += a.Slots
 		for number, r := range a.Rows {
+			v.held[number] += int(r.Running)
 			active[number] = active[number] || r.Running > 0 || r.Waiting > 0
 		}
 	}
 	for number, is := range active {
 		if is {
-			total += s.weight(number)
+			v.weight += s.weight(number)
+		}
+	}
+	s.survey = v
+}
+
+// over returns by how many slots a team with so many more holds more than its
+// share of the slots of all places.
+func (s *Shard) over(row *team, more int) float64 {
+	share := float64(s.survey.slots) * row.weight / max(s.survey.weight, row.weight)
+	return float64(s.survey.held[row.number]+row.running+more) - share
+}
+
+// preempt frees slots for urgent tickets of teams that hold less than their
+// share of the slots. It cancels the youngest streams of the least urgent class
+// of the teams that hold more than theirs.
+func (s *Shard) preempt(now time.Time) {
+	if !s.config.Policy.Fair || len(s.waiting) == 0 || now.Sub(s.searched) < searchEvery {
+		return
+	}
+	s.searched = now
+	for range min(urgentPreempts, s.pressing()) - s.preempts {
+		victim := s.victim()
+		if victim == nil {
+			return
 		}
+		victim.preempted = true
+		s.preempts++
+		s.send(victim.key.Host, &wire.Preempt{
+			ID: victim.key.ID, Shard: s.config.Shard, Incarnation: s.config.Incarnation,
+		})
 	}
-	return float64(held) > float64(slots)*row.weight/max(total, row.weight)
 }
 
-func (s *Shard) victim(now time.Time) *grant {
-	over := map[*team]bool{}
+// pressing returns the number of teams that may have a stream preempted.
+func (s *Shard) pressing() int {
+	count := 0
+	for _, row := range s.waiting {
+		if s.mayPress(row) {
+			count++
+		}
+	}
+	return count
+}
+
+// mayPress returns whether the first ticket of a team is urgent and the team
+// holds less than its share and what a short burst may take beyond it.
+func (s *Shard) mayPress(row *team) bool {
+	if len(row.queue) == 0 || row.queue[0].class != ClassUrgent {
+		return false
+	}
+	share := float64(s.survey.slots) * row.weight / max(s.survey.weight, row.weight)
+	return s.over(row, 1) <= burstPart*share
+}
+
+// victim returns the stream to cancel, or nil if no team holds more than its
+// share and has one that can be cancelled.
+func (s *Shard) victim() *grant {
+	above := map[*team]bool{}
 	for _, row := range s.teams {
-		over[row] = row.running > 0 && s.full(now, row, 0)
+		above[row] = row.running > 0 && s.over(row, 0) > 0
 	}
 	var best *grant
 	for _, g := range s.grants {
-		if g.fixed || g.preempted || !over[g.team] {
-			continue
-		}
-		if best == nil || precedes(g, best) {
+		if above[g.team] && !g.fixed && !g.preempted && (best == nil || precedes(g, best)) {
 			best = g
 		}
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -24,7 +24,7 @@
 
 // report tells the owners in other places and the standby what changed.
 func (s *Shard) report(now time.Time) {
-	period := max(minReportPeriod, time.Duration(len(s.peers))*reportPerPeer)
+	period := s.period()
 	since := now.Sub(s.reported)
 	if since < minReportDelay || since < period && !s.urgent {
 		return
@@ -36,6 +36,11 @@
 	s.tell(now, rows, false)
 }
 
+// period returns the time between two reports.
+func (s *Shard) period() time.Duration {
+	return max(minReportPeriod, time.Duration(len(s.peers))*reportPerPeer)
+}
+
 // changed returns the rows of the teams that changed since the last report,
 // or of all teams now and then.
 func (s *Shard) changed(now time.Time) []wire.Row {
@@ -69,6 +74,9 @@
 	whole := s.sequence%wholeReportEvery == 0
 	s.sequence++
 	s.reported, s.urgent, s.state = now, false, s.current()
+	for _, row := range s.teams {
+		row.told = row.running
+	}
 	m := &wire.Totals{
 		Shard:       s.config.Shard,
 		Incarnation: s.config.Incarnation,
--- a/dispatch/shard.go
+++ b/dispatch/shard.go
@@ -41,10 +41,11 @@
 	maxHops          = 8
 	prefixEntries    = 1 << 16
 	retryDelay       = time.Second
-	grantAnswer      = time.Second // within which an entry has a grant
-	urgentPreempts   = 4           // most preemptions under way per shard
-	creditRequests   = 1.0         // service that an idle team may have in store, in costliest requests
-	debtRequests     = 8           // service that a team may lag behind others, in costliest requests
+	grantAnswer      = time.Second      // within which an entry has a grant
+	urgentPreempts   = 4                // most preemptions under way per shard
+	searchEvery      = time.Millisecond // least time between two searches for a stream to preempt
+	creditRequests   = 1.0              // service that an idle team may have in store, in costliest requests
+	debtRequests     = 8                // service that a team may lag behind others, in costliest requests
 	staleAfter       = 3 * time.Second
 	healTime         = time.Second // for which debts are bounded after a cut has healed
 	minReportDelay   = 25 * time.Millisecond
@@ -103,6 +104,8 @@
 	mean     estimate // of all teams
 	costly   float64  // cost of the costliest request seen, decaying
 	preempts int
+	searched time.Time // when a stream to preempt was last searched for
+	survey   survey
 	healed   time.Time // when a place was heard of again after a cut
 	turn     uint64
 
@@ -205,6 +208,7 @@
 	s.settle(now)
 	s.wake(now)
 	s.slots = s.capacity()
+	s.takeSurvey(now)
 	s.lift(now)
 	s.Pick(now)
 	s.place(now)
--- a/dispatch/team.go
+++ b/dispatch/team.go
@@ -13,7 +13,9 @@
 	initialDuration   = 1.0  // seconds
 	costlyDecay       = 0.9995
 	minDurationSecond = 0.001
-	heldDurations     = 8.0 // a slot is charged for so many mean durations at most, until its request ends
+	urgentRequests    = 1.0  // head start of an urgent ticket, in costliest requests
+	alikePart         = 0.35 // part of a mean duration that a slot counts which others are taken to have given
+	heldDurations     = 8.0  // a slot is charged for so many mean durations at most, until its request ends
 )
 
 // estimate is what is known of the requests of a team.
@@ -51,6 +53,7 @@
 	turn    uint64  // number of the last grant
 	index   int     // position among the waiting teams, -1 if none waits
 	dirty   bool    // changed since the last report
+	told    int     // slots held at the last report
 }
 
 // teamHeap orders the teams with waiting tickets by their level.
@@ -124,10 +127,26 @@
 // virtual returns the virtual service of a team, fleet-wide.
 func (s *Shard) virtual(now time.Time, row *team) float64 {
 	others := s.book.Others(row.number, s.config.Shard.Place)
-	received := float64(others+row.served) + s.charge(now, row)
+	received := float64(others+row.served) + s.charge(now, row) + s.elsewhere(now, row)
 	return received/row.weight + float64(s.book.Lift(row.number))
 }
 
+// elsewhere returns the service that a team is taken to have received in other
+// places since they were last heard of: by the slots that it held there then,
+// and by the change of its slots here, since all owners see the same teams lag
+// and act alike at the same time.
+func (s *Shard) elsewhere(now time.Time, row *team) float64 {
+	seconds, slots := 0.0, 0
+	for _, peer := range s.peers {
+		if a := s.account(now, peer.Place); a != nil {
+			seconds += float64(a.Rows[row.number].Running) * now.Sub(a.Heard).Seconds()
+			slots += a.Slots
+		}
+	}
+	alike := float64(slots) / float64(max(1, s.slots)) * float64(row.running-row.told)
+	return s.estimateOf(row).rate * (seconds + alike*s.mean.duration*alikePart)
+}
+
 // refresh recomputes the level of a team.
 func (s *Shard) refresh(now time.Time, row *team) {
 	row.dirty = true
@@ -136,13 +155,23 @@
 		head = row.queue[0].arrived
 	}
 	row.level = s.config.Policy.Level(Standing{
-		Virtual: s.virtual(now, row), Turn: row.turn, Head: head.Sub(s.started).Seconds(),
+		Virtual: s.virtual(now, row) - s.headStart(row), Turn: row.turn, Head: head.Sub(s.started).Seconds(),
 	})
 	if row.index >= 0 {
 		heap.Fix(&s.waiting, row.index)
 	}
 }
 
+// headStart returns how much sooner a team is served whose first ticket is
+// urgent while it holds less than its share of the slots. It is bounded, so
+// urgency buys no lasting service.
+func (s *Shard) headStart(row *team) float64 {
+	if !s.mayPress(row) {
+		return 0
+	}
+	return urgentRequests * s.costly
+}
+
 // raise lifts a team that becomes backlogged to just below the level at which
 // others are served, so that idleness banks no more credit than one request.
 func (s *Shard) raise(now time.Time, row *team) {
--- a/entry/model.go
+++ b/entry/model.go
@@ -187,7 +187,7 @@
 
 // lost takes the failure of the present attempt.
 func (s *stream) lost(err error) *problem {
-	end := s.end()
+	end := s.end(0)
 	s.charged += end.Cost
 	if s.drop(false) {
 		err = errPreempted
@@ -195,14 +195,13 @@
 	return s.broke(err, end)
 }
 
-// end returns the report of the present attempt.
-func (s *stream) end() wire.End {
+// end returns the report of the present attempt. The prompt is charged once, with
+// the attempt that ends the request; unknown stands in for its tokens where the
+// engine did not tell.
+func (s *stream) end(unknown float64) wire.End {
 	prompt, output := s.usage.prompt-s.usage.cached, s.usage.completion
 	if !s.usage.known {
-		output = int64(s.attempt)
-		if s.attempt > 0 {
-			prompt = int64(s.entry.prompts.estimate(s.service.Service.Number, len(s.body)))
-		}
+		prompt, output = int64(unknown), int64(s.attempt)
 	}
 	end := wire.End{
 		Cost: s.service.Input*uint64(max(0, prompt)) + s.service.Output*uint64(max(0, output)),
@@ -213,6 +212,11 @@
 	return end
 }
 
+// promptTokens returns the estimated number of uncached tokens of the prompt.
+func (s *stream) promptTokens() float64 {
+	return s.entry.prompts.estimate(s.service.Service.Number, len(s.body))
+}
+
 // read reads one event. It returns nil for what is not passed on.
 func (s *stream) read() (*part, error) {
 	data, err := s.readData()
@@ -292,7 +296,7 @@
 // body; a line that has more is not used again.
 func (s *stream) close() {
 	rest, err := io.Copy(io.Discard, io.LimitReader(s.rd, maxEventBytes))
-	end := s.end()
+	end := s.end(s.promptTokens())
 	if s.usage.known && s.passed == s.attempt {
 		s.entry.prompts.learn(s.service.Service.Number, len(s.body), s.usage.prompt-s.usage.cached)
 	}
@@ -307,7 +311,7 @@
 	if s.ended {
 		return
 	}
-	end := s.end()
+	end := s.end(s.promptTokens())
 	end.Fate = wire.FateWithdrawn
 	if s.line != nil {
 		s.drop(false)
--- a/host/world_test.go
+++ b/host/world_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cassiachute/cassiachute/catalog"
+	"github.com/cassiachute/cassiachute/dispatch"
 	"github.com/cassiachute/cassiachute/host"
 	"github.com/cassiachute/cassiachute/intake"
 	"github.com/cassiachute/cassiachute/wire"
@@ -74,6 +75,7 @@
 	team    uint32
 	cost    uint64
 	sent    time.Time
+	first   time.Time // when it first began to run
 	granted int
 	done    bool
 	refused bool
@@ -99,6 +101,10 @@
 	failures []string
 }
 
+func withPolicy(p dispatch.Policy) func(c *host.Config) {
+	return func(c *host.Config) { c.Policy = p }
+}
+
 func newWorld(seed uint64, set *catalog.Set) *world {
 	return &world{
 		now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), set: set,
@@ -315,6 +321,9 @@
 			}
 			name := w.name(n, s.ID)
 			q := w.requests[name]
+			if q.granted == 0 {
+				q.first = w.now
+			}
 			q.granted++
 			r := &running{target: s.Target, node: n, id: s.ID, began: w.now, team: q.team, cost: q.cost}
 			w.running[name] = r
