Level follows what was received; lagging teams may preempt

Cause: an owner's level included what it charged ahead, so a team that became backlogged a moment after another was lifted past what the other had received, and its lag was forgiven (difference 850 units, never repaid, in the test world). Change: the level is advanced by service received only; moved tickets carry the lift; a team that waited a moment ago keeps what it is owed, up to 4 costliest requests; the first team may have streams preempted if it lags by half a costliest request or holds less than half its share.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -78,7 +78,9 @@
 
 func (s *Shard) move(now time.Time, tk *ticket, place uint32) {
 	s.unqueue(now, tk)
-	s.send(tk.key.Host, &wire.Move{ID: tk.key.ID, Shard: s.config.Shard, Place: place})
+	s.send(tk.key.Host, &wire.Move{
+		ID: tk.key.ID, Shard: s.config.Shard, Place: place, Lift: s.book.Lift(tk.team.number),
+	})
 }
 
 // pull asks a place for tickets: for idle slots, to keep a buffer of waiting
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -1,9 +1,9 @@
 package dispatch
 
-// Holding describes the running requests of a team at a shard.
+// Holding describes the running requests of a team.
 type Holding struct {
-	Running  int     // slots held
-	Elapsed  float64 // sum of the times that the slots are held, in seconds
+	Running  int     // slots held in all places
+	Elapsed  float64 // sum of the times that the slots here are held, in seconds
 	Rate     float64 // estimated cost units that a slot gives the team in a second
 	Cost     float64 // estimated cost of one request of the team
 	Duration float64 // mean time that a request of any team holds a slot, in seconds
@@ -16,12 +16,13 @@
 	Head    float64 // arrival of the team's first ticket, in seconds
 }
 
-// Policy says how service is charged and in which order teams are served.
+// Policy says how running requests are charged ahead and in which order teams
+// are served. What they have received so far always counts.
 type Policy struct {
-	Name   string
-	Fair   bool // levels are virtual service
-	Charge func(h Holding) float64
-	Level  func(s Standing) float64
+	Name  string
+	Fair  bool                     // levels are virtual service
+	Ahead func(h Holding) float64  // cost units charged ahead
+	Level func(s Standing) float64 // the team with the least level is served first
 }
 
 // horizonPart is the part of the mean duration for which a running request is
@@ -29,30 +30,30 @@
 const horizonPart = 0.15
 
 // FairPolicy serves the team with the least virtual service. A running request
-// is charged by the time that it has held its slot so far plus a part of the mean
-// time of a request, so its unknown length does not matter.
+// is charged ahead for a part of the mean time of any request, so its unknown
+// length does not matter.
 func FairPolicy() Policy {
-	return Policy{Name: "fair", Fair: true, Charge: chargeRate, Level: levelVirtual}
+	return Policy{Name: "fair", Fair: true, Ahead: aheadDuration, Level: levelVirtual}
 }
 
-// EstimatePolicy is FairPolicy, but charges the estimated cost at the grant.
+// EstimatePolicy is FairPolicy, but charges the rest of the estimated cost ahead.
 func EstimatePolicy() Policy {
-	return Policy{Name: "estimate", Fair: true, Charge: chargeEstimate, Level: levelVirtual}
+	return Policy{Name: "estimate", Fair: true, Ahead: aheadEstimate, Level: levelVirtual}
 }
 
-// ElapsedPolicy is FairPolicy, but charges only what was received so far.
+// ElapsedPolicy is FairPolicy, but charges nothing ahead.
 func ElapsedPolicy() Policy {
-	return Policy{Name: "elapsed", Fair: true, Charge: chargeElapsed, Level: levelVirtual}
+	return Policy{Name: "elapsed", Fair: true, Ahead: aheadNothing, Level: levelVirtual}
 }
 
 // ArrivalPolicy serves tickets in the order of their arrival. It is a baseline.
 func ArrivalPolicy() Policy {
-	return Policy{Name: "fifo", Charge: chargeElapsed, Level: func(s Standing) float64 { return s.Head }}
+	return Policy{Name: "fifo", Ahead: aheadNothing, Level: func(s Standing) float64 { return s.Head }}
 }
 
 // TurnPolicy serves the teams in turn. It is a baseline.
 func TurnPolicy() Policy {
-	return Policy{Name: "robin", Charge: chargeElapsed, Level: func(s Standing) float64 { return float64(s.Turn) }}
+	return Policy{Name: "robin", Ahead: aheadNothing, Level: func(s Standing) float64 { return float64(s.Turn) }}
 }
 
 // Policies returns all policies.
@@ -62,10 +63,12 @@
 
 func levelVirtual(s Standing) float64 { return s.Virtual }
 
-func chargeRate(h Holding) float64 {
-	return h.Rate * (h.Elapsed + float64(h.Running)*h.Duration*horizonPart)
+func aheadDuration(h Holding) float64 {
+	return h.Rate * float64(h.Running) * h.Duration * horizonPart
 }
 
-func chargeEstimate(h Holding) float64 { return h.Cost * float64(h.Running) }
+func aheadEstimate(h Holding) float64 {
+	return max(0, h.Cost*float64(h.Running)-h.Rate*h.Elapsed)
+}
 
-func chargeElapsed(h Holding) float64 { return h.Rate * h.Elapsed }
+func aheadNothing(Holding) float64 { return 0 }
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -19,6 +19,17 @@
 // tickets, as long as it has received less than others.
 const burstPart = 0.5
 
+// lagRequests is how far the first team may lag behind another, in costliest
+// requests, before streams of the other are preempted.
+const lagRequests = 0.5
+
+// A team that holds less than its share by fewPart of it may have streams
+// preempted at once of teams that hold more than theirs by manyPart of it.
+const (
+	fewPart  = 0.5
+	manyPart = 1.0
+)
+
 // takeSurvey renews the survey.
 func (s *Shard) takeSurvey(now time.Time) {
 	v := survey{slots: s.slots, held: map[uint32]int{}}
@@ -48,20 +59,40 @@
 // over returns by how many slots a team with so many more holds more than its
 // share of the slots of all places.
 func (s *Shard) over(row *team, more int) float64 {
-	share := float64(s.survey.slots) * row.weight / max(s.survey.weight, row.weight)
-	return float64(s.survey.held[row.number]+row.running+more) - share
+	return float64(s.survey.held[row.number]+row.running+more) - s.fairShare(row)
+}
+
+// fairShare returns the share of a team of the slots of all places.
+func (s *Shard) fairShare(row *team) float64 {
+	return float64(s.survey.slots) * row.weight / max(s.survey.weight, row.weight)
 }
 
 // preempt frees slots for urgent tickets of teams that hold less than their
-// share of the slots. It cancels the youngest streams of the least urgent class
-// of the teams that hold more than theirs.
+// share of the slots, and for the first team if it lags far behind or holds few
+// slots. It cancels the youngest streams of the least urgent class of the teams
+// that hold more than their share.
 func (s *Shard) preempt(now time.Time) {
 	if !s.config.Policy.Fair || len(s.waiting) == 0 || now.Sub(s.searched) < searchEvery {
 		return
 	}
 	s.searched = now
-	for range min(urgentPreempts, s.pressing()) - s.preempts {
-		victim := s.victim()
+	first := s.waiting[0]
+	if pressing := s.pressing(); pressing > 0 {
+		s.cancel(pressing, 0, 0)
+	}
+	if s.over(first, 1) <= 0 {
+		s.cancel(len(first.queue), first.level+lagRequests*max(s.costly, s.mean.cost), 0)
+	}
+	if s.over(first, 1) <= -fewPart*s.fairShare(first) {
+		s.cancel(len(first.queue), 0, manyPart*s.fairShare(first))
+	}
+}
+
+// cancel preempts so many streams, less those under way, of teams above a level
+// that hold so many slots more than their share.
+func (s *Shard) cancel(count int, level, excess float64) {
+	for range min(urgentPreempts, count) - s.preempts {
+		victim := s.victim(level, excess)
 		if victim == nil {
 			return
 		}
@@ -90,16 +121,15 @@
 	if len(row.queue) == 0 || row.queue[0].class != ClassUrgent {
 		return false
 	}
-	share := float64(s.survey.slots) * row.weight / max(s.survey.weight, row.weight)
-	return s.over(row, 1) <= burstPart*share
+	return s.over(row, 1) <= burstPart*s.fairShare(row)
 }
 
-// victim returns the stream to cancel, or nil if no team holds more than its
-// share and has one that can be cancelled.
-func (s *Shard) victim() *grant {
+// victim returns the stream to cancel, or nil if no team above a level holds so
+// many slots more than its share and has a stream that can be cancelled.
+func (s *Shard) victim(level, excess float64) *grant {
 	above := map[*team]bool{}
 	for _, row := range s.teams {
-		above[row] = row.running > 0 && s.over(row, 0) > 0
+		above[row] = row.running > 0 && row.level > level && s.over(row, 0) > excess
 	}
 	var best *grant
 	for _, g := range s.grants {
--- a/dispatch/shard.go
+++ b/dispatch/shard.go
@@ -41,11 +41,13 @@
 	maxHops          = 8
 	prefixEntries    = 1 << 16
 	retryDelay       = time.Second
-	grantAnswer      = time.Second      // within which an entry has a grant
-	urgentPreempts   = 4                // most preemptions under way per shard
-	searchEvery      = time.Millisecond // least time between two searches for a stream to preempt
-	creditRequests   = 1.0              // service that an idle team may have in store, in costliest requests
-	debtRequests     = 8                // service that a team may lag behind others, in costliest requests
+	grantAnswer      = time.Second            // within which an entry has a grant
+	urgentPreempts   = 4                      // most preemptions under way per shard
+	searchEvery      = time.Millisecond       // least time between two searches for a stream to preempt
+	creditRequests   = 1.0                    // service that an idle team may have in store, in costliest requests
+	owedRequests     = 4.0                    // service that a backlogged team may be owed, in costliest requests
+	idleAfter        = 500 * time.Millisecond // a team without tickets for this long was idle
+	debtRequests     = 8                      // service that a team may lag behind others, in costliest requests
 	staleAfter       = 3 * time.Second
 	healTime         = time.Second // for which debts are bounded after a cut has healed
 	minReportDelay   = 25 * time.Millisecond
@@ -247,7 +249,7 @@
 
 func (s *Shard) grant(now time.Time, tk *ticket, t *target) {
 	row := tk.team
-	s.book.Advance(uint64(max(0, row.level)))
+	s.book.Advance(uint64(max(0, s.received(now, row))))
 	s.unqueue(now, tk)
 	g := &grant{
 		key: tk.key, team: row, target: t, class: tk.class, since: now, fixed: tk.fixed, suspect: tk.suspect,
--- a/dispatch/team.go
+++ b/dispatch/team.go
@@ -49,11 +49,12 @@
 	starts  float64 // sum of the start times of running requests, in seconds since the shard's start
 	served  uint64  // measured service from this shard
 	known   estimate
-	level   float64 // virtual service at the last refresh
-	turn    uint64  // number of the last grant
-	index   int     // position among the waiting teams, -1 if none waits
-	dirty   bool    // changed since the last report
-	told    int     // slots held at the last report
+	level   float64   // virtual service at the last refresh
+	turn    uint64    // number of the last grant
+	index   int       // position among the waiting teams, -1 if none waits
+	dirty   bool      // changed since the last report
+	waited  time.Time // when its last ticket left the queue
+	told    int       // slots held at the last report
 }
 
 // teamHeap orders the teams with waiting tickets by their level.
@@ -111,40 +112,65 @@
 	return row.known
 }
 
-// charge returns the service charged to a team for its running requests.
-func (s *Shard) charge(now time.Time, row *team) float64 {
+// held returns the time that the running requests of a team have held their
+// slots here, in seconds.
+func (s *Shard) held(now time.Time, row *team) float64 {
 	elapsed := float64(row.running)*now.Sub(s.started).Seconds() - row.starts
-	elapsed = min(elapsed, float64(row.running)*heldDurations*s.mean.duration)
-	return s.config.Policy.Charge(Holding{
-		Running:  row.running,
-		Elapsed:  max(0, elapsed),
-		Rate:     s.estimateOf(row).rate,
-		Cost:     s.estimateOf(row).cost,
-		Duration: s.mean.duration,
-	})
+	return min(max(0, elapsed), float64(row.running)*heldDurations*s.mean.duration)
 }
 
-// virtual returns the virtual service of a team, fleet-wide.
-func (s *Shard) virtual(now time.Time, row *team) float64 {
-	others := s.book.Others(row.number, s.config.Shard.Place)
-	received := float64(others+row.served) + s.charge(now, row) + s.elsewhere(now, row)
-	return received/row.weight + float64(s.book.Lift(row.number))
+// charge returns the service that the running requests of a team are taken to
+// have received here.
+func (s *Shard) charge(now time.Time, row *team) float64 {
+	return s.estimateOf(row).rate * s.held(now, row)
+}
+
+// away is what a team holds in other places, by the last reports.
+type away struct {
+	running int
+	seconds float64 // slot time since the reports
+	slots   int     // of all teams
 }
 
-// elsewhere returns the service that a team is taken to have received in other
-// places since they were last heard of: by the slots that it held there then,
-// and by the change of its slots here, since all owners see the same teams lag
-// and act alike at the same time.
-func (s *Shard) elsewhere(now time.Time, row *team) float64 {
-	seconds, slots := 0.0, 0
+func (s *Shard) awayOf(now time.Time, row *team) away {
+	var w away
 	for _, peer := range s.peers {
 		if a := s.account(now, peer.Place); a != nil {
-			seconds += float64(a.Rows[row.number].Running) * now.Sub(a.Heard).Seconds()
-			slots += a.Slots
+			running := int(a.Rows[row.number].Running)
+			w.running += running
+			w.seconds += float64(running) * now.Sub(a.Heard).Seconds()
+			w.slots += a.Slots
 		}
 	}
-	alike := float64(slots) / float64(max(1, s.slots)) * float64(row.running-row.told)
-	return s.estimateOf(row).rate * (seconds + alike*s.mean.duration*alikePart)
+	return w
+}
+
+// received returns the service that a team has received for its weight, in all
+// places, and its lift.
+func (s *Shard) received(now time.Time, row *team) float64 {
+	w := s.awayOf(now, row)
+	known := float64(s.book.Others(row.number, s.config.Shard.Place) + row.served)
+	since := s.charge(now, row) + s.estimateOf(row).rate*w.seconds
+	return (known+since)/row.weight + float64(s.book.Lift(row.number))
+}
+
+// virtual returns the virtual service of a team: what it has received, and what
+// its running requests are charged ahead. The change of its slots since the last
+// report counts for the other places as well, since all owners see the same teams
+// lag and act alike at the same time.
+func (s *Shard) virtual(now time.Time, row *team) float64 {
+	w := s.awayOf(now, row)
+	e := s.estimateOf(row)
+	ahead := s.config.Policy.Ahead(Holding{
+		Running:  row.running + w.running,
+		Elapsed:  s.held(now, row),
+		Rate:     e.rate,
+		Cost:     e.cost,
+		Duration: s.mean.duration,
+	})
+	alike := float64(w.slots) / float64(max(1, s.slots)) * float64(row.running-row.told)
+	ahead += e.rate * alike * s.mean.duration * alikePart
+	return s.received(now, row) + ahead/row.weight
 }
 
 // refresh recomputes the level of a team.
@@ -172,17 +198,22 @@
 	return urgentRequests * s.costly
 }
 
-// raise lifts a team that becomes backlogged to just below the level at which
-// others are served, so that idleness banks no more credit than one request.
-func (s *Shard) raise(now time.Time, row *team) {
-	if s.book.Waiting(row.number, s.config.Shard.Place, now.Add(-staleAfter)) {
-		return
+// raise lifts a team whose first ticket comes to just below the level at which
+// others are served, so that idleness banks no more credit than one request. A
+// team that waited here or elsewhere a moment ago was not idle, and what it lags
+// behind is owed to it, up to a bound.
+func (s *Shard) raise(now time.Time, row *team, m *wire.Ticket) {
+	s.book.Raise(row.number, m.Lift)
+	elsewhere := m.Hops > 0 || s.book.Waiting(row.number, s.config.Shard.Place, now.Add(-staleAfter))
+	credit := creditRequests
+	if elsewhere || now.Sub(row.waited) < idleAfter {
+		credit = owedRequests
 	}
-	s.raiseTo(now, row, float64(s.book.Level())-creditRequests*s.costly)
+	s.raiseTo(now, row, float64(s.book.Level())-credit*s.costly)
 }
 
 func (s *Shard) raiseTo(now time.Time, row *team, level float64) {
-	missing := level - s.virtual(now, row)
+	missing := level - s.received(now, row)
 	if missing >= 1 {
 		s.book.Raise(row.number, s.book.Lift(row.number)+uint64(missing))
 	}
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -107,7 +107,7 @@
 	}
 	s.tickets[key] = tk
 	if len(row.queue) == 0 && row.index < 0 {
-		s.raise(now, row)
+		s.raise(now, row, m)
 		s.refresh(now, row)
 		heap.Push(&s.waiting, row)
 	}
@@ -138,7 +138,7 @@
 	heap.Remove(&tk.team.queue, tk.index)
 	if len(tk.team.queue) == 0 {
 		heap.Remove(&s.waiting, tk.team.index)
-		tk.team.index = -1
+		tk.team.index, tk.team.waited = -1, now
 		return
 	}
 	s.refresh(now, tk.team)
--- a/host/fair_test.go
+++ b/host/fair_test.go
@@ -135,9 +135,9 @@
 			for n := range crews {
 				c.trickle(fmt.Sprintf("crew%d", n), 7)
 			}
+			c.run(5 * time.Second)
 			c.backlog("night", dispatch.ClassBulk, 40, 160, c.nodes, 27)
 			c.backlog("rush", dispatch.ClassNormal, 10, 60, c.nodes[:1], 60)
-			c.run(5 * time.Second)
 			c.grid(true)
 			c.run(floodSeconds * time.Second)
 			var waits []time.Duration
--- a/intake/table.go
+++ b/intake/table.go
@@ -64,6 +64,7 @@
 	target      uint32
 	avoid       uint32
 	hops        uint8
+	lift        uint64
 	attempts    uint8
 	preempts    int
 	grants      uint64 // grants so far
@@ -173,6 +174,7 @@
 		Blocks:  r.request.Blocks,
 		Avoid:   r.avoid,
 		Suspect: r.request.Suspect,
+		Lift:    r.lift,
 	})
 }
 
@@ -253,7 +255,7 @@
 	}
 	r.state = Waiting
 	r.owner = netip.AddrPort{}
-	r.hops = 0
+	r.hops, r.lift = 0, 0
 	t.waiting++
 }
 
@@ -309,6 +311,7 @@
 	}
 	r.hops++
 	r.shard.Place = m.Place
+	r.lift = m.Lift
 	t.present(now, r)
 }
 
@@ -360,7 +363,7 @@
 func (t *Table) Lost(now time.Time, owner netip.AddrPort) {
 	for _, r := range t.sorted() {
 		if r.state == Waiting && r.owner == owner {
-			r.hops = 0
+			r.hops, r.lift = 0, 0
 			t.goHome(now, r)
 		}
 	}
--- a/load/measure.go
+++ b/load/measure.go
@@ -94,9 +94,9 @@
 // Point is the state of a run at a time, for plots.
 type Point struct {
 	At   float64 `json:"at"`   // seconds
-	Gap  float64 `json:"gap"`  // present difference between backlogged teams, in costliest requests
+	Gap  float64 `json:"gap"`  // difference of the pair with the widest gap since both had work waiting, in costliest requests
 	Busy float64 `json:"busy"` // part of the slots in use
-	Kept float64 `json:"kept"` // service of other work, in cost units a second
+	Kept float64 `json:"kept"` // service of the work outside floods, in cost units a second
 }
 
 // measure works out the measures from the records.
@@ -116,6 +116,7 @@
 	m.Control, m.Mean = r.control()
 	m.Traffic = r.traffic()
 	m.Phases = r.phases()
+	m.Series = r.series()
 	for _, p := range m.Phases {
 		if p.Flood {
 			m.Kept = min(m.Kept, p.Kept)
--- a/wire/message.go
+++ b/wire/message.go
@@ -108,6 +108,7 @@
 	Blocks  []uint32 // hash chain of the prompt's leading blocks
 	Avoid   uint32   // number of a target not to use, 0 for none
 	Suspect bool     // the request was on a target that crashed
+	Lift    uint64   // level that the team was lifted to where the ticket waited before
 }
 
 // Grant gives a ticket a slot on a target.
@@ -163,6 +164,7 @@
 	ID    uint64
 	Shard Shard
 	Place uint32 // destination
+	Lift  uint64 // level that the team was lifted to
 }
 
 // Preempt tells an entry to cancel a running stream and queue its remainder.
