Victims by the excess of their team; backlogged teams press nobody

Cause: streams of the least urgent class went first, so a team flooding with urgent work had the streams of others cancelled; and a flooding team counted as pressing, which gave it a head start of a costliest request for good. Ruled out: the accounts. The ledger's sums equal what callers received, to the unit, for all ten teams; the load tool now counts tokens as they arrive instead of spreading them evenly, which had added up to 2 costliest requests. Change: the team furthest above its share loses a stream first; a team with more tickets than half its share does not press.

--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -116,24 +116,35 @@
 }
 
 // mayPress returns whether the first ticket of a team is urgent and the team
-// holds less than its share and what a short burst may take beyond it.
+// holds less than its share and what a short burst may take beyond it. A team
+// with many tickets is backlogged and waits for its turn.
 func (s *Shard) mayPress(row *team) bool {
 	if len(row.queue) == 0 || row.queue[0].class != ClassUrgent {
 		return false
 	}
+	if float64(len(row.queue)) > max(1, fewPart*s.fairShare(row)) {
+		return false
+	}
 	return s.over(row, 1) <= burstPart*s.fairShare(row)
 }
 
 // victim returns the stream to cancel, or nil if no team above a level holds so
-// many slots more than its share and has a stream that can be cancelled.
+// many slots more than its share and has a stream that can be cancelled. The team
+// furthest above its share comes first, whatever the urgency of its streams.
 func (s *Shard) victim(level, excess float64) *grant {
-	above := map[*team]bool{}
+	above := map[*team]float64{}
 	for _, row := range s.teams {
-		above[row] = row.running > 0 && row.level > level && s.over(row, 0) > excess
+		if over := s.over(row, 0); row.running > 0 && row.level > level && over > excess {
+			above[row] = over / row.weight
+		}
 	}
 	var best *grant
 	for _, g := range s.grants {
-		if above[g.team] && !g.fixed && !g.preempted && (best == nil || precedes(g, best)) {
+		over, ok := above[g.team]
+		if !ok || g.fixed || g.preempted {
+			continue
+		}
+		if best == nil || over > above[best.team] || over == above[best.team] && precedes(g, best) {
 			best = g
 		}
 	}
--- a/load/answer.go
+++ b/load/answer.go
@@ -43,10 +43,7 @@
 
 func takeEvent(data []byte, start time.Time, text *strings.Builder, record *Record) {
 	if t := gjson.GetBytes(data, "choices.0.text").String(); t != "" {
-		if record.First == 0 {
-			record.First = time.Since(start)
-		}
-		record.Tokens++
+		record.arrive(time.Since(start))
 		text.WriteString(t)
 	}
 	takeUsage(data, record)
--- a/load/record.go
+++ b/load/record.go
@@ -16,6 +16,7 @@
 	Code    string // code of a refusal
 	Prompt  int    // uncached prompt tokens
 	Tokens  int
+	Arrived []int32 // tokens by grid step, from the step of the first one on
 	Broken  bool   // the answer broke off, and the caller could see it
 	Wrong   bool   // the answer is incomplete or not one's own, and ended cleanly
 	Lost    bool   // no answer at all
@@ -39,8 +40,19 @@
 	return float64(r.Prompt + r.Tokens)
 }
 
-// Received returns the cost units received until a time. Tokens are taken to
-// arrive evenly between the first and the last one.
+// arrive notes a token.
+func (r *Record) arrive(at time.Duration) {
+	if r.First == 0 {
+		r.First = at
+	}
+	r.Tokens++
+	for n := int(at/gridStep) - int(r.First/gridStep); len(r.Arrived) <= n; {
+		r.Arrived = append(r.Arrived, 0)
+	}
+	r.Arrived[int(at/gridStep)-int(r.First/gridStep)]++
+}
+
+// Received returns the cost units received until a time.
 func (r *Record) Received(at time.Duration, plain bool) float64 {
 	if r.Status != statusOK || at <= r.Granted() {
 		return 0
@@ -54,8 +66,11 @@
 	if at < r.First || r.First == 0 {
 		return 0
 	}
-	part := float64(at-r.First) / float64(max(1, r.End-r.First))
-	return float64(r.Prompt) + part*float64(r.Tokens)
+	tokens := int32(0)
+	for n := range min(int(at/gridStep)-int(r.First/gridStep), len(r.Arrived)) {
+		tokens += r.Arrived[n]
+	}
+	return float64(r.Prompt) + float64(tokens)
 }
 
 // Sample is the state of all targets of a service at a time.
