Control traffic: fewer acknowledgements, shorter grants, reports by a budget of bytes

Cause: 8.2 to 9.7 KB/s for the busiest host of the demo, against a target of 5; by kind of message, reports of totals came first (960 B/s sent), then tickets; one acknowledgement for each frame added 8 bytes a message with its length. Change: one acknowledgement for the frames of 50 ms; incarnations within 32 bits; reports tell only teams with tickets or with a change of half a costliest request, at a period that keeps them within 2000 B/s; a lagging team may preempt teams that hold more slots than it does; a host is ready once it has heard from its place.

--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -21,7 +21,7 @@
 
 // lagRequests is how far the first team may lag behind another, in costliest
 // requests, before streams of the other are preempted.
-const lagRequests = 0.5
+const lagRequests = 1.0
 
 // A team that holds less than its share by fewPart of it may have streams
 // preempted at once of teams that hold more than theirs by manyPart of it.
@@ -80,9 +80,8 @@
 	if pressing := s.pressing(); pressing > 0 {
 		s.cancel(pressing, 0, 0)
 	}
-	if s.over(first, 1) <= 0 {
-		s.cancel(len(first.queue), first.level+lagRequests*max(s.costly, s.mean.cost), 0)
-	}
+	lag := lagRequests * max(s.costly, s.mean.cost)
+	s.cancel(len(first.queue), first.level+lag, max(0, s.over(first, 1)))
 	if s.over(first, 1) <= -fewPart*s.fairShare(first) {
 		s.cancel(len(first.queue), 0, manyPart*s.fairShare(first))
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -8,7 +8,16 @@
 	"github.com/cassiachute/cassiachute/wire"
 )
 
-const keepAliveEvery = time.Second
+const (
+	keepAliveEvery       = time.Second
+	minReportDelay       = 100 * time.Millisecond // also for urgent reports
+	minReportPeriod      = 250 * time.Millisecond
+	maxReportPeriod      = 2 * time.Second
+	reportBytesPerSecond = 2000 // that an owner spends on reports
+	headBytes            = 30   // of a report, frame and acknowledgement included
+	rowBytes             = 26   // of a team in a report
+	toldRequests         = 0.5  // change of a team's service that is told, in costliest requests
+)
 
 // notice makes a report due at once if slots became free or tickets began or
 // ceased to wait.
@@ -24,9 +33,8 @@
 
 // report tells the owners in other places and the standby what changed.
 func (s *Shard) report(now time.Time) {
-	period := s.period()
 	since := now.Sub(s.reported)
-	if since < minReportDelay || since < period && !s.urgent {
+	if since < minReportDelay || since < s.period() && !s.urgent {
 		return
 	}
 	rows := s.changed(now)
@@ -36,19 +44,22 @@
 	s.tell(now, rows, false)
 }
 
-// period returns the time between two reports.
+// period returns the time between two reports: as short as the bytes that an
+// owner may spend on them allow.
 func (s *Shard) period() time.Duration {
-	return max(minReportPeriod, time.Duration(len(s.peers))*reportPerPeer)
+	spent := time.Duration(float64(s.reportBytes) / reportBytesPerSecond * float64(time.Second))
+	return min(max(minReportPeriod, spent), maxReportPeriod)
 }
 
-// changed returns the rows of the teams that changed since the last report,
-// or of all teams now and then.
+// changed returns the rows of the teams that have or had tickets waiting, or
+// whose service changed by more than a part of a costliest request, since the
+// last report; or of all teams now and then.
 func (s *Shard) changed(now time.Time) []wire.Row {
 	whole := s.sequence%wholeReportEvery == 0
 	var rows []wire.Row
 	for _, number := range slices.Sorted(maps.Keys(s.teams)) {
 		row := s.teams[number]
-		if row.dirty || whole {
+		if whole || row.dirty && s.matters(now, row) {
 			rows = append(rows, s.row(now, row))
 			row.dirty = false
 		}
@@ -56,6 +67,17 @@
 	return rows
 }
 
+// matters returns whether other owners need the news of a team soon. A team
+// without tickets takes part in no choice until it has some.
+func (s *Shard) matters(now time.Time, row *team) bool {
+	waiting := len(row.queue) > 0
+	if waiting || row.toldWaiting {
+		return true
+	}
+	received := float64(row.served) + s.charge(now, row)
+	return received-row.toldReceived > toldRequests*s.costly
+}
+
 func (s *Shard) row(now time.Time, row *team) wire.Row {
 	r := wire.Row{
 		Team:    row.number,
@@ -66,6 +88,7 @@
 		Running: uint32(row.running),
 	}
 	s.book.Set(s.config.Shard.Place, r)
+	row.toldWaiting, row.toldReceived = r.Waiting > 0, float64(r.Served+r.Charged)
 	return r
 }
 
@@ -90,6 +113,7 @@
 	if s.settled {
 		m.Free = uint32(max(0, s.slots-s.used))
 	}
+	s.reportBytes = (headBytes + rowBytes*len(rows)) * (len(s.peers) + 1)
 	for _, peer := range s.peers {
 		s.send(peer.Owner, m)
 	}
--- a/dispatch/shard.go
+++ b/dispatch/shard.go
@@ -50,9 +50,6 @@
 	debtRequests     = 8                      // service that a team may lag behind others, in costliest requests
 	staleAfter       = 3 * time.Second
 	healTime         = time.Second // for which debts are bounded after a cut has healed
-	minReportDelay   = 25 * time.Millisecond
-	reportPerPeer    = 50 * time.Millisecond
-	minReportPeriod  = 250 * time.Millisecond
 	wholeReportEvery = 40
 )
 
@@ -111,15 +108,16 @@
 	healed   time.Time // when a place was heard of again after a cut
 	turn     uint64
 
-	peers    []Peer
-	standby  netip.AddrPort
-	sequence uint64
-	reported time.Time
-	urgent   bool // a report is due at once
-	state    [2]bool
-	pushed   map[uint32]int
-	pulled   map[pullKey]int
-	out      []Out
+	peers       []Peer
+	standby     netip.AddrPort
+	sequence    uint64
+	reported    time.Time
+	reportBytes int  // size of the last report to all receivers
+	urgent      bool // a report is due at once
+	state       [2]bool
+	pushed      map[uint32]int
+	pulled      map[pullKey]int
+	out         []Out
 }
 
 // NewShard returns a Shard that starts from what the book knows of its
--- a/dispatch/team.go
+++ b/dispatch/team.go
@@ -42,19 +42,21 @@
 
 // team is a row for one team that has or had work in the shard.
 type team struct {
-	number  uint32
-	weight  float64
-	queue   ticketHeap
-	running int
-	starts  float64 // sum of the start times of running requests, in seconds since the shard's start
-	served  uint64  // measured service from this shard
-	known   estimate
-	level   float64   // virtual service at the last refresh
-	turn    uint64    // number of the last grant
-	index   int       // position among the waiting teams, -1 if none waits
-	dirty   bool      // changed since the last report
-	waited  time.Time // when its last ticket left the queue
-	told    int       // slots held at the last report
+	number       uint32
+	weight       float64
+	queue        ticketHeap
+	running      int
+	starts       float64 // sum of the start times of running requests, in seconds since the shard's start
+	served       uint64  // measured service from this shard
+	known        estimate
+	level        float64   // virtual service at the last refresh
+	turn         uint64    // number of the last grant
+	index        int       // position among the waiting teams, -1 if none waits
+	dirty        bool      // changed since the last report
+	waited       time.Time // when its last ticket left the queue
+	told         int       // slots held at the last report
+	toldWaiting  bool      // tickets waited at the last report
+	toldReceived float64   // service at the last report
 }
 
 // teamHeap orders the teams with waiting tickets by their level.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -158,6 +158,7 @@
 
 // carry carries out commands of the decisions.
 func (e *Entry) carry(c host.Commands) {
+	e.ready.Store(c.Ready && !e.stopping.Load())
 	for _, peer := range c.Connect {
 		e.hub.Connect(peer)
 	}
@@ -169,7 +170,6 @@
 	}
 	if c.View != nil {
 		e.view.Store(c.View)
-		e.ready.Store(!e.stopping.Load())
 		e.metrics.revision.Set(float64(c.View.Set.Revision))
 		e.log.Info().Uint64("revision", c.View.Set.Revision).Msg("configuration in force")
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -75,6 +75,7 @@
 	Commits  []order.Commit
 	Reads    []order.Read
 	Verdicts []order.Answer
+	Ready    bool             // this host can take callers
 	Poll     bool             // ask the platform for a newer configuration
 	View     *catalog.View    // configuration that came into force, or nil
 	Taken    []wire.Shard     // shards that this host owns from now on
@@ -100,6 +101,7 @@
 	local   []wire.Message // messages to this host itself
 	out     Commands
 
+	began  time.Time // first event
 	beaten time.Time
 	told   time.Time
 	polled time.Time
@@ -137,6 +139,7 @@
 	h.drainOrders()
 	h.settle()
 	h.out.Starts, h.out.Refusals, h.out.Cancels = h.intake.Drain()
+	h.out.Ready = h.Ready(h.clock)
 	out := h.out
 	h.out = Commands{}
 	return out
@@ -218,9 +221,9 @@
 // host's callers.
 func (h *Host) Waiting() (waiting, all int) { return h.intake.Count() }
 
-// hash10 returns 10 bits that tell hosts apart.
-func hash10(address netip.AddrPort) uint64 {
+// hashBits returns a few bits that tell hosts apart.
+func hashBits(address netip.AddrPort) uint64 {
 	f := fnv.New32a()
 	f.Write([]byte(address.String()))
-	return uint64(f.Sum32() & 0x3ff)
+	return uint64(f.Sum32() & (1<<incarnationHashBits - 1))
 }
--- a/host/own.go
+++ b/host/own.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cassiachute/cassiachute/dispatch"
@@ -9,7 +10,10 @@
 	"github.com/cassiachute/cassiachute/wire"
 )
 
-const incarnationHashBits = 10
+const (
+	incarnationEpoch    = 1_672_531_200 // Unix seconds at the beginning of 2023
+	incarnationHashBits = 4
+)
 
 // Tick runs the systems that depend on the time alone.
 func (h *Host) Tick(now time.Time) {
@@ -28,7 +32,12 @@
 }
 
 // tickAt notes the time of the event that is being handled.
-func (h *Host) tickAt(now time.Time) { h.clock = now }
+func (h *Host) tickAt(now time.Time) {
+	h.clock = now
+	if h.began.IsZero() {
+		h.began = now
+	}
+}
 
 func (h *Host) now() time.Time { return h.clock }
 
@@ -159,15 +168,16 @@
 	h.out.Taken = append(h.out.Taken, shard)
 }
 
-// incarnation returns a number above all that were heard of for a shard.
+// incarnation returns a number above all that were heard of for a shard. It fits
+// into 32 bits for some years, which keeps grants short.
 func (h *Host) incarnation(now time.Time, shard wire.Shard) uint64 {
 	known := h.intake.Known(shard)
 	if a := h.book(shard.Service).Account(shard.Place); a != nil {
 		known = max(known, a.Incarnation)
 	}
-	fresh := uint64(now.UnixMilli())
+	fresh := uint64(max(0, now.Unix()-incarnationEpoch))
 	fresh = max(fresh, known>>incarnationHashBits+1)
-	return fresh<<incarnationHashBits | hash10(h.config.Self)
+	return fresh<<incarnationHashBits | hashBits(h.config.Self)
 }
 
 // peersOf returns the owners of the same service in other places and the
@@ -197,6 +207,30 @@
 	return ok && owner == h.config.Self
 }
 
+// Ready returns whether this host can take callers: it has a configuration, and
+// it has heard from its place or waited long enough for others to speak up.
+func (h *Host) Ready(now time.Time) bool {
+	if h.view.Set.Revision == 0 || h.roster.Leaving() {
+		return false
+	}
+	if now.Sub(h.began) >= 2*h.config.Dead {
+		return true
+	}
+	return h.heardAll()
+}
+
+// heardAll returns whether all seeds of this place are live and the rosters of
+// all other places are known.
+func (h *Host) heardAll() bool {
+	live := h.roster.Live()
+	for _, s := range h.seeds {
+		if s.Place == h.config.Place && !s.Leaving && !slices.Contains(live, s.Address) {
+			return false
+		}
+	}
+	return len(h.roster.Rosters())+1 >= len(h.view.Places)
+}
+
 // Leave starts a planned stop: peers are told, and ownership goes to others.
 func (h *Host) Leave(now time.Time) {
 	h.tickAt(now)
--- a/load/record.go
+++ b/load/record.go
@@ -17,11 +17,11 @@
 	Prompt  int    // uncached prompt tokens
 	Tokens  int
 	Arrived []int32 // tokens by grid step, from the step of the first one on
-	Broken  bool   // the answer broke off, and the caller could see it
-	Wrong   bool   // the answer is incomplete or not one's own, and ended cleanly
-	Lost    bool   // no answer at all
-	Replay  bool   // stored result of an earlier run
-	Fault   string // why the answer broke off or was lost
+	Broken  bool    // the answer broke off, and the caller could see it
+	Wrong   bool    // the answer is incomplete or not one's own, and ended cleanly
+	Lost    bool    // no answer at all
+	Replay  bool    // stored result of an earlier run
+	Fault   string  // why the answer broke off or was lost
 }
 
 // Served returns whether the request got its answer.
--- a/wire/hub.go
+++ b/wire/hub.go
@@ -93,6 +93,7 @@
 	boot uint64
 	got  uint64
 	conn net.Conn
+	due  bool // an acknowledgement is due
 }
 
 // NewHub returns a Hub that accepts peers on the listener once Run is called.
@@ -294,7 +295,7 @@
 	return in
 }
 
-// take hands over the messages of a frame once and acknowledges it. It returns
+// take hands over the messages of a frame once and has it acknowledged. It returns
 // false if the connection is no longer the peer's own.
 func (in *inbound) take(h *Hub, conn net.Conn, peer hello, number uint64, messages []Message) bool {
 	in.mu.Lock()
@@ -306,11 +307,28 @@
 		in.got = number
 		h.events.Received(peer.Address, peer.Boot, messages)
 	}
+	if !in.due {
+		in.due = true
+		time.AfterFunc(ackDelay, func() { in.acknowledge(h, conn) })
+	}
+	return true
+}
+
+// acknowledge tells the peer how many frames have come. One acknowledgement
+// serves all frames of a short time.
+func (in *inbound) acknowledge(h *Hub, conn net.Conn) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.due = false
+	if in.conn != conn {
+		return
+	}
 	var ack [ackBytes]byte
 	binary.BigEndian.PutUint32(ack[:], uint32(in.got))
-	if _, err := conn.Write(ack[:]); err != nil {
-		return false
+	if err := conn.SetWriteDeadline(time.Now().Add(h.config.Silence)); err != nil {
+		return
+	}
+	if _, err := conn.Write(ack[:]); err == nil {
+		h.sent.Add(ackBytes)
 	}
-	h.sent.Add(ackBytes)
-	return true
 }
--- a/wire/session.go
+++ b/wire/session.go
@@ -16,6 +16,7 @@
 
 const (
 	ackBytes         = 4
+	ackDelay         = 50 * time.Millisecond
 	maxRetainedBytes = 16 << 20
 	minRedialDelay   = 50 * time.Millisecond
 	maxRedialDelay   = time.Second
