--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -193,13 +193,13 @@
 	Args  struct {
 		Kind string `positional-arg-name:"KIND" required:"yes"`
 		Name string `positional-arg-name:"NAME" required:"yes"`
-		fileArgument
+		File string `positional-arg-name:"FILE" required:"yes"`
 	} `positional-args:"yes"`
 }
 
 // Execute implements flags.Commander.
 func (c *putCommand) Execute([]string) error {
-	body, err := c.Args.read()
+	body, err := fileArgument{File: c.Args.File}.read()
 	if err != nil {
 		return err
 	}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -21,6 +21,8 @@
 	outcomeQueue  = 4
 	goneCheck     = 100 * time.Millisecond
 	crashDial     = 200 * time.Millisecond
+	crashWatch    = 30 * time.Millisecond // for which a new connection to a live target stays open
+	crashPoll     = 2 * time.Millisecond
 	maxAttempts   = 5
 	statusGone    = 499 // the caller went away; nobody reads the answer
 	maxWholeBytes = 8 << 20
@@ -199,7 +201,8 @@
 	return x.fail(x.target, end)
 }
 
-// crashed returns whether no process listens at the target any more.
+// crashed returns whether no process answers at the target any more: it refuses
+// a connection, or something on the way accepts it and ends it at once.
 func (x *exchange) crashed() bool {
 	ctx, cancel := context.WithTimeout(x.entry.core.ctx, crashDial)
 	defer cancel()
@@ -208,7 +211,15 @@
 		x.entry.pool.Forget(x.target.Address)
 		return true
 	}
-	line.Close()
+	defer line.Close()
+	deadline := time.Now().Add(crashWatch)
+	for time.Now().Before(deadline) {
+		if line.Ended() {
+			x.entry.pool.Forget(x.target.Address)
+			return true
+		}
+		time.Sleep(crashPoll)
+	}
 	return false
 }
 
--- a/host/member.go
+++ b/host/member.go
@@ -47,6 +47,9 @@
 	if known && fresh {
 		h.dropHost(now, peer)
 	}
+	if wasCut {
+		h.reshard(now)
+	}
 	if fresh || wasCut {
 		h.resyncWith(now, peer)
 	}
--- a/target/line.go
+++ b/target/line.go
@@ -158,6 +158,9 @@
 	l.conn.Close()
 }
 
+// Ended returns whether the other side closed the connection.
+func (l *Line) Ended() bool { return Gone(l.conn) }
+
 // Pool keeps idle connections by target address.
 type Pool struct {
 	mu     sync.Mutex
