--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -21,7 +21,7 @@
 
 // lagRequests is how far the first team may lag behind another, in costliest
 // requests, before streams of the other are preempted.
-const lagRequests = 1.0
+const lagRequests = 0.5
 
 // A team that holds less than its share by fewPart of it may have streams
 // preempted at once of teams that hold more than theirs by manyPart of it.
--- a/dispatch/shard.go
+++ b/dispatch/shard.go
@@ -42,7 +42,7 @@
 	prefixEntries    = 1 << 16
 	retryDelay       = time.Second
 	grantAnswer      = time.Second            // within which an entry has a grant
-	urgentPreempts   = 4                      // most preemptions under way per shard
+	urgentPreempts   = 8                      // most preemptions under way per shard
 	searchEvery      = time.Millisecond       // least time between two searches for a stream to preempt
 	creditRequests   = 1.0                    // service that an idle team may have in store, in costliest requests
 	owedRequests     = 4.0                    // service that a backlogged team may be owed, in costliest requests
