--- a/admin/server.go
+++ b/admin/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/cassiachute/cassiachute/catalog"
 	"github.com/cassiachute/cassiachute/entry"
+	"github.com/cassiachute/cassiachute/fault"
 	"github.com/cassiachute/cassiachute/platform"
 	"github.com/cassiachute/cassiachute/publish"
 	"github.com/cassiachute/cassiachute/settings"
@@ -191,7 +192,7 @@
 	}
 	match, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
-		return 0, false, errors.Mark(errors.New("If-Match must be a revision"), settings.ErrInvalid)
+		return 0, false, fault.Mark(errors.New("If-Match must be a revision"), settings.ErrInvalid)
 	}
 	return match, true, nil
 }
@@ -265,7 +266,7 @@
 	if text := string(ctx.QueryArgs().Peek("base")); text != "" {
 		parsed, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
-			return nil, errors.Mark(errors.New("base must be a revision"), settings.ErrInvalid)
+			return nil, fault.Mark(errors.New("base must be a revision"), settings.ErrInvalid)
 		}
 		base = parsed
 	}
@@ -328,7 +329,7 @@
 func (a *Server) revision(text string) reply {
 	number, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
-		return failed(errors.Mark(errors.New("a revision is a number"), settings.ErrInvalid))
+		return failed(fault.Mark(errors.New("a revision is a number"), settings.ErrInvalid))
 	}
 	set, err := a.store.Revision(number)
 	if err != nil {
--- a/catalog/set.go
+++ b/catalog/set.go
@@ -8,6 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+
+	"github.com/cassiachute/cassiachute/fault"
 )
 
 // Kind names of objects, as they stand in the API and in settings.
@@ -224,7 +226,7 @@
 	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(value); err != nil {
-		return errors.Mark(errors.Wrap(err, "decode"), ErrBody)
+		return fault.Mark(errors.Wrap(err, "decode"), ErrBody)
 	}
 	if dec.More() {
 		return errors.Wrap(ErrBody, "data after the object")
--- a/catalog/step.go
+++ b/catalog/step.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cassiachute/cassiachute/fault"
 )
 
 // ErrStep means that a step does not follow a set.
@@ -65,7 +67,7 @@
 			continue
 		}
 		if err := t.put(next, change.Name, change.Body); err != nil {
-			return nil, errors.Mark(err, ErrStep)
+			return nil, fault.Mark(err, ErrStep)
 		}
 	}
 	next.Revision = step.To
--- a/ctl/client.go
+++ b/ctl/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/cassiachute/cassiachute/admin"
 	"github.com/cassiachute/cassiachute/catalog"
+	"github.com/cassiachute/cassiachute/fault"
 	"github.com/cassiachute/cassiachute/publish"
 )
 
@@ -57,7 +58,7 @@
 	}
 	request.SetBodyRaw(body)
 	if err := c.http.DoTimeout(request, response, callTimeout); err != nil {
-		return errors.Mark(err, ErrDown)
+		return fault.Mark(err, ErrDown)
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
 		return failure(response)
@@ -69,7 +70,7 @@
 func failure(response *fasthttp.Response) error {
 	var f admin.Failure
 	if err := json.Unmarshal(response.Body(), &f); err != nil {
-		return errors.Mark(errors.Newf("status %d", response.StatusCode()), ErrDown)
+		return fault.Mark(errors.Newf("status %d", response.StatusCode()), ErrDown)
 	}
 	kind := ErrInvalid
 	switch response.StatusCode() {
@@ -80,7 +81,7 @@
 	case fasthttp.StatusServiceUnavailable, fasthttp.StatusInternalServerError:
 		kind = ErrDown
 	}
-	return errors.Mark(errors.Newf("%s: %s", f.Code, f.Message), kind)
+	return fault.Mark(errors.Newf("%s: %s", f.Code, f.Message), kind)
 }
 
 // Set returns the newest configuration.
--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -12,6 +12,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/cassiachute/cassiachute/catalog"
+	"github.com/cassiachute/cassiachute/fault"
 	"github.com/cassiachute/cassiachute/program"
 	"github.com/cassiachute/cassiachute/settings"
 )
@@ -78,7 +79,7 @@
 		return io.ReadAll(os.Stdin)
 	}
 	body, err := os.ReadFile(a.File)
-	return body, errors.Mark(err, ErrInvalid)
+	return body, fault.Mark(err, ErrInvalid)
 }
 
 // validateCommand checks a document.
@@ -385,7 +386,7 @@
 	}
 	address, err := netip.ParseAddrPort(o.API)
 	if err != nil {
-		return errors.Mark(errors.Wrap(err, "api"), settings.ErrInvalid)
+		return fault.Mark(errors.Wrap(err, "api"), settings.ErrInvalid)
 	}
 	s := &session{client: NewClient(address, o.Key), out: out, json: o.JSON}
 	if user, ok := c.(sessionUser); ok {
--- a/entry/model.go
+++ b/entry/model.go
@@ -14,6 +14,7 @@
 	"github.com/tidwall/sjson"
 	"github.com/valyala/fasthttp"
 
+	"github.com/cassiachute/cassiachute/fault"
 	"github.com/cassiachute/cassiachute/target"
 	"github.com/cassiachute/cassiachute/wire"
 )
@@ -222,7 +223,7 @@
 	data, err := s.readData()
 	if err != nil {
 		if errors.Is(err, io.EOF) {
-			err = errors.Mark(io.ErrUnexpectedEOF, target.ErrBroken)
+			err = fault.Mark(io.ErrUnexpectedEOF, target.ErrBroken)
 		}
 		return nil, err
 	}
@@ -249,7 +250,7 @@
 			data = append(data, bytes.TrimSpace(rest)...)
 		}
 		if len(data) > maxEventBytes {
-			return nil, errors.Mark(errTooLong, target.ErrBroken)
+			return nil, fault.Mark(errTooLong, target.ErrBroken)
 		}
 	}
 }
--- /dev/null
+++ b/host/config_test.go
@@ -0,0 +1,55 @@
+package host_test
+
+import (
+	"encoding/json"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiachute/cassiachute/catalog"
+	"github.com/cassiachute/cassiachute/host"
+	"github.com/cassiachute/cassiachute/wire"
+)
+
+// TestSetNeverReverts gives a host configurations late, out of order and by
+// every way, and checks that its revision never falls.
+func TestSetNeverReverts(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	peer := netip.MustParseAddrPort("10.0.0.2:1")
+	h := host.New(host.NewConfig(netip.MustParseAddrPort("10.0.0.1:1"), 1, "p1"))
+	sets := []*catalog.Set{testSet(t, 1, 1)}
+	for range 5 {
+		next := sets[len(sets)-1].Clone()
+		require.NoError(t, next.Put(catalog.Teams, "team1", []byte(`{"weight": 2}`)))
+		next.Seal(sets[len(sets)-1].Revision + 1)
+		sets = append(sets, next)
+	}
+	last := uint64(0)
+	check := func(want uint64) {
+		t.Helper()
+		revision := h.View().Set.Revision
+		require.GreaterOrEqual(t, revision, last)
+		require.Equal(t, want, revision)
+		last = revision
+	}
+	require.True(t, h.Apply(now, sets[2]))
+	check(3)
+	require.False(t, h.Apply(now, sets[0]))
+	check(3)
+	h.Receive(now, peer, 1, []wire.Message{&wire.Snapshot{Revision: 2, Body: sets[1].Encode()}})
+	check(3)
+	step, err := json.Marshal(catalog.Diff(sets[1], sets[2]))
+	require.NoError(t, err)
+	h.Receive(now, peer, 1, []wire.Message{&wire.Steps{From: 2, Bodies: [][]byte{step}}})
+	check(3)
+	step, err = json.Marshal(catalog.Diff(sets[2], sets[3]))
+	require.NoError(t, err)
+	h.Receive(now, peer, 1, []wire.Message{&wire.Steps{From: 3, Bodies: [][]byte{step}}})
+	check(4)
+	h.Receive(now, peer, 1, []wire.Message{&wire.Snapshot{Revision: 6, Body: sets[4].Encode()}})
+	check(4)
+	h.Receive(now, peer, 1, []wire.Message{&wire.Snapshot{Revision: 6, Body: sets[5].Encode()}})
+	check(6)
+}
--- /dev/null
+++ b/order/table_test.go
@@ -0,0 +1,153 @@
+package order_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cassiachute/cassiachute/order"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// store is the platform's table as the test sees it.
+type store struct {
+	rows    map[string]order.Record
+	version map[string]uint64
+	last    uint64
+	late    []order.Commit // writes that take effect later
+}
+
+func newStore() *store {
+	return &store{rows: map[string]order.Record{}, version: map[string]uint64{}}
+}
+
+// commit carries out a transaction and returns the records in the way.
+func (s *store) commit(c order.Commit) []string {
+	var failed []string
+	for _, op := range c.Ops {
+		if s.version[op.Name] != op.Expect {
+			failed = append(failed, op.Name)
+		}
+	}
+	if len(failed) > 0 {
+		return failed
+	}
+	s.last++
+	for _, op := range c.Ops {
+		s.rows[op.Name], s.version[op.Name] = op.Record, s.last
+	}
+	return nil
+}
+
+// claim is an operation that claims an order for a token.
+func claim(name, token string) order.Op {
+	return order.Op{Name: name, Record: order.Record{Token: token, State: order.Claimed}}
+}
+
+// TestOneTokenWinsWhateverIsLost has several hosts claim the same orders while
+// replies are lost, writes take effect late, and reads fail. At most one claim
+// of each order wins, and once the store works, none is left without an answer.
+func TestOneTokenWinsWhateverIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newStore()
+		now := start
+		tables := make([]*order.Table, 3)
+		for n := range tables {
+			tables[n] = order.NewTable(func() []netip.AddrPort { return nil })
+			for k, name := range []string{"a", "b"} {
+				op := claim(name, string(rune('x'+n)))
+				tables[n].Write(now, order.Ref{ID: uint64(k)}, op, now.Add(time.Hour))
+			}
+		}
+		won, answered := map[string]int{}, 0
+		for step := range 400 {
+			now = now.Add(100 * time.Millisecond)
+			faulty := step < 200
+			for _, table := range tables {
+				table.Tick(now)
+				answered += s.serve(t, now, table, faulty, won)
+			}
+			if len(s.late) > 0 && (!faulty || rapid.Bool().Draw(t, "arrives")) {
+				s.commit(s.late[0])
+				s.late = s.late[1:]
+			}
+		}
+		require.Equal(t, 6, answered)
+		require.Equal(t, map[string]int{"a": 1, "b": 1}, won)
+	})
+}
+
+// serve carries out the commands of a table and returns how many answers came.
+func (s *store) serve(t *rapid.T, now time.Time, table *order.Table, faulty bool, won map[string]int) int {
+	commits, reads, _, answers := table.Drain()
+	for _, c := range commits {
+		fault := 0
+		if faulty {
+			fault = rapid.IntRange(0, 4).Draw(t, "fault")
+		}
+		switch fault {
+		case 1:
+			s.commit(c)
+			table.Committed(now, c.ID, order.Lost, 0, nil)
+		case 2:
+			s.late = append(s.late, c)
+			table.Committed(now, c.ID, order.Lost, 0, nil)
+		case 3:
+			table.Committed(now, c.ID, order.Busy, 0, nil)
+		default:
+			result := order.Written
+			failed := s.commit(c)
+			if failed != nil {
+				result = order.Conflict
+			}
+			table.Committed(now, c.ID, result, s.last, failed)
+		}
+	}
+	for _, r := range reads {
+		failed := faulty && rapid.Bool().Draw(t, "read fails")
+		table.ReadBack(now, r.ID, s.rows[r.Name], s.version[r.Name], failed)
+	}
+	for _, a := range answers {
+		if a.Verdict.Won {
+			won[[]string{"a", "b"}[a.Ref.ID]]++
+		}
+	}
+	return len(answers)
+}
+
+func TestClaimOfUnknownEffectIsVoided(t *testing.T) {
+	s := newStore()
+	now := start
+	table := order.NewTable(func() []netip.AddrPort { return nil })
+	table.Write(now, order.Ref{ID: 1}, claim("a", "x"), now.Add(time.Second))
+	commits, _, _, _ := table.Drain()
+	s.commit(commits[0])
+	table.Committed(now, commits[0].ID, order.Lost, 0, nil)
+	now = now.Add(2 * time.Second)
+	table.Tick(now)
+	_, _, _, answers := table.Drain()
+	require.Len(t, answers, 1)
+	require.True(t, answers[0].Verdict.Failed)
+	for range 20 {
+		now = now.Add(time.Second)
+		table.Tick(now)
+		commits, reads, _, _ := table.Drain()
+		for _, c := range commits {
+			failed := s.commit(c)
+			result := order.Written
+			if failed != nil {
+				result = order.Conflict
+			}
+			table.Committed(now, c.ID, result, s.last, failed)
+		}
+		for _, r := range reads {
+			table.ReadBack(now, r.ID, s.rows[r.Name], s.version[r.Name], false)
+		}
+	}
+	require.Equal(t, order.Void, s.rows["a"].State)
+	require.Zero(t, table.Count())
+}
--- a/program/program.go
+++ b/program/program.go
@@ -15,6 +15,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
+	"github.com/cassiachute/cassiachute/fault"
 	"github.com/cassiachute/cassiachute/settings"
 )
 
@@ -120,7 +121,7 @@
 func NewLog(out io.Writer, level string) (zerolog.Logger, error) {
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil {
-		return zerolog.Nop(), errors.Mark(errors.Wrap(err, "level"), settings.ErrInvalid)
+		return zerolog.Nop(), fault.Mark(errors.Wrap(err, "level"), settings.ErrInvalid)
 	}
 	return zerolog.New(out).Level(parsed).With().Timestamp().Logger(), nil
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cassiachute/cassiachute/fault"
 )
 
 // ErrInvalid means that settings are malformed or do not hold together.
@@ -38,7 +40,7 @@
 func Load(path string, into any) error {
 	body, err := os.ReadFile(path)
 	if err != nil {
-		return errors.Mark(errors.Wrap(err, "read settings"), ErrInvalid)
+		return fault.Mark(errors.Wrap(err, "read settings"), ErrInvalid)
 	}
 	return errors.Wrapf(Parse(body, into), "settings %s", path)
 }
@@ -49,7 +51,7 @@
 	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(into); err != nil {
-		return errors.Mark(err, ErrInvalid)
+		return fault.Mark(err, ErrInvalid)
 	}
 	if dec.More() {
 		return errors.Wrap(ErrInvalid, "data after the settings")
--- a/target/line.go
+++ b/target/line.go
@@ -14,6 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/fault"
 )
 
 const (
@@ -69,7 +71,7 @@
 func (l *Line) Send(request *fasthttp.Request) error {
 	l.wrote = false
 	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return errors.Mark(err, ErrBroken)
+		return fault.Mark(err, ErrBroken)
 	}
 	wr := bufio.NewWriterSize(lineWriter{line: l}, lineBufferBytes)
 	err := request.Write(wr)
@@ -78,7 +80,7 @@
 	}
 	if err != nil {
 		l.bad = true
-		return errors.Mark(err, ErrBroken)
+		return fault.Mark(err, ErrBroken)
 	}
 	return nil
 }
@@ -147,9 +149,9 @@
 func classify(err error) error {
 	var netErr net.Error
 	if errors.As(err, &netErr) && netErr.Timeout() {
-		return errors.Mark(err, ErrSilent)
+		return fault.Mark(err, ErrSilent)
 	}
-	return errors.Mark(err, ErrBroken)
+	return fault.Mark(err, ErrBroken)
 }
 
 // Close ends the connection, which cancels what runs on it.
@@ -187,7 +189,7 @@
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "dial %s", address), ErrUnreached)
+		return nil, fault.Mark(errors.Wrapf(err, "dial %s", address), ErrUnreached)
 	}
 	l := &Line{conn: conn, wait: dialTimeout}
 	l.rd = bufio.NewReaderSize(lineReader{line: l}, maxHeaderBytes)
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cassiachute/cassiachute/fault"
 )
 
 // MaxFrameBytes is the largest body of a frame that a host sends or accepts.
@@ -56,14 +58,14 @@
 	for rd.Len() > 0 {
 		tag, err := rd.ReadByte()
 		if err != nil {
-			return nil, errors.Mark(err, ErrMalformed)
+			return nil, fault.Mark(err, ErrMalformed)
 		}
 		m := blank(Kind(tag))
 		if m == nil {
 			return nil, errors.Wrapf(ErrUnknownKind, "kind %d", tag)
 		}
 		if err := dec.Decode(m); err != nil {
-			return nil, errors.Mark(errors.Wrapf(err, "kind %d", tag), ErrMalformed)
+			return nil, fault.Mark(errors.Wrapf(err, "kind %d", tag), ErrMalformed)
 		}
 		messages = append(messages, m)
 	}
--- a/wire/handshake.go
+++ b/wire/handshake.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cassiachute/cassiachute/fault"
 )
 
 const (
@@ -90,7 +92,7 @@
 	if err != nil {
 		return err
 	}
-	return errors.Mark(msgpack.Unmarshal(body, value), ErrMalformed)
+	return fault.Mark(msgpack.Unmarshal(body, value), ErrMalformed)
 }
 
 // offer is the dialler's side of the handshake. resume returns the number of
