--- a/cmd/cassia-capacity/main.go
+++ b/cmd/cassia-capacity/main.go
@@ -7,12 +7,14 @@
 	"os"
 
 	"github.com/cassiachute/cassiachute/capacity"
+	"github.com/cassiachute/cassiachute/experiment"
 	"github.com/cassiachute/cassiachute/program"
 )
 
 // options are the flags.
 type options struct {
-	Version bool `long:"version" description:"print the version and exit"`
+	Plot    string `long:"plot" value-name:"DIRECTORY" description:"also write a plot of the time of a grant"`
+	Version bool   `long:"version" description:"print the version and exit"`
 }
 
 func main() {
@@ -26,7 +28,15 @@
 	}
 	fmt.Println("| what | points | fit | R2 |")
 	fmt.Println("|---|---|---|---|")
-	for _, s := range capacity.Measure() {
+	slopes := capacity.Measure()
+	for _, s := range slopes {
 		s.Write(os.Stdout)
 	}
+	if o.Plot == "" {
+		return
+	}
+	if err := experiment.PlotSlopes(o.Plot, slopes); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(program.ExitFailed)
+	}
 }
--- a/cmd/cassia-load/main.go
+++ b/cmd/cassia-load/main.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
+	"github.com/cassiachute/cassiachute/experiment"
 	"github.com/cassiachute/cassiachute/load"
 	"github.com/cassiachute/cassiachute/program"
 	"github.com/cassiachute/cassiachute/settings"
@@ -16,10 +18,13 @@
 
 // options are the flags.
 type options struct {
-	Plan    string `long:"plan" required:"yes" value-name:"FILE" description:"plan of the load (JSON)"`
-	Check   bool   `long:"check" description:"check the plan and exit"`
-	JSON    bool   `long:"json" description:"print the measures as one line of JSON at the end"`
-	Version bool   `long:"version" description:"print the version and exit"`
+	Plan    string   `long:"plan" value-name:"FILE" description:"plan of the load (JSON)"`
+	Measure string   `long:"measure" choice:"latency" choice:"change" choice:"memory" description:"start a fleet in this process and measure the latency that it adds, the time until a change is in force, or the memory of open requests"`
+	Plot    string   `long:"plot" value-name:"DIRECTORY" description:"write plots of the runs in the files named by --run"`
+	Runs    []string `long:"run" value-name:"NAME=FILE" description:"result of a run (its last line is the measures as JSON) to plot"`
+	Check   bool     `long:"check" description:"check the plan and exit"`
+	JSON    bool     `long:"json" description:"print the measures as one line of JSON at the end"`
+	Version bool     `long:"version" description:"print the version and exit"`
 }
 
 func main() {
@@ -31,6 +36,13 @@
 		fmt.Println(program.Version())
 		return
 	}
+	if o.Measure != "" || o.Plot != "" {
+		if err := other(o); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(program.ExitFailed)
+		}
+		return
+	}
 	var plan load.Plan
 	err := settings.Load(o.Plan, &plan)
 	if err == nil {
@@ -50,6 +62,41 @@
 	}
 }
 
+// other carries out what needs no plan.
+func other(o options) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	switch {
+	case o.Measure == "latency":
+		return experiment.Latency(ctx, os.Stdout)
+	case o.Measure == "memory":
+		return experiment.Memory(ctx, os.Stdout)
+	case o.Measure == "change":
+		return experiment.Change(ctx, os.Stdout)
+	default:
+		return plotRuns(o)
+	}
+}
+
+// plotRuns reads the measures of runs and plots them.
+func plotRuns(o options) error {
+	var runs []experiment.Series
+	for _, text := range o.Runs {
+		name, path, _ := strings.Cut(text, "=")
+		body, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		lines := strings.Split(strings.TrimSpace(string(body)), "\n")
+		var m load.Measures
+		if err := json.Unmarshal([]byte(lines[len(lines)-1]), &m); err != nil {
+			return err
+		}
+		runs = append(runs, experiment.Series{Name: name, Measures: &m})
+	}
+	return experiment.PlotRuns(o.Plot, runs)
+}
+
 func run(plan load.Plan, asJSON bool) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/entry/model.go
+++ b/entry/model.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	eventReaderBytes = 16 << 10
+	eventReaderBytes = 4 << 10
 	maxEventBytes    = 1 << 20
 	promptLearning   = 0.05 // weight of one request in the mean of uncached tokens a byte
 )
--- /dev/null
+++ b/experiment/plot.go
@@ -0,0 +1,102 @@
+package experiment
+
+import (
+	"image/color"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/cassiachute/cassiachute/capacity"
+	"github.com/cassiachute/cassiachute/load"
+)
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+)
+
+// palette colours the lines in their order.
+var palette = []color.Color{
+	color.RGBA{R: 0x1f, G: 0x77, B: 0xb4, A: 0xff},
+	color.RGBA{R: 0xd6, G: 0x27, B: 0x28, A: 0xff},
+	color.RGBA{R: 0x2c, G: 0xa0, B: 0x2c, A: 0xff},
+	color.RGBA{R: 0x94, G: 0x67, B: 0xbd, A: 0xff},
+}
+
+// Line is one line of a plot.
+type Line struct {
+	Name   string
+	Points plotter.XYs
+}
+
+// Series is a run over time.
+type Series struct {
+	Name     string
+	Measures *load.Measures
+}
+
+// write makes an SVG file of lines.
+func write(path, title, x, y string, logX bool, lines []Line) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.Legend.Top = true
+	if logX {
+		p.X.Scale = plot.LogScale{}
+		p.X.Tick.Marker = plot.LogTicks{Prec: -1}
+	}
+	for n, l := range lines {
+		drawn, err := plotter.NewLine(l.Points)
+		if err != nil {
+			return errors.Wrapf(err, "line %s", l.Name)
+		}
+		drawn.Color = palette[n%len(palette)]
+		p.Add(drawn)
+		p.Legend.Add(l.Name, drawn)
+	}
+	return errors.Wrap(p.Save(plotWidth, plotHeight, path), "save plot")
+}
+
+// PlotRuns writes the gap, the use of slots and the service of other work over
+// time, one file each, with a line for each run.
+func PlotRuns(dir string, runs []Series) error {
+	for _, kind := range []struct {
+		file, title, unit string
+		value             func(p load.Point) float64
+	}{
+		{"gap.svg", "Difference between two backlogged teams", "costliest requests", func(p load.Point) float64 { return p.Gap }},
+		{"busy.svg", "Slots in use", "part", func(p load.Point) float64 { return p.Busy }},
+		{"kept.svg", "Service of the work outside the flood", "cost units a second", func(p load.Point) float64 { return p.Kept }},
+	} {
+		var lines []Line
+		for _, r := range runs {
+			l := Line{Name: r.Name}
+			for _, p := range r.Measures.Series {
+				l.Points = append(l.Points, plotter.XY{X: p.At, Y: kind.value(p)})
+			}
+			lines = append(lines, l)
+		}
+		if err := write(filepath.Join(dir, kind.file), kind.title, "seconds", kind.unit, false, lines); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// PlotSlopes writes the time of a grant against the sizes that it depends on.
+func PlotSlopes(dir string, slopes []capacity.Slope) error {
+	var lines []Line
+	for _, s := range slopes {
+		if !s.Log {
+			continue
+		}
+		l := Line{Name: s.By}
+		for _, p := range s.Points {
+			l.Points = append(l.Points, plotter.XY{X: p.Size, Y: p.Value})
+		}
+		lines = append(lines, l)
+	}
+	return write(filepath.Join(dir, "grant.svg"), "Ticket, grant and end", "size", "microseconds", true, lines)
+}
--- a/host/fair_test.go
+++ b/host/fair_test.go
@@ -32,7 +32,6 @@
 	service uint32
 	teams   map[string]uint32
 	open    map[string]int // waiting or running requests of a backlogged team
-	waits   []time.Duration
 	urgent  []*request
 	spread  float64
 	steady  float64 // spread after the first seconds of the flood
--- a/order/table_test.go
+++ b/order/table_test.go
@@ -119,17 +119,33 @@
 	return len(answers)
 }
 
+func commitsOf(table *order.Table) []order.Commit {
+	commits, reads, forwards, answers := table.Drain()
+	if len(reads)+len(forwards)+len(answers) > 0 {
+		panic("commands other than commits")
+	}
+	return commits
+}
+
+func answersOf(table *order.Table) []order.Answer {
+	commits, reads, forwards, answers := table.Drain()
+	if len(commits)+len(reads)+len(forwards) > 0 {
+		panic("commands other than answers")
+	}
+	return answers
+}
+
 func TestClaimOfUnknownEffectIsVoided(t *testing.T) {
 	s := newStore()
 	now := start
 	table := order.NewTable(func() []netip.AddrPort { return nil })
 	table.Write(now, order.Ref{ID: 1}, claim("a", "x"), now.Add(time.Second))
-	commits, _, _, _ := table.Drain()
+	commits := commitsOf(table)
 	s.commit(commits[0])
 	table.Committed(now, commits[0].ID, order.Lost, 0, nil)
 	now = now.Add(2 * time.Second)
 	table.Tick(now)
-	_, _, _, answers := table.Drain()
+	answers := answersOf(table)
 	require.Len(t, answers, 1)
 	require.True(t, answers[0].Verdict.Failed)
 	for range 20 {
--- a/target/line.go
+++ b/target/line.go
@@ -24,7 +24,7 @@
 	maxIdleAge      = 5 * time.Second // an older idle connection is not used again
 	maxIdlePerHost  = 64
 	lineBufferBytes = 4 << 10
-	maxHeaderBytes  = 64 << 10
+	readBufferBytes = 8 << 10 // also the most that the head of an answer may have
 )
 
 var (
@@ -192,7 +192,7 @@
 		return nil, fault.Mark(errors.Wrapf(err, "dial %s", address), ErrUnreached)
 	}
 	l := &Line{conn: conn, wait: dialTimeout}
-	l.rd = bufio.NewReaderSize(lineReader{line: l}, maxHeaderBytes)
+	l.rd = bufio.NewReaderSize(lineReader{line: l}, readBufferBytes)
 	return l, nil
 }
 
