--- a/entry/core.go
+++ b/entry/core.go
@@ -131,12 +131,20 @@
 	x.outcomes <- outcome{target: row, grant: s.Grant}
 }
 
-// submit enters an exchange.
-func (c *core) submit(x *exchange, request intake.Request) {
+// submit enters an exchange. It returns false if the request crashed the targets
+// that ran it and is refused.
+func (c *core) submit(x *exchange, request intake.Request) bool {
+	taken := true
 	c.ask(func(now time.Time, h *host.Host) {
+		if h.Poisonous(now, x.call.digest) {
+			taken = false
+			return
+		}
+		request.Suspect = h.Suspected(now, x.call.digest)
 		x.id = h.Submit(now, request)
 		c.exchanges[x.id] = x
 	})
+	return taken
 }
 
 // begin returns whether the grant of an exchange is still good.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -67,13 +67,18 @@
 	return x
 }
 
-// enter queues the exchange for a slot.
-func (x *exchange) enter(fixed bool, blocks []uint32, suspect bool) {
+// enter queues the exchange for a slot. It returns a problem if the request is
+// refused for the targets that it crashed.
+func (x *exchange) enter(fixed bool, blocks []uint32) *problem {
 	c := x.call
-	x.entry.core.submit(x, intake.Request{
+	taken := x.entry.core.submit(x, intake.Request{
 		Service: c.service.Service.Number, Team: c.team, Class: c.class, Deadline: c.deadline,
-		Fixed: fixed, Blocks: blocks, Suspect: suspect,
+		Fixed: fixed, Blocks: blocks,
 	})
+	if !taken {
+		return refusal(dispatch.ReasonPoison, 0, false)
+	}
+	return nil
 }
 
 // slot waits for a slot and a connection to its target. It returns a problem if
--- a/entry/front.go
+++ b/entry/front.go
@@ -5,15 +5,12 @@
 	"encoding/json"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tidwall/gjson"
 	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/catalog"
-	"github.com/cassiachute/cassiachute/dispatch"
-	"github.com/cassiachute/cassiachute/host"
 )
 
 const (
@@ -90,9 +87,6 @@
 	if p == nil && c.service.Kind != catalog.KindModel {
 		p = notRun(fasthttp.StatusNotFound, "no_service", "model", "the service is not a model")
 	}
-	if p == nil {
-		p = e.poisoned(c)
-	}
 	if p != nil {
 		e.refuse(ctx, c, p)
 		return
@@ -141,22 +135,6 @@
 	return gjson.GetBytes(body, "n").Int() <= 1 && gjson.GetBytes(body, "best_of").Int() <= 1
 }
 
-// poisoned refuses a request that crashed the targets that ran it.
-func (e *Entry) poisoned(c *call) *problem {
-	refused := false
-	e.core.ask(func(now time.Time, h *host.Host) { refused = h.Poisonous(now, c.digest) })
-	if !refused {
-		return nil
-	}
-	return refusal(dispatch.ReasonPoison, 0, false)
-}
-
-func (e *Entry) suspected(c *call) bool {
-	suspect := false
-	e.core.ask(func(now time.Time, h *host.Host) { suspect = h.Suspected(now, c.digest) })
-	return suspect
-}
-
 // stream serves a completion from the events of an engine.
 func (e *Entry) stream(ctx *fasthttp.RequestCtx, c *call, chat bool, body []byte) {
 	prepared, err := prepare(append([]byte(nil), body...))
@@ -170,7 +148,10 @@
 		wantUsage: gjson.GetBytes(body, "stream_options.include_usage").Bool(),
 	}
 	streamed := gjson.GetBytes(body, "stream").Bool()
-	s.enter(false, c.blocks(promptOf(body)), e.suspected(c))
+	if p := s.enter(false, c.blocks(promptOf(body))); p != nil {
+		e.refuse(ctx, c, p)
+		return
+	}
 	first, p, err := s.next()
 	switch {
 	case p != nil:
@@ -223,9 +204,6 @@
 	if p == nil && c.service.Kind != catalog.KindPlain {
 		p = notRun(fasthttp.StatusNotFound, "no_service", "", "the service is not a plain one")
 	}
-	if p == nil {
-		p = e.poisoned(c)
-	}
 	if p != nil {
 		e.refuse(ctx, c, p)
 		return
@@ -242,8 +220,11 @@
 		e.order(ctx, g)
 		return
 	}
-	g.enter(true, nil, e.suspected(c))
-	if p := g.run(); p != nil {
+	p := g.enter(true, nil)
+	if p == nil {
+		p = g.run()
+	}
+	if p != nil {
 		e.refuse(ctx, c, p)
 		return
 	}
--- a/entry/order.go
+++ b/entry/order.go
@@ -15,11 +15,11 @@
 )
 
 const (
-	claimLimit    = 3 * time.Second // longest wait for a claim
-	settleLimit   = time.Minute     // for which the result of an order is tried to be kept
-	maxKeptBytes  = 64 << 10        // a larger result is not kept
-	maxClaims     = 3               // claims of one request, after others were voided
-	claimedRetry  = time.Second
+	claimLimit   = 3 * time.Second // longest wait for a claim
+	settleLimit  = time.Minute     // for which the result of an order is tried to be kept
+	maxKeptBytes = 64 << 10        // a larger result is not kept
+	maxClaims    = 3               // claims of one request, after others were voided
+	claimedRetry = time.Second
 )
 
 // order serves a request that names an order and must not run twice.
@@ -35,8 +35,11 @@
 	if g.service.Fence {
 		g.request.Header.Set(HeaderFence, strconv.FormatUint(held.op.Record.Fence, 10))
 	}
-	g.enter(true, nil, e.suspected(g.call))
-	if p := g.run(); p != nil {
+	p = g.enter(true, nil)
+	if p == nil {
+		p = g.run()
+	}
+	if p != nil {
 		e.unsettled(held, p)
 		e.refuse(ctx, g.call, p)
 		return
