--- a/host/config.go
+++ b/host/config.go
@@ -36,7 +36,7 @@
 	for _, shard := range h.ownShards() {
 		h.shards[shard].Configure(now, h.view)
 	}
-	h.beatAll(now)
+	h.beatAll(now, true)
 	h.tellPlaces(now, first)
 	h.settle()
 }
--- a/host/host.go
+++ b/host/host.go
@@ -11,6 +11,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cassiachute/cassiachute/catalog"
 	"github.com/cassiachute/cassiachute/dispatch"
 	"github.com/cassiachute/cassiachute/intake"
@@ -85,21 +87,22 @@
 
 // Host is the decisions of one entry host.
 type Host struct {
-	config  Config
-	view    *catalog.View
-	steps   []catalog.Step // recent changes of the configuration, oldest first
-	roster  *roster.Table
-	books   map[uint32]*ledger.Book
-	shards  map[wire.Shard]*dispatch.Shard
-	owners  map[wire.Shard]netip.AddrPort
-	intake  *intake.Table
-	suspect *suspects
-	orders  *order.Table
-	links   map[netip.AddrPort]*link
-	budgets map[uint32]*retry.Budget
-	seeds   []Seed
-	local   []wire.Message // messages to this host itself
-	out     Commands
+	config    Config
+	view      *catalog.View
+	steps     []catalog.Step // recent changes of the configuration, oldest first
+	roster    *roster.Table
+	books     map[uint32]*ledger.Book
+	shards    map[wire.Shard]*dispatch.Shard
+	owners    map[wire.Shard]netip.AddrPort
+	intake    *intake.Table
+	suspect   *suspects
+	orders    *order.Table
+	placeHash uint32 // of the name of this host's place
+	links     map[netip.AddrPort]*link
+	budgets   map[uint32]*retry.Budget
+	seeds     []Seed
+	local     []wire.Message // messages to this host itself
+	out       Commands
 
 	began  time.Time // first event
 	beaten time.Time
@@ -113,15 +116,16 @@
 // New returns a Host that knows no configuration yet.
 func New(config Config) *Host {
 	h := &Host{
-		config:  config,
-		view:    catalog.NewView(catalog.NewSet()),
-		books:   map[uint32]*ledger.Book{},
-		shards:  map[wire.Shard]*dispatch.Shard{},
-		owners:  map[wire.Shard]netip.AddrPort{},
-		links:   map[netip.AddrPort]*link{},
-		budgets: map[uint32]*retry.Budget{},
-		suspect: newSuspects(),
-		seeds:   config.Seeds,
+		config:    config,
+		view:      catalog.NewView(catalog.NewSet()),
+		books:     map[uint32]*ledger.Book{},
+		shards:    map[wire.Shard]*dispatch.Shard{},
+		owners:    map[wire.Shard]netip.AddrPort{},
+		links:     map[netip.AddrPort]*link{},
+		budgets:   map[uint32]*retry.Budget{},
+		suspect:   newSuspects(),
+		seeds:     config.Seeds,
+		placeHash: uint32(xxhash.Sum64String(config.Place)),
 	}
 	h.roster = roster.NewTable(roster.Config{
 		Self: config.Self, Boot: config.Boot, Dead: config.Dead, Doubt: config.Doubt,
@@ -151,7 +155,7 @@
 		h.local = append(h.local, m)
 		return
 	}
-	h.link(to)
+	h.link(to).sent = h.clock
 	h.out.Sends = append(h.out.Sends, Send{To: to, Message: m})
 }
 
--- a/host/member.go
+++ b/host/member.go
@@ -13,6 +13,7 @@
 const (
 	tellEvery   = time.Second            // time between rosters to other places
 	cutAfter    = time.Second            // a peer whose link is down for this long is cut off
+	beatAtLeast = 2 * time.Second        // longest time between heartbeats, which carry the revision
 	askDelay    = 200 * time.Millisecond // least time between two requests for a configuration
 	resendAfter = time.Second            // least time between two sets of rosters to a member
 )
@@ -23,6 +24,8 @@
 	cut    bool
 	down   time.Time // when the link went down
 	boot   uint64
+	sent   time.Time // when a message was last sent
+	beaten time.Time // when a heartbeat was last sent
 	taught time.Time // when the rosters of other places were last sent
 }
 
@@ -137,7 +140,7 @@
 	}
 	if now.Sub(h.beaten) >= h.config.Beat {
 		h.beaten = now
-		h.beatAll(now)
+		h.beatAll(now, false)
 	}
 	if now.Sub(h.told) >= tellEvery && h.roster.IsHead() {
 		h.told = now
@@ -145,12 +148,15 @@
 	}
 }
 
-// beatAll sends heartbeats to the hosts of this place, seeds included.
-func (h *Host) beatAll(now time.Time) {
+// beatAll sends heartbeats to the hosts of this place, seeds included. One that
+// got another message lately needs none, unless there is urgent news.
+func (h *Host) beatAll(now time.Time, urgent bool) {
 	sent := map[netip.AddrPort]bool{h.config.Self: true}
 	for _, peer := range h.roster.Present() {
 		sent[peer] = true
-		h.beat(now, peer)
+		if l := h.link(peer); urgent || now.Sub(l.sent) >= h.config.Beat || now.Sub(l.beaten) >= beatAtLeast {
+			h.beat(now, peer)
+		}
 	}
 	for _, s := range h.seeds {
 		if s.Place == h.config.Place && !sent[s.Address] {
@@ -160,7 +166,7 @@
 	}
 }
 
-func (h *Host) beat(_ time.Time, peer netip.AddrPort) {
+func (h *Host) beat(now time.Time, peer netip.AddrPort) {
 	if peer == h.config.Self {
 		return
 	}
@@ -168,8 +174,10 @@
 	if !l.up || h.isRemote(peer) {
 		return
 	}
+	l.beaten = now
 	h.send(peer, &wire.Beat{
 		Revision: h.view.Set.Revision, Leaving: h.roster.Leaving(), Rosters: h.roster.Digest(),
+		Place: h.placeHash,
 	})
 }
 
@@ -229,8 +237,13 @@
 	}
 }
 
-// heard takes a heartbeat.
+// heard takes a heartbeat. A host that does not know yet which hosts are in its
+// place sends to all; only one of the same place counts.
 func (h *Host) heard(now time.Time, from netip.AddrPort, boot uint64, m *wire.Beat) {
+	if m.Place != h.placeHash {
+		h.compare(now, from, m.Revision)
+		return
+	}
 	fresh := h.roster.Heard(now, from, boot, m.Leaving)
 	h.link(from)
 	if fresh {
--- a/host/own.go
+++ b/host/own.go
@@ -236,7 +236,7 @@
 	h.tickAt(now)
 	h.roster.Leave()
 	h.reshard(now)
-	h.beatAll(now)
+	h.beatAll(now, true)
 	h.spread(now)
 	h.settle()
 }
--- a/host/receive.go
+++ b/host/receive.go
@@ -12,6 +12,7 @@
 // Receive takes the messages of a peer.
 func (h *Host) Receive(now time.Time, from netip.AddrPort, boot uint64, messages []wire.Message) {
 	h.tickAt(now)
+	h.roster.Touch(now, from, boot)
 	for _, m := range messages {
 		if beat, ok := m.(*wire.Beat); ok {
 			h.heard(now, from, boot, beat)
--- a/roster/table.go
+++ b/roster/table.go
@@ -87,6 +87,13 @@
 	return changed
 }
 
+// Touch notes that a live member was heard of by another message than a heartbeat.
+func (t *Table) Touch(now time.Time, address netip.AddrPort, boot uint64) {
+	if m := t.members[address]; m != nil && m.live && m.boot == boot {
+		m.heard = now
+	}
+}
+
 // Refused takes the news that no process listens at a member's address. It
 // returns true if the live members changed.
 func (t *Table) Refused(address netip.AddrPort) bool {
--- a/wire/message.go
+++ b/wire/message.go
@@ -70,6 +70,7 @@
 	Revision uint64 // configuration revision in force at the sender
 	Leaving  bool   // the sender is shutting down
 	Rosters  uint32 // digest of the rosters of other places known to the sender
+	Place    uint32 // hash of the name of the sender's place
 }
 
 // Member is one live host of a place.
