--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -76,7 +76,7 @@
 // slots. It cancels the youngest streams of the least urgent class of the teams
 // that hold more than their share.
 func (s *Shard) preempt(now time.Time) {
-	if !s.config.Policy.Fair || len(s.waiting) == 0 || now.Sub(s.searched) < searchEvery {
+	if !s.config.Policy.Fair || len(s.waiting) == 0 || now.Sub(s.searched) < s.searchPause() {
 		return
 	}
 	s.searched = now
@@ -91,6 +91,13 @@
 	}
 }
 
+// searchPause returns the least time between two searches for a stream to preempt.
+// It grows with the rows that a search looks at, so that the cost of a grant does
+// not.
+func (s *Shard) searchPause() time.Duration {
+	return searchEvery + time.Duration(len(s.grants)+len(s.teams))*searchPerRow
+}
+
 // cancel preempts so many streams, less those under way, of teams above a level
 // that hold so many slots more than their share.
 func (s *Shard) cancel(count int, level, excess float64) {
--- a/dispatch/shard.go
+++ b/dispatch/shard.go
@@ -44,6 +44,7 @@
 	maxRefreshes     = 8                      // teams brought up to date before a grant
 	grantAnswer      = time.Second            // within which an entry has a grant
 	urgentPreempts   = 8                      // most preemptions under way per shard
+	searchPerRow     = 5 * time.Microsecond   // added to searchEvery for each team and slot in use
 	searchEvery      = 2 * time.Millisecond   // least time between two searches for a stream to preempt
 	creditRequests   = 1.0                    // service that an idle team may have in store, in costliest requests
 	owedRequests     = 4.0                    // service that a backlogged team may be owed, in costliest requests
--- a/integration/bench_test.go
+++ b/integration/bench_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -66,3 +67,31 @@
 		b.ReportMetric(used/(callers*requests*tokens)*1e6, "us/token")
 	}
 }
+
+// BenchmarkTakeover reports the time from the death of an owner until another
+// host owns its shard and grants. Run it with -benchtime 1x.
+func BenchmarkTakeover(b *testing.B) {
+	for range b.N {
+		b.StopTimer()
+		f := start(b, smallPlan())
+		victim := f.owner("model", "place1", f.hosts...)
+		var survivors []*host
+		for _, h := range f.hosts {
+			if h != victim {
+				survivors = append(survivors, h)
+			}
+		}
+		b.StartTimer()
+		began := time.Now()
+		victim.signal(syscall.SIGKILL)
+		f.eventually("new owner", func() bool { return f.owner("model", "place1", survivors...) != nil })
+		b.ReportMetric(float64(time.Since(began).Milliseconds()), "owner-ms")
+		prompt := promptOf("first", 1)
+		for _, h := range survivors {
+			if h.settings.Place == victim.settings.Place {
+				f.stream(h, "first", prompt, nil)
+			}
+		}
+		b.ReportMetric(float64(time.Since(began).Milliseconds()), "answer-ms")
+	}
+}
