Bounded memory: malformed frames, and hosts that are gone for good

Cause: fuzzing the frame decoder, 7 s: a frame of 10 bytes that declares 3.3 billion entries made it allocate 78 GB. Change: the lengths within a message are walked before it is decoded; links, sessions and receiving state of a host that was unreachable for a minute and that no list names are dropped.

--- a/host/config_test.go
+++ b/host/config_test.go
@@ -53,3 +53,30 @@
 	h.Receive(now, peer, 1, []wire.Message{&wire.Snapshot{Revision: 6, Body: sets[5].Encode()}})
 	check(6)
 }
+
+// TestReplacedHostsAreForgotten replaces a host many times and checks that the
+// others keep links with those that live only.
+func TestReplacedHostsAreForgotten(t *testing.T) {
+	w := newFleet(t, 1, 2, 1)
+	port := uint16(1000)
+	for range 50 {
+		old := w.nodes[len(w.nodes)-1]
+		port++
+		w.start(old.place, port)
+		w.run(5 * time.Second)
+		w.kill(old)
+		w.run(5 * time.Second)
+	}
+	w.run(5 * time.Minute)
+	live := 0
+	for _, n := range w.nodes {
+		if n.up {
+			live++
+		}
+	}
+	for _, n := range w.nodes {
+		if n.up {
+			require.LessOrEqual(t, n.Links(), live+len(n.seeds))
+		}
+	}
+}
--- a/host/host.go
+++ b/host/host.go
@@ -106,6 +106,7 @@
 
 	began  time.Time // first event
 	beaten time.Time
+	forgot time.Time
 	told   time.Time
 	polled time.Time
 	asked  time.Time
--- a/host/member.go
+++ b/host/member.go
@@ -14,6 +14,8 @@
 	tellEvery   = time.Second            // time between rosters to other places
 	cutAfter    = time.Second            // a peer whose link is down for this long is cut off
 	beatAtLeast = 2 * time.Second        // longest time between heartbeats, which carry the revision
+	forgetEvery = 10 * time.Second       // time between looks for hosts that are gone for good
+	forgetAfter = time.Minute            // a host that no link reached for this long may be forgotten
 	askDelay    = 200 * time.Millisecond // least time between two requests for a configuration
 	resendAfter = time.Second            // least time between two sets of rosters to a member
 )
@@ -66,7 +68,10 @@
 // that no process listens there.
 func (h *Host) PeerDown(now time.Time, peer netip.AddrPort, refused bool) {
 	h.tickAt(now)
-	l := h.link(peer)
+	l := h.links[peer]
+	if l == nil {
+		return
+	}
 	if l.down.IsZero() {
 		l.down = now
 	}
@@ -138,6 +143,10 @@
 			h.reshard(now)
 		}
 	}
+	if now.Sub(h.forgot) >= forgetEvery {
+		h.forgot = now
+		h.forget(now)
+	}
 	if now.Sub(h.beaten) >= h.config.Beat {
 		h.beaten = now
 		h.beatAll(now, false)
@@ -148,6 +157,29 @@
 	}
 }
 
+// forget drops the links with hosts that are gone for good, so that the state
+// does not grow with the hosts that are replaced.
+func (h *Host) forget(now time.Time) {
+	for _, peer := range h.peers() {
+		l := h.links[peer]
+		if l.up || l.down.IsZero() || now.Sub(l.down) < forgetAfter || h.named(peer) {
+			continue
+		}
+		delete(h.links, peer)
+		h.out.Forget = append(h.out.Forget, peer)
+	}
+}
+
+// named returns whether the settings, the platform's list or a roster name a host.
+func (h *Host) named(peer netip.AddrPort) bool {
+	for _, s := range h.seeds {
+		if s.Address == peer {
+			return true
+		}
+	}
+	return h.roster.PlaceOf(peer) != 0
+}
+
 // beatAll sends heartbeats to the hosts of this place, seeds included. One that
 // got another message lately needs none, unless there is urgent news.
 func (h *Host) beatAll(now time.Time, urgent bool) {
--- a/host/receive.go
+++ b/host/receive.go
@@ -173,3 +173,7 @@
 
 // Live returns the live hosts of this place that can own shards.
 func (h *Host) Live() []netip.AddrPort { return h.roster.Live() }
+
+// Links returns the number of hosts that this host has or tries to have a session
+// with.
+func (h *Host) Links() int { return len(h.links) }
--- a/host/world_test.go
+++ b/host/world_test.go
@@ -58,6 +58,7 @@
 	boot    uint64
 	up      bool
 	paused  bool
+	seeds   []host.Seed
 }
 
 // running is a request that runs on a target.
@@ -147,7 +148,7 @@
 	for _, c := range change {
 		c(&config)
 	}
-	n.Host = host.New(config)
+	n.Host, n.seeds = host.New(config), config.Seeds
 	w.nodes = append(w.nodes, n)
 	w.tick(n)
 	return n
@@ -177,7 +178,13 @@
 func (w *world) carry(n *node) {
 	c := n.Drain()
 	for _, peer := range c.Connect {
-		w.connect(n, peer)
+		if w.channels[pair{n.address, peer}] == nil {
+			w.channels[pair{n.address, peer}] = &channel{}
+			w.connect(n, peer)
+		}
+	}
+	for _, peer := range c.Forget {
+		w.channels[pair{n.address, peer}] = nil
 	}
 	for _, s := range c.Sends {
 		w.send(n, s.To, s.Message)
@@ -222,8 +229,7 @@
 	other := w.node(to)
 	ch := w.channels[key]
 	if ch == nil {
-		ch = &channel{}
-		w.channels[key] = ch
+		return
 	}
 	if other == nil || w.cuts[key] {
 		refused := other == nil && !w.cuts[key]
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -64,6 +64,9 @@
 		if m == nil {
 			return nil, errors.Wrapf(ErrUnknownKind, "kind %d", tag)
 		}
+		if err := walk(body[len(body)-rd.Len():]); err != nil {
+			return nil, fault.Mark(errors.Wrapf(err, "kind %d", tag), ErrMalformed)
+		}
 		if err := dec.Decode(m); err != nil {
 			return nil, fault.Mark(errors.Wrapf(err, "kind %d", tag), ErrMalformed)
 		}
@@ -72,6 +75,12 @@
 	return messages, nil
 }
 
+// walk checks that the lengths within the first value are borne out by the bytes
+// that follow, so that decoding it allocates no more than they warrant.
+func walk(body []byte) error {
+	return msgpack.NewDecoder(bytes.NewReader(body)).Skip()
+}
+
 // writeFrame writes the length and the body in one call.
 func writeFrame(w io.Writer, body []byte) error {
 	if len(body) > MaxFrameBytes {
--- a/wire/hub.go
+++ b/wire/hub.go
@@ -168,6 +168,9 @@
 		delete(h.stops, peer)
 		delete(h.sessions, peer)
 	}
+	if in := h.inbound[peer]; in != nil && in.idle() {
+		delete(h.inbound, peer)
+	}
 }
 
 // Drain waits until all queued messages are acknowledged or the context ends.
@@ -230,6 +233,7 @@
 		return
 	}
 	in := h.admit(peer, conn)
+	defer in.leave(conn)
 	rd := bufio.NewReaderSize(conn, readBufferBytes)
 	for number := start + 1; ; number++ {
 		body, err := readFrame(rd, MaxFrameBytes)
@@ -295,6 +299,22 @@
 	return in
 }
 
+// idle returns whether no connection of the peer is open.
+func (in *inbound) idle() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.conn == nil
+}
+
+// leave notes that a connection has ended.
+func (in *inbound) leave(conn net.Conn) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.conn == conn {
+		in.conn = nil
+	}
+}
+
 // take hands over the messages of a frame once and has it acknowledged. It returns
 // false if the connection is no longer the peer's own.
 func (in *inbound) take(h *Hub, conn net.Conn, peer hello, number uint64, messages []Message) bool {
