Split long files by job; logic that stood twice in one place

Change: load, entry, intake, ctl and the integration tests split by job; program.Server.Main, load.Execute and standin/reply; lint findings. Conclusion: no change of behaviour; tests are those of before.

--- a/cmd/cassia-demo/main.go
+++ b/cmd/cassia-demo/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
 	"os/signal"
@@ -60,20 +59,5 @@
 	defer f.Stop()
 	fmt.Printf("%d entry hosts in %d places, %d targets, policy %s\n",
 		len(f.Entries), config.Places, len(f.Targets), o.Policy)
-	r, err := load.New(f.Plan(time.Duration(o.Seconds) * time.Second))
-	if err != nil {
-		return err
-	}
-	m, err := r.Do(ctx, func(p load.Progress) {
-		fmt.Fprintf(os.Stderr, "%3.0f s  sent %d  answered %d  refused %d\n",
-			p.Elapsed.Seconds(), p.Sent, p.Answered, p.Refused)
-	})
-	if err != nil {
-		return err
-	}
-	m.WriteText(os.Stdout)
-	if o.JSON {
-		return json.NewEncoder(os.Stdout).Encode(m)
-	}
-	return nil
+	return load.Execute(ctx, f.Plan(time.Duration(o.Seconds)*time.Second), o.JSON, os.Stdout, os.Stderr)
 }
--- a/cmd/cassia-entry/main.go
+++ b/cmd/cassia-entry/main.go
@@ -13,22 +13,14 @@
 )
 
 func main() {
-	var common program.Common
-	if proceed, code := program.Parse(&common, os.Args[1:], os.Stdout); !proceed {
-		os.Exit(code)
-	}
 	s := entry.NewSettings()
-	os.Exit(program.Server{
-		Common: &common,
-		Load:   &s,
-		Check:  s.Check,
-		Level:  func() string { return s.Level },
-		Serve: func(ctx context.Context, log zerolog.Logger) error {
-			e, err := cassiachute.NewEntry(s, cassiachute.WithLog(log))
-			if err != nil {
-				return err
-			}
-			return e.Run(ctx)
-		},
-	}.Run())
+	run := func(ctx context.Context, log zerolog.Logger) error {
+		e, err := cassiachute.NewEntry(s, cassiachute.WithLog(log))
+		if err != nil {
+			return err
+		}
+		return e.Run(ctx)
+	}
+	server := program.Server{Load: &s, Check: s.Check, Level: func() string { return s.Level }, Serve: run}
+	os.Exit(server.Main(os.Args[1:]))
 }
--- a/cmd/cassia-load/main.go
+++ b/cmd/cassia-load/main.go
@@ -66,12 +66,12 @@
 func other(o options) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	switch {
-	case o.Measure == "latency":
+	switch o.Measure {
+	case "latency":
 		return experiment.Latency(ctx, os.Stdout)
-	case o.Measure == "memory":
+	case "memory":
 		return experiment.Memory(ctx, os.Stdout)
-	case o.Measure == "change":
+	case "change":
 		return experiment.Change(ctx, os.Stdout)
 	default:
 		return plotRuns(o)
@@ -100,20 +100,5 @@
 func run(plan load.Plan, asJSON bool) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	r, err := load.New(plan)
-	if err != nil {
-		return err
-	}
-	m, err := r.Do(ctx, func(p load.Progress) {
-		fmt.Fprintf(os.Stderr, "%3.0f s  sent %d  answered %d  refused %d\n",
-			p.Elapsed.Seconds(), p.Sent, p.Answered, p.Refused)
-	})
-	if err != nil {
-		return err
-	}
-	m.WriteText(os.Stdout)
-	if asJSON {
-		return json.NewEncoder(os.Stdout).Encode(m)
-	}
-	return nil
+	return load.Execute(ctx, plan, asJSON, os.Stdout, os.Stderr)
 }
--- /dev/null
+++ b/ctl/main.go
@@ -0,0 +1,105 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/cassiachute/cassiachute/fault"
+	"github.com/cassiachute/cassiachute/program"
+	"github.com/cassiachute/cassiachute/settings"
+)
+
+// Options are the flags and commands.
+type Options struct {
+	API     string `long:"api" env:"CASSIA_API" default:"127.0.0.1:9300" value-name:"ADDRESS" description:"address of the administration API"`
+	Key     string `long:"key" env:"CASSIA_KEY" value-name:"KEY" description:"bearer key of the operator"`
+	JSON    bool   `long:"json" description:"print JSON in place of tables"`
+	Version bool   `long:"version" description:"print the version and exit"`
+
+	Validate validateCommand `command:"validate" description:"check a document against the newest configuration" long-description:"Example: cassia-ctl validate fleet.json"`
+	Diff     diffCommand     `command:"diff" description:"show what a document would change; exits with 6 if anything" long-description:"Example: cassia-ctl diff --prune fleet.json"`
+	Apply    applyCommand    `command:"apply" description:"apply a document" long-description:"Example: cassia-ctl apply fleet.json"`
+	Get      getCommand      `command:"get" description:"show objects of a kind, or one" long-description:"Example: cassia-ctl get targets engine1"`
+	Put      putCommand      `command:"put" description:"set one object from a file" long-description:"Example: cassia-ctl put teams crew1 crew1.json"`
+	Delete   deleteCommand   `command:"delete" description:"remove one object" long-description:"Example: cassia-ctl delete keys old"`
+	Drain    drainCommand    `command:"drain" description:"give a target no new work, or with --undo work again" long-description:"Example: cassia-ctl drain engine1"`
+	Status   statusCommand   `command:"status" description:"show the hosts and the shards that they own"`
+	Teams    teamsCommand    `command:"teams" description:"show what the teams receive"`
+	Targets  targetsCommand  `command:"targets" description:"show the targets and their slots"`
+	Audit    auditCommand    `command:"audit" description:"show the audit trail" long-description:"Example: cassia-ctl audit --after 120 --limit 20"`
+	Revision revisionCommand `command:"revision" description:"show a former configuration" long-description:"Example: cassia-ctl revision 120"`
+}
+
+// Main runs the command line and returns its exit code.
+func Main(arguments []string, out, errOut io.Writer) int {
+	var o Options
+	parser := flags.NewNamedParser("cassia-ctl", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &o); err != nil {
+		fmt.Fprintln(errOut, err)
+		return program.ExitFailed
+	}
+	parser.SubcommandsOptional = true
+	parser.CommandHandler = func(c flags.Commander, args []string) error {
+		return o.execute(c, args, out)
+	}
+	_, err := parser.ParseArgs(arguments)
+	if err == nil && parser.Active == nil && !o.Version {
+		parser.WriteHelp(out)
+		return program.ExitUsage
+	}
+	if err == nil && o.Version {
+		fmt.Fprintln(out, program.Version())
+	}
+	return exitCode(err, out, errOut)
+}
+
+// execute gives a command its session and runs it.
+func (o *Options) execute(c flags.Commander, args []string, out io.Writer) error {
+	if c == nil || o.Version {
+		return nil
+	}
+	address, err := netip.ParseAddrPort(o.API)
+	if err != nil {
+		return fault.Mark(errors.Wrap(err, "api"), settings.ErrInvalid)
+	}
+	s := &session{client: NewClient(address, o.Key), out: out, json: o.JSON}
+	if user, ok := c.(sessionUser); ok {
+		user.use(s)
+	}
+	return c.Execute(args)
+}
+
+// sessionUser is what all commands implement by embedding command.
+type sessionUser interface{ use(s *session) }
+
+// exitCode prints an error and returns the code for it.
+func exitCode(err error, out, errOut io.Writer) int {
+	var flagsErr *flags.Error
+	switch {
+	case err == nil:
+		return program.ExitOK
+	case errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp:
+		fmt.Fprintln(out, flagsErr.Message)
+		return program.ExitOK
+	case errors.As(err, &flagsErr):
+		fmt.Fprintln(errOut, err)
+		return program.ExitUsage
+	case errors.Is(err, errDiffers):
+		return program.ExitDiffers
+	}
+	fmt.Fprintln(errOut, "cassia-ctl:", err)
+	switch {
+	case errors.Is(err, ErrConflict):
+		return program.ExitConflict
+	case errors.Is(err, ErrInvalid), errors.Is(err, settings.ErrInvalid):
+		return program.ExitInvalid
+	case errors.Is(err, ErrDown):
+		return program.ExitDown
+	default:
+		return program.ExitFailed
+	}
+}
--- a/entry/model.go
+++ b/entry/model.go
@@ -5,8 +5,6 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"strings"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -359,97 +357,3 @@
 	_, _ = w.WriteString("\n\n")
 	return w.Flush() == nil
 }
-
-// whole collects the answer into one body, as for a caller that does not
-// stream.
-func (s *stream) whole(chat bool, current *part) ([]byte, *problem) {
-	var text strings.Builder
-	for {
-		text.WriteString(current.text)
-		following, p, err := s.next()
-		if errors.Is(err, errEnded) {
-			return s.compose(chat, text.String()), nil
-		}
-		if p != nil {
-			return nil, p
-		}
-		current = following
-	}
-}
-
-// wholeChoice is the one alternative of a whole answer.
-type wholeChoice struct {
-	Index   int           `json:"index"`
-	Text    *string       `json:"text,omitempty"`
-	Message *wholeMessage `json:"message,omitempty"`
-	Finish  string        `json:"finish_reason"`
-}
-
-// wholeMessage is the message of a whole chat answer.
-type wholeMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
-// wholeUsage is the usage in a whole answer.
-type wholeUsage struct {
-	Prompt     int64 `json:"prompt_tokens"`
-	Completion int64 `json:"completion_tokens"`
-	Total      int64 `json:"total_tokens"`
-	Details    struct {
-		Cached int64 `json:"cached_tokens"`
-	} `json:"prompt_tokens_details"`
-}
-
-// wholeAnswer is an answer that does not stream.
-type wholeAnswer struct {
-	ID      string        `json:"id"`
-	Object  string        `json:"object"`
-	Created int64         `json:"created"`
-	Model   string        `json:"model"`
-	Choices []wholeChoice `json:"choices"`
-	Usage   wholeUsage    `json:"usage"`
-}
-
-func (s *stream) compose(chat bool, text string) []byte {
-	a := wholeAnswer{ID: s.first, Object: "text_completion", Created: s.created, Model: s.service.Name}
-	c := wholeChoice{Finish: s.finish}
-	if chat {
-		a.Object = "chat.completion"
-		c.Message = &wholeMessage{Role: "assistant", Content: text}
-	} else {
-		c.Text = &text
-	}
-	a.Choices = []wholeChoice{c}
-	a.Usage = wholeUsage{Prompt: s.usage.prompt, Completion: int64(s.passed), Total: s.usage.prompt + int64(s.passed)}
-	a.Usage.Details.Cached = s.usage.cached
-	body, err := json.Marshal(a)
-	if err != nil {
-		return nil
-	}
-	return body
-}
-
-// promptMeans holds, by service, the mean number of uncached prompt tokens for a
-// byte of a request. It stands in where a stream ends before its usage is told.
-type promptMeans struct {
-	mu    sync.Mutex
-	means map[uint32]float64
-}
-
-func (p *promptMeans) learn(service uint32, size int, tokens int64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	mean, ok := p.means[service]
-	sample := float64(tokens) / float64(max(1, size))
-	if !ok {
-		mean = sample
-	}
-	p.means[service] = mean + promptLearning*(sample-mean)
-}
-
-func (p *promptMeans) estimate(service uint32, size int) float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.means[service] * float64(size)
-}
--- a/intake/table.go
+++ b/intake/table.go
@@ -6,7 +6,6 @@
 package intake
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -16,9 +15,6 @@
 	"github.com/cassiachute/cassiachute/wire"
 )
 
-// State is the state of a request.
-type State uint8
-
 // The states of a request.
 const (
 	Waiting State = iota // no slot yet
@@ -36,67 +32,6 @@
 	unplacedDelay = 200 * time.Millisecond
 )
 
-// Request is what a caller asks for.
-type Request struct {
-	Service  uint32
-	Team     uint32
-	Class    uint8
-	Deadline time.Time // a request without a slot by then is refused
-	Fixed    bool      // cannot be preempted
-	Blocks   []uint32  // hash chain of the prompt's leading blocks
-	Suspect  bool      // was on a target that crashed
-}
-
-// row is one request.
-type row struct {
-	id          uint64
-	request     Request
-	state       State
-	shard       wire.Shard
-	owner       netip.AddrPort // host that has the ticket, invalid if none has
-	submitted   time.Time
-	presented   time.Time     // when the ticket was last sent
-	renewal     time.Duration // wait until it is sent again
-	retry       time.Time     // not presented before then
-	granted     time.Time
-	sent        time.Time
-	incarnation uint64
-	target      uint32
-	avoid       uint32
-	hops        uint8
-	lift        uint64
-	attempts    uint8
-	preempts    int
-	grants      uint64 // grants so far
-}
-
-// Start tells that a request has a slot on a target.
-type Start struct {
-	ID     uint64
-	Target uint32
-	Grant  uint64 // number of the grant, for Begin
-}
-
-// Refusal tells that a request gets no slot.
-type Refusal struct {
-	ID     uint64
-	Reason uint8
-	Retry  time.Duration
-}
-
-// Cancel tells that the stream of a request is to be cancelled at its target
-// and its remainder queued again.
-type Cancel struct {
-	ID uint64
-}
-
-// Seams are the functions that a Table asks for what it does not hold.
-type Seams struct {
-	Owner func(shard wire.Shard) (netip.AddrPort, bool) // owner of a shard
-	Home  func(service uint32) (uint32, bool)           // place to present tickets of a service to
-	Send  func(to netip.AddrPort, m wire.Message)       // sends a message
-}
-
 // Table holds the requests of one entry host.
 type Table struct {
 	seams    Seams
@@ -350,14 +285,6 @@
 	t.seams.Send(owner, m)
 }
 
-func (r *row) running(now time.Time) wire.Running {
-	return wire.Running{
-		ID: r.id, Team: r.request.Team, Class: r.request.Class, Target: r.target,
-		Age:   uint32(max(0, now.Sub(r.granted).Milliseconds())),
-		Fixed: r.request.Fixed || r.preempts >= maxPreempts, Suspect: r.request.Suspect,
-	}
-}
-
 // Lost tells that the owner of a shard cannot be reached and that no other
 // owner is known. Its waiting tickets go home.
 func (t *Table) Lost(now time.Time, owner netip.AddrPort) {
@@ -369,8 +296,6 @@
 	}
 }
 
-func byID(a, b *row) int { return cmp.Compare(a.id, b.id) }
-
 // sorted returns the rows in the order of their numbers.
 func (t *Table) sorted() []*row {
 	list := make([]*row, 0, len(t.rows))
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -8,13 +8,11 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -58,14 +56,6 @@
 	os.Exit(code)
 }
 
-// process is one running program.
-type process struct {
-	name string
-	cmd  *exec.Cmd
-	done chan error
-	log  string
-}
-
 // plan says which fleet to start.
 type plan struct {
 	places  int
@@ -130,50 +120,6 @@
 	portLimit = 32000
 )
 
-// freePort returns an address that nothing listens at and that is given out once.
-func freePort(t testing.TB) netip.AddrPort {
-	t.Helper()
-	for {
-		port := firstPort + lastPort.Add(1)
-		require.Less(t, port, uint32(portLimit), "no free port")
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
-		l, err := net.Listen("tcp", address.String())
-		if err == nil {
-			l.Close()
-			return address
-		}
-	}
-}
-
-// spawn starts a program whose log goes to a file.
-func (f *fleet) spawn(name, program string, args ...string) *process {
-	f.t.Helper()
-	path := filepath.Join(f.dir, name+".log")
-	out, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	require.NoError(f.t, err)
-	defer out.Close()
-	cmd := exec.Command(filepath.Join(programs, program), args...)
-	cmd.Stdout, cmd.Stderr = out, out
-	require.NoError(f.t, cmd.Start())
-	p := &process{name: name, cmd: cmd, done: make(chan error, 1), log: path}
-	go func() { p.done <- cmd.Wait() }()
-	f.t.Cleanup(func() { p.signal(syscall.SIGKILL) })
-	return p
-}
-
-func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
-
-// link puts a proxy in front of an address.
-func (f *fleet) link(name string, upstream netip.AddrPort) *faults.Proxy {
-	f.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(f.t, err)
-	p := faults.New(l, upstream)
-	p.Run(f.ctx)
-	f.links[name] = p
-	return p
-}
-
 // start starts a fleet and waits until it serves.
 func start(t testing.TB, p plan) *fleet {
 	t.Helper()
@@ -361,29 +307,6 @@
 	require.Zero(f.t, code, out)
 }
 
-// eventually waits for a condition.
-func (f *fleet) eventually(what string, condition func() bool) {
-	f.t.Helper()
-	deadline := time.Now().Add(patience)
-	for !condition() {
-		if time.Now().After(deadline) {
-			require.Fail(f.t, "condition did not come about", what)
-		}
-		time.Sleep(poll)
-	}
-}
-
-func (f *fleet) listening(address netip.AddrPort) {
-	f.t.Helper()
-	f.eventually("listening at "+address.String(), func() bool {
-		conn, err := net.Dial("tcp", address.String())
-		if err == nil {
-			conn.Close()
-		}
-		return err == nil
-	})
-}
-
 func (f *fleet) ready(h *host) {
 	f.t.Helper()
 	f.eventually(h.name+" ready", func() bool {
--- a/program/program.go
+++ b/program/program.go
@@ -76,6 +76,16 @@
 	Serve  func(ctx context.Context, log zerolog.Logger) error // runs until the context ends
 }
 
+// Main reads the flags of a program that serves, runs it and returns its exit
+// code.
+func (s Server) Main(arguments []string) int {
+	s.Common = &Common{}
+	if proceed, code := Parse(s.Common, arguments, os.Stdout); !proceed {
+		return code
+	}
+	return s.Run()
+}
+
 // Run runs the program and returns its exit code.
 func (s Server) Run() int {
 	if s.Common.Version {
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/cassiachute/cassiachute/standin/reply"
 	"github.com/cassiachute/cassiachute/target"
 )
 
@@ -124,29 +125,19 @@
 	case "/v1/chat/completions", "/v1/completions":
 		e.complete(ctx)
 	case "/load":
-		writeJSON(ctx, e.batch.load())
+		reply.JSON(ctx, fasthttp.StatusOK, e.batch.load())
 	case "/stats":
-		writeJSON(ctx, e.Stats())
+		reply.JSON(ctx, fasthttp.StatusOK, e.Stats())
 	case "/runs":
-		writeJSON(ctx, e.Runs())
+		reply.JSON(ctx, fasthttp.StatusOK, e.Runs())
 	case "/events":
 		after, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
-		writeJSON(ctx, e.batch.eventsAfter(after))
+		reply.JSON(ctx, fasthttp.StatusOK, e.batch.eventsAfter(after))
 	default:
 		ctx.Error("not found", fasthttp.StatusNotFound)
 	}
 }
 
-func writeJSON(ctx *fasthttp.RequestCtx, value any) {
-	body, err := json.Marshal(value)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
-}
-
 // fenced returns whether the request carries an old fencing number.
 func (e *Engine) fenced(ctx *fasthttp.RequestCtx) bool {
 	number, err := strconv.ParseUint(string(ctx.Request.Header.Peek(HeaderFence)), 10, 64)
@@ -280,8 +271,8 @@
 	} `json:"prompt_tokens_details"`
 }
 
-// reply is an answer or a part of it.
-type reply struct {
+// completion is an answer or a part of it.
+type completion struct {
 	ID      string   `json:"id"`
 	Object  string   `json:"object"`
 	Created int64    `json:"created"`
@@ -290,8 +281,8 @@
 	Usage   *usage   `json:"usage,omitempty"`
 }
 
-func newReply(object, model string) reply {
-	return reply{ID: "standin", Object: object, Created: time.Now().Unix(), Model: model, Choices: []choice{}}
+func newCompletion(object, model string) completion {
+	return completion{ID: "standin", Object: object, Created: time.Now().Unix(), Model: model, Choices: []choice{}}
 }
 
 func newUsage(run *Run, q *sequence) *usage {
@@ -300,7 +291,7 @@
 	return u
 }
 
-func encode(r reply) []byte {
+func encode(r completion) []byte {
 	body, err := json.Marshal(r)
 	if err != nil {
 		return []byte("{}")
@@ -309,7 +300,7 @@
 }
 
 func chunk(model, text, finish string, chat bool) []byte {
-	r := newReply("text_completion", model)
+	r := newCompletion("text_completion", model)
 	part := choice{}
 	if chat {
 		r.Object = "chat.completion.chunk"
@@ -325,13 +316,13 @@
 }
 
 func usageChunk(model string, run *Run, q *sequence) []byte {
-	r := newReply("chat.completion.chunk", model)
+	r := newCompletion("chat.completion.chunk", model)
 	r.Usage = newUsage(run, q)
 	return encode(r)
 }
 
 func answer(model, text string, run *Run, q *sequence, chat bool) []byte {
-	r := newReply("text_completion", model)
+	r := newCompletion("text_completion", model)
 	stop := "stop"
 	part := choice{Finish: &stop}
 	if chat {
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"strconv"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/standin/engine"
+	"github.com/cassiachute/cassiachute/standin/reply"
 )
 
 // HeaderOrder names the order that a request belongs to.
@@ -106,24 +106,14 @@
 func (s *Service) handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case "/runs":
-		writeJSON(ctx, s.Runs())
+		reply.JSON(ctx, fasthttp.StatusOK, s.Runs())
 	case "/stats":
-		writeJSON(ctx, s.Stats())
+		reply.JSON(ctx, fasthttp.StatusOK, s.Stats())
 	default:
 		s.work(ctx)
 	}
 }
 
-func writeJSON(ctx *fasthttp.RequestCtx, value any) {
-	body, err := json.Marshal(value)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
-}
-
 // old returns whether a fencing number is older than the highest one seen of an
 // order.
 func (s *Service) old(order, text string) bool {
@@ -168,7 +158,7 @@
 	run.Done = true
 	s.mu.Unlock()
 	size := ctx.QueryArgs().GetUintOrZero("size")
-	writeJSON(ctx, Echo{
+	reply.JSON(ctx, fasthttp.StatusOK, Echo{
 		Request: run.Request, Method: string(ctx.Method()), Path: string(ctx.Path()),
 		Digest: xxhash.Sum64(ctx.PostBody()), Run: count, Filler: strings.Repeat("x", size),
 	})
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/standin/reply"
 )
 
 // Paths that only tests and demonstrations use.
@@ -132,7 +133,7 @@
 		control(ctx, func(h platform.Hosts) { p.SetHosts(h.Hosts) })
 		return
 	case PathCounts:
-		writeJSON(ctx, fasthttp.StatusOK, p.Counts())
+		reply.JSON(ctx, fasthttp.StatusOK, p.Counts())
 		return
 	}
 	write := !ctx.IsGet()
@@ -189,7 +190,7 @@
 	case path == platform.PathRows:
 		p.page(ctx)
 	case path == platform.PathHosts:
-		writeJSON(ctx, fasthttp.StatusOK, platform.Hosts{Hosts: p.listed()})
+		reply.JSON(ctx, fasthttp.StatusOK, platform.Hosts{Hosts: p.listed()})
 	case strings.HasPrefix(path, platform.PathObjects):
 		p.object(ctx, path)
 	default:
@@ -206,17 +207,6 @@
 	set(value)
 }
 
-func writeJSON(ctx *fasthttp.RequestCtx, status int, value any) {
-	body, err := json.Marshal(value)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
-}
-
 func (p *Platform) transact(ctx *fasthttp.RequestCtx) {
 	var t platform.Transaction
 	if err := json.Unmarshal(ctx.PostBody(), &t); err != nil {
@@ -228,7 +218,7 @@
 	if len(receipt.Failed) > 0 {
 		status = fasthttp.StatusConflict
 	}
-	writeJSON(ctx, status, receipt)
+	reply.JSON(ctx, status, receipt)
 }
 
 // Transact carries out a transaction.
@@ -263,7 +253,7 @@
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	writeJSON(ctx, fasthttp.StatusOK, row)
+	reply.JSON(ctx, fasthttp.StatusOK, row)
 }
 
 func (p *Platform) page(ctx *fasthttp.RequestCtx) {
@@ -282,7 +272,7 @@
 	}
 	p.mu.Unlock()
 	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
-	writeJSON(ctx, fasthttp.StatusOK, platform.Rows{Rows: rows[:min(limit, len(rows))]})
+	reply.JSON(ctx, fasthttp.StatusOK, platform.Rows{Rows: rows[:min(limit, len(rows))]})
 }
 
 func (p *Platform) object(ctx *fasthttp.RequestCtx, path string) {
