The same verdict every time: ties between teams, fixed seeds everywhere

The claims' random traces had no fixed seed. Change: ties go to the lower number of the team in both versions; fixedseed.Main for both packages with random traces; two unused constants go.

--- a/dispatch/naive_test.go
+++ b/dispatch/naive_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"cmp"
-	"flag"
 	"fmt"
 	"net/netip"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -14,21 +12,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/cassiachute/cassiachute/catalog"
+	"github.com/cassiachute/cassiachute/fixedseed"
 	"github.com/cassiachute/cassiachute/ledger"
 	"github.com/cassiachute/cassiachute/wire"
 )
 
-// TestMain fixes the seed of the random traces, so that the verdict is the same
-// every time.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixedseed.Main(m) }
 
 var traceStart = time.Unix(1_700_000_000, 0)
 
@@ -70,9 +59,9 @@
 	}
 	slices.SortFunc(list, func(a, b naiveTicket) int {
 		if n.policy == "fifo" {
-			return cmp.Or(a.sent.Compare(b.sent), cmp.Compare(a.turns, b.turns))
+			return cmp.Or(a.sent.Compare(b.sent), cmp.Compare(a.turns, b.turns), cmp.Compare(a.team, b.team))
 		}
-		return cmp.Compare(a.turns, b.turns)
+		return cmp.Or(cmp.Compare(a.turns, b.turns), cmp.Compare(a.team, b.team))
 	})
 	best := list[0]
 	n.waiting = slices.DeleteFunc(n.waiting, func(tk naiveTicket) bool { return tk.id == best.id })
--- a/dispatch/shard.go
+++ b/dispatch/shard.go
@@ -32,7 +32,6 @@
 	ReasonDeadline   uint8 = 4 // no slot came free before the deadline
 	ReasonPoison     uint8 = 5 // the request crashed the targets that ran it
 	ReasonLeaving    uint8 = 6 // the host is shutting down
-	ReasonUnclaimed  uint8 = 7 // the order could not be claimed
 )
 
 const (
--- a/dispatch/team.go
+++ b/dispatch/team.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"container/heap"
 	"time"
 
@@ -64,10 +65,11 @@
 
 func (h teamHeap) Len() int { return len(h) }
 func (h teamHeap) Less(i, j int) bool {
-	if h[i].level != h[j].level {
-		return h[i].level < h[j].level
-	}
-	return h[i].turn < h[j].turn
+	return cmp.Or(
+		cmp.Compare(h[i].level, h[j].level),
+		cmp.Compare(h[i].turn, h[j].turn),
+		cmp.Compare(h[i].number, h[j].number),
+	) < 0
 }
 
 func (h teamHeap) Swap(i, j int) {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -18,14 +18,13 @@
 )
 
 const (
-	outcomeQueue  = 4
-	goneCheck     = 100 * time.Millisecond
-	crashDial     = 200 * time.Millisecond
-	crashWatch    = 30 * time.Millisecond // for which a new connection to a live target stays open
-	crashPoll     = 2 * time.Millisecond
-	maxAttempts   = 5
-	statusGone    = 499 // the caller went away; nobody reads the answer
-	maxWholeBytes = 8 << 20
+	outcomeQueue = 4
+	goneCheck    = 100 * time.Millisecond
+	crashDial    = 200 * time.Millisecond
+	crashWatch   = 30 * time.Millisecond // for which a new connection to a live target stays open
+	crashPoll    = 2 * time.Millisecond
+	maxAttempts  = 5
+	statusGone   = 499 // the caller went away; nobody reads the answer
 )
 
 // errPreempted means that the stream was cancelled for an urgent ticket.
--- a/order/table_test.go
+++ b/order/table_test.go
@@ -8,9 +8,12 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/cassiachute/cassiachute/fixedseed"
 	"github.com/cassiachute/cassiachute/order"
 )
 
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
 var start = time.Unix(1_700_000_000, 0)
 
 // store is the platform's table as the test sees it.
