Read once more: golden files in one place, a wait in place of a poll, quiet logs

Cause: reading the whole change again. Measured: tests of catalog, wire and host, and the integration tests of poison, broken and silent connections, refusals and the planned stop pass; the linter is clean. Conclusion: no change of the fleet's decisions.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cassiachute/cassiachute/catalog"
+	"github.com/cassiachute/cassiachute/golden"
 )
 
 // checkCase is a set and what it is for.
@@ -37,13 +38,7 @@
 			fmt.Fprintf(&got, "  %s: %s\n", p.Path, p.Reason)
 		}
 	}
-	path := filepath.Join("testdata", "sets.golden")
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		require.NoError(t, os.WriteFile(path, []byte(got.String()), 0o600))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	require.Equal(t, string(want), got.String())
+	golden.Equal(t, "sets.golden", got.String())
 }
 
 func teams(revision uint64, names ...string) *catalog.Set {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -22,7 +22,6 @@
 	goneCheck    = 100 * time.Millisecond
 	crashDial    = 200 * time.Millisecond
 	crashWatch   = 30 * time.Millisecond // for which a new connection to a live target stays open
-	crashPoll    = 2 * time.Millisecond
 	maxAttempts  = 5
 	statusGone   = 499 // the caller went away; nobody reads the answer
 )
@@ -216,15 +215,11 @@
 		return true
 	}
 	defer line.Close()
-	deadline := time.Now().Add(crashWatch)
-	for time.Now().Before(deadline) {
-		if line.Ended() {
-			x.entry.pool.Forget(x.target.Address)
-			return true
-		}
-		time.Sleep(crashPoll)
+	if !line.EndsWithin(crashWatch) {
+		return false
 	}
-	return false
+	x.entry.pool.Forget(x.target.Address)
+	return true
 }
 
 // blame counts a crash against the request. It returns a problem if the request
--- a/host/host.go
+++ b/host/host.go
@@ -111,6 +111,7 @@
 	polled time.Time
 	asked  time.Time
 	clock  time.Time                  // time of the event that is being handled
+	live   []netip.AddrPort           // live hosts of this place that were told last
 	served map[uint32]map[uint32]bool // places that have targets, by service
 }
 
--- a/host/own.go
+++ b/host/own.go
@@ -102,7 +102,9 @@
 // reshard compares the owners of all shards with those before and hands over
 // what changed hands.
 func (h *Host) reshard(now time.Time) {
-	h.out.Live = h.roster.Live()
+	if live := h.roster.Live(); !slices.Equal(live, h.live) {
+		h.live, h.out.Live = live, live
+	}
 	shards := h.allShards()
 	h.served = map[uint32]map[uint32]bool{}
 	current := map[wire.Shard]bool{}
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cassiachute/cassiachute/catalog"
 	"github.com/cassiachute/cassiachute/entry"
+	"github.com/cassiachute/cassiachute/golden"
 	"github.com/cassiachute/cassiachute/standin/engine"
 	"github.com/cassiachute/cassiachute/standin/faults"
 	standin "github.com/cassiachute/cassiachute/standin/platform"
@@ -53,19 +54,7 @@
 		status, response := f.http(c.Method, f.hosts[0].settings.Listen, c.Path, c.Headers, []byte(c.Body))
 		fmt.Fprintf(&got, "%s: %d %s %s\n", c.Name, status, response.Header.Peek(entry.HeaderOutcome), response.Body())
 	}
-	golden(t, "refusals.golden", got.String())
-}
-
-// golden compares a text with a file. With UPDATE_GOLDEN set, it writes the file.
-func golden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		require.NoError(t, os.WriteFile(path, []byte(got), 0o600))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	require.Equal(t, string(want), got)
+	golden.Equal(t, "refusals.golden", got.String())
 }
 
 func TestKilledHost(t *testing.T) {
--- a/target/line.go
+++ b/target/line.go
@@ -160,8 +160,13 @@
 	l.conn.Close()
 }
 
-// Ended returns whether the other side closed the connection.
-func (l *Line) Ended() bool { return Gone(l.conn) }
+// EndsWithin waits for the other side to close the connection, and returns false
+// if it did not within a time.
+func (l *Line) EndsWithin(limit time.Duration) bool {
+	l.wait = limit
+	_, err := l.rd.Peek(1)
+	return err != nil && !errors.Is(classify(err), ErrSilent)
+}
 
 // Pool keeps idle connections by target address.
 type Pool struct {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -16,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cassiachute/cassiachute/golden"
 	"github.com/cassiachute/cassiachute/standin/faults"
 )
 
@@ -44,13 +43,7 @@
 		require.NoError(t, err)
 		require.Equal(t, []Message{m}, list)
 	}
-	path := filepath.Join("testdata", "messages.golden")
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		require.NoError(t, os.WriteFile(path, []byte(got.String()), 0o600))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	require.Equal(t, string(want), got.String())
+	golden.Equal(t, "messages.golden", got.String())
 }
 
 func TestDecodeRefuses(t *testing.T) {
