--- a/cassiachute.go
+++ b/cassiachute.go
@@ -9,6 +9,7 @@
 
 	"github.com/cassiachute/cassiachute/admin"
 	"github.com/cassiachute/cassiachute/entry"
+	"github.com/cassiachute/cassiachute/gateway"
 )
 
 // config is what the options set.
@@ -41,3 +42,9 @@
 func NewAdmin(s admin.Settings, options ...Option) (*admin.Server, error) {
 	return admin.New(s, admin.WithLog(newConfig(options).log))
 }
+
+// NewGateway returns a host that serves callers on the users' platform once Run
+// is called. The error is marked settings.ErrInvalid if the settings are at fault.
+func NewGateway(s gateway.Settings, options ...Option) (*gateway.Gateway, error) {
+	return gateway.New(s, gateway.WithLog(newConfig(options).log))
+}
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,297 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/fault"
+	"github.com/cassiachute/cassiachute/placement"
+	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/target"
+)
+
+const (
+	dialTimeout   = 300 * time.Millisecond
+	crashDial     = 150 * time.Millisecond
+	silenceAims   = 2 // aims after which an answer that has not begun counts as silent
+	silenceExpect = 4 // expected times, likewise
+	leastSilence  = 250 * time.Millisecond
+	maxHeldBytes  = 16 << 20    // of an answer that is passed on as a whole
+	keepMargin    = time.Second // before the end of the time that a target keeps a connection
+)
+
+var (
+	// errRejected means that the target says that it did not run the request.
+	errRejected = errors.New("target rejected the request")
+	// errFailed means that the target answered with a failure.
+	errFailed = errors.New("target answered with a failure")
+	// errForeign means that the answer is not that of the target to this request.
+	errForeign = errors.New("answer of another request or maker")
+	// errUnsent means that no byte was handed over.
+	errUnsent = errors.New("nothing sent")
+)
+
+// attempt is one send of a request to a target.
+type attempt struct {
+	exchange *exchange
+	choice   placement.Choice
+	left     placement.Load // what the request holds at the target
+	line     *target.Line
+	response *fasthttp.Response
+	answer   platform.Answer
+	body     *target.Body
+	whole    []byte // body, if it was read as a whole
+	sent     time.Time
+	over     bool
+}
+
+// send hands the request to the target of a choice and reads the head of the
+// answer. The error is errUnsent, errRejected, errFailed, errForeign,
+// target.ErrBroken or target.ErrSilent; with errFailed the answer can be passed
+// on.
+func (x *exchange) send(choice placement.Choice) (*attempt, error) {
+	a := &attempt{exchange: x, choice: choice, left: choice.Load}
+	row, ok := x.gateway.address(choice.Target)
+	if !ok {
+		a.finish(placement.Unreached)
+		return a, errUnsent
+	}
+	x.target = choice.Target
+	line, err := x.gateway.pool.Get(x.gateway.ctx, row, false)
+	if err != nil {
+		x.gateway.pool.Forget(row)
+		a.finish(placement.Unreached)
+		return a, fault.Mark(err, errUnsent)
+	}
+	a.line = line
+	if !x.use(line) {
+		a.finish(placement.Withdrawn)
+		return a, errUnsent
+	}
+	a.sent = time.Now()
+	err = line.SendBytes(platform.AppendRequest(nil, x.request, platform.Forward{
+		Team: x.team, Target: choice.Target, Deadline: x.remaining(), LastEvent: x.lastEvent,
+	}))
+	if line.Wrote() {
+		x.sends++
+	}
+	if err == nil {
+		err = a.await()
+	}
+	if err == nil {
+		err = a.head()
+	}
+	return a, a.settle(err)
+}
+
+// await waits for the first byte of the answer. A request that may be repeated
+// waits less long if there is an allowance for a repeat.
+func (a *attempt) await() error {
+	x := a.exchange
+	if x.route.Repeatable() && x.sends < x.route.Attempts {
+		patience := max(silenceAims*x.route.Aim, silenceExpect*a.choice.Expect, leastSilence)
+		err := a.line.Await(min(patience, x.remaining()))
+		if !errors.Is(err, target.ErrSilent) || x.remaining() < leastLeft || x.gateway.core.spend(x.service) {
+			return err
+		}
+	}
+	return a.line.Await(max(leastLeft, x.remaining()))
+}
+
+// head reads and checks the head of the answer.
+func (a *attempt) head() error {
+	a.response = &fasthttp.Response{}
+	a.response.SkipBody = a.exchange.request.Header.IsHead()
+	if err := a.line.Receive(a.response, max(leastLeft, a.exchange.remaining()), a.exchange.remaining()); err != nil {
+		return err
+	}
+	a.body = target.NewBody(a.line, a.response)
+	a.answer = platform.DecodeAnswer(&a.response.Header)
+	status := a.response.StatusCode()
+	success := status >= fasthttp.StatusOK && status < fasthttp.StatusMultipleChoices
+	switch {
+	case a.answer.ID != "" && a.answer.ID != a.exchange.call.ID:
+		return errForeign
+	case a.answer.NotRun:
+		return errRejected
+	case a.answer.Encoded || success && !a.answer.Sealed:
+		return errForeign
+	case status >= fasthttp.StatusInternalServerError:
+		return a.read(errFailed)
+	}
+	return nil
+}
+
+// read reads the whole body of the answer. It returns result, or the error of a
+// body that is broken or too large.
+func (a *attempt) read(result error) error {
+	var buf bytes.Buffer
+	n, err := io.Copy(&buf, io.LimitReader(a.body, maxHeldBytes))
+	if err == nil && n == maxHeldBytes {
+		err = errForeign
+	}
+	if err != nil {
+		return err
+	}
+	a.whole = buf.Bytes()
+	return result
+}
+
+// settle accounts for the error of a send.
+func (a *attempt) settle(err error) error {
+	x := a.exchange
+	if err == nil {
+		x.handed = true
+		return nil
+	}
+	switch {
+	case !a.line.Wrote():
+		a.finish(placement.Unreached)
+		return fault.Mark(err, errUnsent)
+	case errors.Is(err, errRejected):
+		if readErr := a.read(nil); readErr != nil {
+			a.line.Close()
+		}
+		a.finish(placement.Rejected)
+		return err
+	}
+	x.handed = true
+	switch {
+	case x.left():
+		a.finish(placement.Withdrawn)
+	case errors.Is(err, errFailed):
+		a.finish(placement.Failed)
+	case errors.Is(err, target.ErrSilent):
+		a.finish(placement.Silent)
+	default:
+		a.crashed()
+		a.finish(placement.Failed)
+	}
+	return err
+}
+
+// crashed blames the request if the target that broke off can't be reached any
+// more.
+func (a *attempt) crashed() {
+	x := a.exchange
+	address, ok := x.gateway.address(a.choice.Target)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(x.gateway.ctx, crashDial)
+	defer cancel()
+	line, err := x.gateway.pool.Get(ctx, address, true)
+	if err == nil {
+		x.gateway.pool.Put(address, line)
+		return
+	}
+	x.gateway.pool.Forget(address)
+	count := x.gateway.core.blame(x.digest)
+	x.gateway.core.ended(x, a.choice.Target, placement.Load{}, placement.Unreached, 0)
+	x.gateway.record.crash(x, count)
+}
+
+// finish ends the attempt. Unless the answer is complete, the connection is
+// closed, which cancels what still runs on it.
+func (a *attempt) finish(o placement.Outcome) {
+	if a.over {
+		return
+	}
+	a.over = true
+	x := a.exchange
+	if a.line != nil {
+		x.use(nil)
+		address, ok := x.gateway.address(a.choice.Target)
+		reuse := ok && a.complete()
+		if reuse {
+			a.keep()
+			x.gateway.pool.Put(address, a.line)
+		} else {
+			a.line.Close()
+		}
+	}
+	x.gateway.core.ended(x, a.choice.Target, a.left, o, time.Since(a.sent))
+}
+
+// complete returns whether the answer was read to its end and the connection may
+// be used again.
+func (a *attempt) complete() bool {
+	return a.body != nil && a.body.Framed() && a.body.Complete() && !a.answer.Close
+}
+
+func (a *attempt) keep() {
+	if a.answer.KeepAlive > keepMargin {
+		a.line.Keep(a.answer.KeepAlive - keepMargin)
+	}
+}
+
+// first takes the first event or the whole answer.
+func (a *attempt) first() time.Duration {
+	took := time.Since(a.sent)
+	a.left = a.exchange.gateway.core.first(a.exchange, a.choice, took)
+	return took
+}
+
+// open sends the request until a target answers it. The attempt is nil if there is
+// a problem; its answer may be a failure of the target, which is passed on.
+func (x *exchange) open() (*attempt, *problem) {
+	for {
+		if p := x.checkSend(); p != nil {
+			return nil, p
+		}
+		choice, p := x.place()
+		if p != nil {
+			return nil, p
+		}
+		if p := x.checkSend(); p != nil {
+			x.gateway.core.ended(x, choice.Target, choice.Load, placement.Withdrawn, 0)
+			return nil, p
+		}
+		a, err := x.send(choice)
+		if err == nil {
+			return a, nil
+		}
+		x.gateway.record.attempt(x, a, err)
+		x.ask.Excluded = append(x.ask.Excluded, choice.Target)
+		if p := x.again(a, err); p != nil {
+			if errors.Is(err, errFailed) {
+				return a, nil
+			}
+			return nil, p
+		}
+	}
+}
+
+// again returns the problem if the request may not be sent once more after an
+// error.
+func (x *exchange) again(a *attempt, err error) *problem {
+	switch {
+	case x.left():
+		return failure(statusGone, reasonCallerGone)
+	case errors.Is(err, errUnsent):
+		x.unreached++
+		if x.unreached >= maxUnreached {
+			return x.refuse(notRun(reasonUnreached, staleRetry))
+		}
+		return nil
+	case errors.Is(err, errRejected):
+		if x.sends >= x.route.Attempts || !x.gateway.core.spend(x.service) {
+			return x.refuse(notRun(reasonRejected, rejectedRetry))
+		}
+		return nil
+	case x.remaining() < leastLeft:
+		return x.timeout()
+	case !x.route.Repeatable() || x.sends >= x.route.Attempts:
+		return failure(fasthttp.StatusBadGateway, reasonTarget)
+	case errors.Is(err, target.ErrSilent):
+		return nil // the repeat was allowed when the wait ended
+	case !x.gateway.core.spend(x.service):
+		return failure(fasthttp.StatusBadGateway, reasonTarget)
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/core.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cassiachute/cassiachute/placement"
+	"github.com/cassiachute/cassiachute/retry"
+	"github.com/cassiachute/cassiachute/route"
+)
+
+// poisonous is the number of crashes after which a request is refused.
+const poisonous = 3
+
+// core holds the decisions of the host behind one lock. Nothing is done under the
+// lock but deciding.
+type core struct {
+	settings Settings
+	view     atomic.Pointer[route.Table] // configuration in force, nil before the first
+	asOf     atomic.Int64                // awake time at which the view was known to be the newest, in ns
+
+	mu         sync.Mutex
+	board      *placement.Board
+	suspects   *retry.Suspects
+	news       map[uint64]uint8 // crashes that the next news tell
+	allowances map[string]*retry.Allowance
+	exchanges  map[uint64]*exchange
+	last       uint64 // number of the newest exchange
+	hosts      int    // most hosts of the fleet that were heard of at once
+}
+
+func newCore(s Settings) *core {
+	return &core{
+		settings:   s,
+		board:      placement.NewBoard(s.Place),
+		suspects:   retry.NewSuspects(),
+		news:       map[uint64]uint8{},
+		allowances: map[string]*retry.Allowance{},
+		exchanges:  map[uint64]*exchange{},
+		hosts:      1,
+	}
+}
+
+// age returns the time for which a change of the configuration may have gone
+// unnoticed.
+func (c *core) age() time.Duration { return awake() - time.Duration(c.asOf.Load()) }
+
+// allowance returns the allowance of repeats for a service. The caller holds the
+// lock.
+func (c *core) allowance(service string) *retry.Allowance {
+	a := c.allowances[service]
+	if a == nil {
+		a = retry.NewAllowance(c.settings.Ratio.Or(defaultRatio), c.settings.Fixed.Or(defaultFixed),
+			c.settings.Window.Or(defaultWindow))
+		c.allowances[service] = a
+	}
+	return a
+}
+
+// enter registers an exchange and decides about it. It returns false if there is
+// no target and the exchange does not wait.
+func (c *core) enter(x *exchange) (placement.Choice, bool) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	choice := c.board.Choose(now, &x.ask)
+	if choice.Target != "" {
+		c.board.Sent(now, &x.ask, &choice)
+		return choice, true
+	}
+	return choice, choice.Reason == placement.ReasonFull && c.board.Wait(now, x.id, &x.ask)
+}
+
+// register adds a new exchange.
+func (c *core) register(x *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last++
+	x.id = c.last
+	c.exchanges[x.id] = x
+	c.board.Asked(x.arrived, &x.ask)
+	c.allowance(x.service).Earn(x.arrived)
+}
+
+// leave removes an exchange.
+func (c *core) leave(x *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.exchanges, x.id)
+}
+
+// withdraw ends the wait of an exchange. A grant that came meanwhile is given
+// back.
+func (c *core) withdraw(x *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.board.Withdraw(x.service, x.id) {
+		return
+	}
+	select {
+	case choice := <-x.grants:
+		c.board.Ended(time.Now(), &x.ask, choice.Target, choice.Load, placement.Withdrawn, 0)
+	default:
+	}
+}
+
+// spend returns whether a request may be sent once more.
+func (c *core) spend(service string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.allowance(service).Spend(time.Now(), c.hosts)
+}
+
+// first takes the first event of a request.
+func (c *core) first(x *exchange, choice placement.Choice, took time.Duration) placement.Load {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	left := c.board.First(&x.ask, choice, took)
+	c.serve(time.Now(), x.service)
+	return left
+}
+
+// ended takes the end of a request at its target.
+func (c *core) ended(x *exchange, target string, left placement.Load, o placement.Outcome, took time.Duration) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.board.Ended(now, &x.ask, target, left, o, took)
+	c.serve(now, x.service)
+}
+
+// serve hands targets to the exchanges that wait for a service. The caller holds
+// the lock.
+func (c *core) serve(now time.Time, service string) {
+	c.deliver(c.board.Serve(now, service))
+}
+
+func (c *core) deliver(grants []placement.Grant) {
+	for _, g := range grants {
+		if x := c.exchanges[g.ID]; x != nil {
+			x.grants <- g.Choice
+		}
+	}
+}
+
+// tick runs what depends on time alone.
+func (c *core) tick(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.board.Tick(now)
+	for _, service := range c.board.Services() {
+		c.serve(now, service)
+	}
+	c.deliver(c.board.Expire(now))
+}
+
+// learn takes the news of another host.
+func (c *core) learn(now time.Time, from uint64, n placement.News) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.board.Learn(now, from, n)
+	c.hosts = max(c.hosts, c.board.Peers(now)+1)
+	for _, service := range c.board.Services() {
+		c.serve(now, service)
+	}
+}
+
+// blame counts a crash against a request.
+func (c *core) blame(digest uint64) uint8 {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := c.suspects.Count(now, digest) + 1
+	c.suspects.Raise(now, digest, count)
+	c.news[digest] = count
+	return count
+}
+
+// suspect takes what another host counted against a request.
+func (c *core) suspect(digest uint64, count uint8) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suspects.Raise(time.Now(), digest, count)
+}
+
+// crashes returns what counts against a request.
+func (c *core) crashes(digest uint64) uint8 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.suspects.Count(time.Now(), digest)
+}
+
+// clear forgets what counted against a request that ran to its end.
+func (c *core) clear(digest uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.suspects.Clear(digest) {
+		delete(c.news, digest)
+	}
+}
+
+// active returns the exchanges that are not over.
+func (c *core) active() []*exchange {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]*exchange, 0, len(c.exchanges))
+	for _, x := range c.exchanges {
+		list = append(list, x)
+	}
+	return list
+}
--- /dev/null
+++ b/gateway/exchange.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/placement"
+	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/route"
+	"github.com/cassiachute/cassiachute/target"
+)
+
+const (
+	keyAgePart    = 0.7 // part of the time for a key to stop after which news are too old for requests with keys
+	deniableAge   = 1800 * time.Millisecond
+	staleRetry    = 500 * time.Millisecond
+	rejectedRetry = 100 * time.Millisecond
+	poisonRetry   = 5 * time.Second
+	leastLeft     = 5 * time.Millisecond // of the caller's time, to begin anything
+	maxUnreached  = 3                    // targets that are tried in vain
+)
+
+// exchange is one request of a caller, from its arrival to its end.
+type exchange struct {
+	gateway *Gateway
+	id      uint64
+	call    platform.Call
+	route   *route.Route
+	service string
+	team    string // empty without a key
+	ask     placement.Ask
+	arrived time.Time
+	limit   time.Time // the caller or the operator waits no longer
+	caller  net.Conn
+	request *fasthttp.Request
+	digest  uint64
+	grants  chan placement.Choice // at most one at a time
+
+	sends     int  // times that bytes were handed to a target
+	handed    bool // a target may have run it
+	unreached int
+	waited    time.Duration // here, for a target
+	target    string        // last target
+	lastEvent string        // last event that was passed on
+
+	gone chan struct{} // closed when the caller left
+
+	mu       sync.Mutex
+	line     *target.Line
+	canceled bool
+}
+
+func newExchange(g *Gateway, ctx *fasthttp.RequestCtx, call platform.Call, r *route.Route, team string) *exchange {
+	x := &exchange{
+		gateway: g, call: call, route: r, team: team, arrived: time.Now(), caller: ctx.Conn(),
+		grants: make(chan placement.Choice, 1), gone: make(chan struct{}), request: &fasthttp.Request{},
+		lastEvent: call.LastEvent,
+	}
+	x.service = r.Pick(xxhash.Sum64String(call.ID))
+	wait := r.Timeout
+	if call.Deadline > 0 && (wait <= 0 || call.Deadline < wait) {
+		wait = call.Deadline
+	}
+	if wait <= 0 {
+		wait = defaultTimeout
+	}
+	x.limit = x.arrived.Add(wait)
+	x.ask = placement.Ask{
+		Service: x.service, Team: team, Output: call.Output, Aim: r.Aim,
+		Chain: placement.NewChain(parts(call.Parts), call.Prompt),
+	}
+	ctx.Request.CopyTo(x.request)
+	x.digest = digest(x)
+	return x
+}
+
+// defaultTimeout bounds requests of routes without a timeout.
+const defaultTimeout = 30 * time.Second
+
+func parts(list []platform.Part) []placement.Part {
+	out := make([]placement.Part, 0, len(list))
+	for _, p := range list {
+		out = append(out, placement.Part{ID: p.ID, Tokens: p.Tokens})
+	}
+	return out
+}
+
+// digest names the team, the path and the body, which a caller that sends the
+// request again keeps.
+func digest(x *exchange) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(x.team) // never fails
+	_, _ = d.Write(x.request.Header.RequestURI())
+	_, _ = d.Write(x.request.Body())
+	return d.Sum64()
+}
+
+// cancel ends the work for a caller that left.
+func (x *exchange) cancel() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.canceled {
+		return
+	}
+	x.canceled = true
+	close(x.gone)
+	if x.line != nil {
+		x.line.Close()
+	}
+}
+
+// use makes a line the one that cancel ends. It returns false if the caller left.
+func (x *exchange) use(l *target.Line) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.line = l
+	return !x.canceled
+}
+
+func (x *exchange) left() bool {
+	select {
+	case <-x.gone:
+		return true
+	default:
+		return false
+	}
+}
+
+// remaining returns the time that is left to answer.
+func (x *exchange) remaining() time.Duration { return time.Until(x.limit) }
+
+// checkSend returns a problem if the request may not go to a target now.
+func (x *exchange) checkSend() *problem {
+	g := x.gateway
+	switch {
+	case x.left():
+		return failure(statusGone, reasonCallerGone)
+	case x.remaining() < leastLeft:
+		return x.timeout()
+	case x.team != "" && g.core.age() > g.keyAge:
+		return x.refuse(notRun(reasonStale, staleRetry))
+	case g.core.crashes(x.digest) >= poisonous:
+		return x.refuse(notRun(reasonPoison, poisonRetry))
+	}
+	return nil
+}
+
+// refuse returns a refusal, or a failure if a target may have run the request.
+func (x *exchange) refuse(p *problem) *problem {
+	if x.handed {
+		return failure(fasthttp.StatusBadGateway, p.reason)
+	}
+	return p
+}
+
+// timeout returns the answer when the time is over.
+func (x *exchange) timeout() *problem {
+	if x.handed {
+		return failure(fasthttp.StatusGatewayTimeout, reasonTimeout)
+	}
+	return notRun(reasonTimeout, 0)
+}
+
+// place gets a target for the request. It waits for one if that may help in time.
+func (x *exchange) place() (placement.Choice, *problem) {
+	began := time.Now()
+	x.ask.Elapsed = began.Sub(x.arrived)
+	choice, ok := x.gateway.core.enter(x)
+	if choice.Target != "" {
+		return choice, nil
+	}
+	if !ok {
+		return choice, x.refuse(notRun(string(choice.Reason), choice.After))
+	}
+	defer func() { x.waited += time.Since(began) }()
+	timer := time.NewTimer(x.remaining())
+	defer timer.Stop()
+	select {
+	case choice = <-x.grants:
+	case <-x.gone:
+		x.gateway.core.withdraw(x)
+		return choice, failure(statusGone, reasonCallerGone)
+	case <-timer.C:
+		x.gateway.core.withdraw(x)
+		return choice, x.timeout()
+	}
+	if choice.Target == "" {
+		return choice, x.refuse(notRun(string(choice.Reason), choice.After))
+	}
+	return choice, nil
+}
--- /dev/null
+++ b/gateway/front.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/placement"
+	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/route"
+)
+
+// handle answers one request of a caller.
+func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
+	g.inFlight.Add(1)
+	if g.stopping() {
+		ctx.SetConnectionClose()
+	}
+	call := platform.DecodeCall(&ctx.Request.Header)
+	r, team, p := g.admit(ctx, &call)
+	if p != nil {
+		g.refuse(ctx, &call, p)
+		g.inFlight.Add(-1)
+		return
+	}
+	x := newExchange(g, ctx, call, r, team)
+	g.core.register(x)
+	if r.Kind == route.Stream {
+		g.stream(ctx, x)
+		return
+	}
+	g.plain(ctx, x)
+	g.end(x)
+}
+
+// end forgets an exchange that is over.
+func (g *Gateway) end(x *exchange) {
+	g.core.leave(x)
+	g.inFlight.Add(-1)
+}
+
+// admit finds the route and the team of a request.
+func (g *Gateway) admit(ctx *fasthttp.RequestCtx, call *platform.Call) (*route.Route, string, *problem) {
+	table := g.core.view.Load()
+	if table == nil {
+		return nil, "", notRun(reasonNoConfig, staleRetry)
+	}
+	path, _, _ := bytes.Cut(ctx.Request.Header.RequestURI(), []byte("?"))
+	r := table.Match(string(ctx.Request.Header.Host()), string(path))
+	switch {
+	case r == nil:
+		return nil, "", g.deny(fasthttp.StatusNotFound, reasonNoRoute)
+	case r.Kind == route.Stream && g.refusesLong(r):
+		return nil, "", notRun(reasonStopping, rejectedRetry)
+	case r.Public || !table.Keyed():
+		return r, "", nil
+	case g.core.age() > g.keyAge:
+		return nil, "", notRun(reasonStale, staleRetry)
+	}
+	team, ok := table.Team(call.Key)
+	if !ok {
+		return nil, "", g.deny(fasthttp.StatusUnauthorized, reasonNoKey)
+	}
+	return r, team, nil
+}
+
+// deny returns the refusal of a request that the configuration does not allow, or
+// one that promises nothing of a later try while a newer configuration may not
+// have been seen.
+func (g *Gateway) deny(status int, reason string) *problem {
+	if g.core.age() > deniableAge {
+		return notRun(reasonStale, staleRetry)
+	}
+	return failure(status, reason)
+}
+
+// refuse answers a request that has no exchange.
+func (g *Gateway) refuse(ctx *fasthttp.RequestCtx, call *platform.Call, p *problem) {
+	p.write(ctx, call.ID)
+	g.record.refused(call, p, g.core.age())
+}
+
+// malformed answers a request that is not well-formed HTTP.
+func (g *Gateway) malformed(ctx *fasthttp.RequestCtx, err error) {
+	p := failure(fasthttp.StatusBadRequest, reasonMalformed)
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		p = failure(fasthttp.StatusRequestEntityTooLarge, reasonTooLarge)
+	}
+	p.write(ctx, "")
+	ctx.SetConnectionClose()
+	g.record.malformed(err)
+}
+
+// plain answers a request whose answer is passed on as a whole.
+func (g *Gateway) plain(ctx *fasthttp.RequestCtx, x *exchange) {
+	a, p := x.whole()
+	if p != nil {
+		g.problem(ctx, x, p)
+		return
+	}
+	platform.CopyAnswer(&ctx.Response.Header, &a.response.Header)
+	ctx.Response.SkipBody = a.response.SkipBody
+	ctx.Response.SetBodyRaw(a.whole)
+	if g.stopping() {
+		ctx.SetConnectionClose()
+	}
+	g.record.answered(x, a.response.StatusCode(), "", 0)
+}
+
+// problem answers an exchange with a problem.
+func (g *Gateway) problem(ctx *fasthttp.RequestCtx, x *exchange, p *problem) {
+	p.write(ctx, x.call.ID)
+	if p.status == statusGone {
+		ctx.SetStatusCode(fasthttp.StatusBadGateway)
+		ctx.SetConnectionClose()
+	}
+	if g.stopping() {
+		ctx.SetConnectionClose()
+	}
+	g.record.answered(x, p.status, p.reason, p.retry)
+}
+
+// whole gets a whole answer.
+func (x *exchange) whole() (*attempt, *problem) {
+	for {
+		a, p := x.open()
+		if p != nil || a.over {
+			return a, p
+		}
+		err := a.read(nil)
+		if err == nil {
+			a.first()
+			a.finish(placement.Done)
+			x.gateway.core.clear(x.digest)
+			return a, nil
+		}
+		if !x.left() {
+			a.crashed()
+		}
+		a.finish(placement.Failed)
+		x.gateway.record.attempt(x, a, err)
+		x.ask.Excluded = append(x.ask.Excluded, a.choice.Target)
+		if p := x.again(a, err); p != nil {
+			return nil, p
+		}
+	}
+}
+
+// refusesLong returns whether streams of a route would outlast this process.
+func (g *Gateway) refusesLong(r *route.Route) bool {
+	since := g.stopSince()
+	if since == 0 {
+		return false
+	}
+	return since+g.lengths.expect(r.Name) > g.grace-stopMargin
+}
+
+// stopMargin is the time before the end of the grace in which nothing is begun.
+const stopMargin = 500 * time.Millisecond
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,293 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"github.com/cassiachute/cassiachute/mesh"
+	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/route"
+	"github.com/cassiachute/cassiachute/target"
+)
+
+const (
+	readTimeout   = 30 * time.Second // for the head and body of a caller's request
+	idleTimeout   = time.Minute      // longer than any configured limit of callers
+	maxHeadBytes  = 64 << 10
+	maxBodyBytes  = 64 << 20
+	tickEvery     = 10 * time.Millisecond
+	idleTickEvery = 50 * time.Millisecond
+	sweepEvery    = 150 * time.Millisecond
+	stopPoll      = 20 * time.Millisecond
+	leastStop     = 3 * time.Second // for the balancer to notice a planned stop
+	settleTime    = 50 * time.Millisecond
+	peerSilence   = 2 * time.Second
+	pathMetrics   = "/metrics"
+)
+
+// Gateway is the process of one host.
+type Gateway struct {
+	settings Settings
+	log      zerolog.Logger
+	record   *recorder
+	core     *core
+	pool     *target.Pool
+	client   *platform.Client
+	mesh     *mesh.Socket
+	peers    *contacts
+	lengths  lengths
+	keyAge   time.Duration // age of the configuration from which requests with keys are refused
+	grace    time.Duration
+	boot     uint64
+	number   uint64 // of the last news
+
+	ctx       context.Context
+	stopFrom  atomic.Int64 // Unix nanoseconds of the signal to stop, 0 before
+	inFlight  atomic.Int64
+	addresses atomic.Pointer[map[string]netip.AddrPort]
+	listeners []net.Listener
+	server    *fasthttp.Server
+}
+
+// Option changes a Gateway.
+type Option func(g *Gateway)
+
+// WithLog sets the log.
+func WithLog(log zerolog.Logger) Option { return func(g *Gateway) { g.log = log } }
+
+// New returns a Gateway that listens at its addresses and serves once Run is
+// called. The error is marked settings.ErrInvalid if the settings are at fault.
+func New(s Settings, options ...Option) (*Gateway, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	g := &Gateway{
+		settings: s, log: zerolog.Nop(), core: newCore(s),
+		pool:    target.NewPool(nil, target.WithDialTimeout(dialTimeout)),
+		client:  platform.NewClient(s.Store, platform.WithTimeout(storeTimeout)),
+		peers:   newContacts(s.Peer),
+		lengths: lengths{means: map[string]time.Duration{}},
+		keyAge:  time.Duration(keyAgePart * float64(s.Revoke.Or(defaultRevoke))),
+		grace:   s.Grace.Or(defaultGrace),
+		boot:    uint64(time.Now().UnixMilli()),
+	}
+	for _, option := range options {
+		option(g)
+	}
+	g.record = newRecorder(g.log, newMetrics())
+	g.addresses.Store(&map[string]netip.AddrPort{})
+	if err := g.listen(); err != nil {
+		return nil, err
+	}
+	g.watchValues()
+	return g, nil
+}
+
+func (g *Gateway) listen() error {
+	for _, address := range []netip.AddrPort{g.settings.Listen, g.settings.Ready, g.settings.Metrics} {
+		if !address.IsValid() {
+			continue
+		}
+		l, err := net.Listen("tcp", address.String())
+		if err != nil {
+			return errors.Wrapf(err, "listen at %s", address)
+		}
+		g.listeners = append(g.listeners, l)
+	}
+	socket, err := mesh.NewSocket(g.settings.Peer, mesh.Events{
+		Received: g.hear,
+		Rejected: func(_ netip.AddrPort, err error) { g.record.peerFailed(err) },
+	})
+	g.mesh = socket
+	return err
+}
+
+func (g *Gateway) watchValues() {
+	m := g.record.metrics
+	m.watch("in_flight_requests", "Requests that are not answered yet.", func() float64 { return float64(g.inFlight.Load()) })
+	m.watch("configuration_age_seconds", "Age of the newest sign that the configuration is current.",
+		func() float64 { return g.core.age().Seconds() })
+	m.watch("peers", "Other hosts that are known.", func() float64 { return float64(g.peers.count()) })
+	m.watch("store_calls", "Calls to the store.", func() float64 {
+		reads, writes := g.client.Calls()
+		return float64(reads + writes)
+	})
+}
+
+// Run serves until the context ends, then stops as planned.
+func (g *Gateway) Run(ctx context.Context) error {
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g.ctx = inner
+	for _, seed := range g.settings.Seeds {
+		g.peers.meet(netip.AddrPortFrom(seed.Addr(), g.settings.Peer.Port()), time.Now())
+	}
+	w := &watcher{gateway: g, client: g.client, listing: route.NewListing(), up: map[string]bool{}}
+	ends := []<-chan struct{}{
+		g.mesh.Run(inner),
+		every(inner, w.config), every(inner, w.targets), every(inner, w.hosts),
+		every(inner, g.tell), every(inner, g.tick), every(inner, g.sweep),
+	}
+	served := make(chan error, len(g.listeners))
+	g.serve(served)
+	g.record.process(eventStart, &g.settings)
+	var err error
+	select {
+	case <-ctx.Done():
+		g.stop()
+	case err = <-served:
+	}
+	cancel()
+	for _, end := range ends {
+		<-end
+	}
+	g.record.process(eventStopped, &g.settings)
+	return err
+}
+
+// serve starts the servers.
+func (g *Gateway) serve(served chan<- error) {
+	g.server = &fasthttp.Server{
+		Handler: g.handle, ErrorHandler: g.malformed,
+		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
+		ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		ReadBufferSize: maxHeadBytes, MaxRequestBodySize: maxBodyBytes,
+	}
+	handlers := []fasthttp.RequestHandler{g.handle, g.ready, g.status()}
+	for i, l := range g.listeners {
+		server := g.server
+		if i > 0 {
+			server = &fasthttp.Server{Handler: handlers[i], NoDefaultServerHeader: true}
+		}
+		go func() { served <- server.Serve(l) }()
+	}
+}
+
+// ready answers whether the host takes new connections.
+func (g *Gateway) ready(ctx *fasthttp.RequestCtx) {
+	if g.stopping() || g.core.view.Load() == nil || string(ctx.Path()) != platform.PathReady {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// status answers with the metrics.
+func (g *Gateway) status() fasthttp.RequestHandler {
+	handler := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(g.record.metrics.registry, promhttp.HandlerOpts{}))
+	return func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) != pathMetrics {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		handler(ctx)
+	}
+}
+
+// apply puts a configuration in force unless it is older than the present one.
+func (g *Gateway) apply(table *route.Table) {
+	present := g.core.view.Load()
+	if present != nil && table.Version <= present.Version {
+		return
+	}
+	g.core.mu.Lock()
+	g.core.board.Configure(table)
+	g.core.mu.Unlock()
+	g.core.view.Store(table)
+	g.record.config(table)
+}
+
+// setTargets takes the list of targets.
+func (g *Gateway) setTargets(list []route.Target) {
+	addresses := map[string]netip.AddrPort{}
+	ready, leaving := 0, 0
+	for _, t := range list {
+		addresses[t.ID] = t.Address
+		if t.Leaving {
+			leaving++
+		} else {
+			ready++
+		}
+	}
+	g.core.mu.Lock()
+	g.core.board.SetTargets(list)
+	g.core.mu.Unlock()
+	before := *g.addresses.Swap(&addresses)
+	if len(before) != len(addresses) || leaving > 0 {
+		g.record.targets(ready, leaving)
+	}
+	for id, address := range before {
+		if _, ok := addresses[id]; !ok {
+			g.pool.Forget(address)
+		}
+	}
+}
+
+// address returns the address of a target.
+func (g *Gateway) address(id string) (netip.AddrPort, bool) {
+	a, ok := (*g.addresses.Load())[id]
+	return a, ok
+}
+
+// tick runs what depends on time alone.
+func (g *Gateway) tick() time.Duration {
+	now := time.Now()
+	g.core.tick(now)
+	for _, address := range g.peers.silent(now, peerSilence) {
+		g.record.peer(address, "", false)
+	}
+	if g.inFlight.Load() == 0 {
+		return idleTickEvery
+	}
+	return tickEvery
+}
+
+// sweep ends the work for callers that left.
+func (g *Gateway) sweep() time.Duration {
+	for _, x := range g.core.active() {
+		if target.Gone(x.caller) {
+			x.cancel()
+		}
+	}
+	return sweepEvery
+}
+
+func (g *Gateway) stopping() bool { return g.stopFrom.Load() != 0 }
+
+// stopSince returns the time since the signal to stop, 0 before it.
+func (g *Gateway) stopSince() time.Duration {
+	from := g.stopFrom.Load()
+	if from == 0 {
+		return 0
+	}
+	return max(1, time.Since(time.Unix(0, from)))
+}
+
+// stop is the planned stop: the host is not ready any more and serves on until the
+// balancer has noticed and all answers are out.
+func (g *Gateway) stop() {
+	began := time.Now()
+	g.stopFrom.Store(began.UnixNano())
+	g.record.process(eventStopping, &g.settings)
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	for time.Since(began) < g.grace-stopMargin {
+		if time.Since(began) > min(leastStop, g.grace/2) && g.inFlight.Load() == 0 {
+			break
+		}
+		<-ticker.C
+	}
+	time.Sleep(settleTime)
+	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+	defer cancel()
+	if err := g.server.ShutdownWithContext(ctx); err != nil {
+		g.log.Warn().Str("event", eventStopping).Err(err).Int64("inflight", g.inFlight.Load()).Send()
+	}
+}
--- /dev/null
+++ b/gateway/gossip.go
@@ -0,0 +1,180 @@
+package gateway
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cassiachute/cassiachute/placement"
+	"github.com/cassiachute/cassiachute/wire"
+)
+
+const (
+	newsEvery  = 50 * time.Millisecond
+	peerForget = time.Minute // without news from a host that the store lists
+	maxCrashes = 64          // crashes told in one news
+)
+
+// contact is another host.
+type contact struct {
+	met    time.Time // when it was named or heard of last
+	boot   uint64
+	number uint64
+	heard  bool
+}
+
+// contacts are the other hosts of the fleet.
+type contacts struct {
+	self netip.AddrPort
+	mu   sync.Mutex
+	rows map[netip.AddrPort]*contact
+}
+
+func newContacts(self netip.AddrPort) *contacts {
+	return &contacts{self: self, rows: map[netip.AddrPort]*contact{}}
+}
+
+// meet takes the address of a host that the store or the settings name.
+func (c *contacts) meet(address netip.AddrPort, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if address == c.self {
+		return
+	}
+	if row := c.rows[address]; row != nil {
+		return
+	}
+	c.rows[address] = &contact{met: now}
+}
+
+// hear takes the number of news. It returns false if newer ones came before, and
+// whether the host was silent until now.
+func (c *contacts) hear(address netip.AddrPort, m *wire.News, now time.Time) (fresh, first bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	row := c.rows[address]
+	if row == nil {
+		row = &contact{}
+		c.rows[address] = row
+	}
+	if m.Boot < row.boot || m.Boot == row.boot && m.Number <= row.number {
+		return false, false
+	}
+	first = !row.heard
+	row.met, row.boot, row.number, row.heard = now, m.Boot, m.Number, true
+	return true, first
+}
+
+// silent returns the hosts that were heard of and are silent now.
+func (c *contacts) silent(now time.Time, limit time.Duration) []netip.AddrPort {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []netip.AddrPort
+	for address, row := range c.rows {
+		if now.Sub(row.met) > peerForget {
+			delete(c.rows, address)
+		}
+		if row.heard && now.Sub(row.met) > limit {
+			row.heard = false
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+// list returns all hosts.
+func (c *contacts) list() []netip.AddrPort {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]netip.AddrPort, 0, len(c.rows))
+	for address := range c.rows {
+		list = append(list, address)
+	}
+	return list
+}
+
+func (c *contacts) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.rows)
+}
+
+// tell sends the news of this host to all others.
+func (g *Gateway) tell() time.Duration {
+	hosts := g.peers.list()
+	if len(hosts) == 0 {
+		return newsEvery
+	}
+	g.number++
+	news := g.core.newsOut(time.Now())
+	news.Boot, news.Number, news.Place = g.boot, g.number, g.settings.Place
+	news.Leaving = g.stopping()
+	if table := g.core.view.Load(); table != nil {
+		news.Revision = table.Version
+	}
+	if err := g.mesh.Send(news, hosts); err != nil {
+		g.record.peerFailed(err)
+	}
+	return newsEvery
+}
+
+// newsOut returns what the core tells.
+func (c *core) newsOut(now time.Time) *wire.News {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.board.News(now)
+	out := &wire.News{}
+	for _, l := range n.Loads {
+		out.Loads = append(out.Loads, wire.TargetLoad{
+			Target: l.Target, Prompt: uint32(l.Load.Prompt), Running: uint32(l.Load.Running), Memory: uint32(l.Load.Memory),
+		})
+	}
+	for _, d := range n.Demands {
+		out.Demands = append(out.Demands, wire.TeamDemand{
+			Service: d.Service, Team: d.Demand.Team, Received: uint32(d.Demand.Received), Asked: uint32(d.Demand.Asked),
+		})
+	}
+	for digest, count := range c.news {
+		if len(out.Crashes) == maxCrashes {
+			break
+		}
+		out.Crashes = append(out.Crashes, wire.Crash{Digest: digest, Count: count})
+	}
+	return out
+}
+
+// hear takes the news of another host.
+func (g *Gateway) hear(from netip.AddrPort, m *wire.News) {
+	now := time.Now()
+	fresh, first := g.peers.hear(from, m, now)
+	if !fresh {
+		return
+	}
+	if first {
+		g.record.peer(from, m.Place, true)
+	}
+	n := placement.News{}
+	for _, l := range m.Loads {
+		n.Loads = append(n.Loads, placement.TargetLoad{Target: l.Target, Load: placement.Load{
+			Prompt: int(l.Prompt), Running: int(l.Running), Memory: int(l.Memory),
+		}})
+	}
+	for _, d := range m.Demands {
+		n.Demands = append(n.Demands, placement.ServiceDemand{Service: d.Service, Demand: placement.Demand{
+			Team: d.Team, Received: float64(d.Received), Asked: float64(d.Asked),
+		}})
+	}
+	for _, crash := range m.Crashes {
+		g.core.suspect(crash.Digest, crash.Count)
+	}
+	g.core.learn(now, peerNumber(from), n)
+}
+
+// peerNumber returns a number for an address.
+func peerNumber(address netip.AddrPort) uint64 {
+	number := uint64(address.Port())
+	for _, b := range address.Addr().As4() {
+		number = number<<8 | uint64(b)
+	}
+	return number
+}
--- /dev/null
+++ b/gateway/problem.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/platform"
+)
+
+// statusGone is for the log: the caller left and nobody reads the answer.
+const statusGone = 499
+
+// Reasons of refusals and failures, as they stand in logs and metrics.
+const (
+	reasonNoConfig   = "no-configuration"
+	reasonStale      = "stale-configuration"
+	reasonNoRoute    = "no-route"
+	reasonNoKey      = "no-key"
+	reasonNoService  = "no-service"
+	reasonPoison     = "poison"
+	reasonTimeout    = "timeout"
+	reasonTarget     = "target-failed"
+	reasonRejected   = "target-rejected"
+	reasonUnreached  = "target-unreached"
+	reasonStopping   = "stopping"
+	reasonCallerGone = "caller-gone"
+	reasonBroken     = "stream-broken"
+	reasonMalformed  = "malformed"
+	reasonTooLarge   = "too-large"
+)
+
+// problem is an answer that the fleet makes itself.
+type problem struct {
+	status int
+	reason string
+	retry  time.Duration // when a later try may succeed, 0 if it is not known
+}
+
+// notRun returns a refusal that promises that the request has not run and never
+// will.
+func notRun(reason string, retry time.Duration) *problem {
+	return &problem{status: fasthttp.StatusServiceUnavailable, reason: reason, retry: retry}
+}
+
+// failure returns an answer to a request that may have run.
+func failure(status int, reason string) *problem { return &problem{status: status, reason: reason} }
+
+// write writes the problem as the answer.
+func (p *problem) write(ctx *fasthttp.RequestCtx, id string) {
+	ctx.Response.Reset()
+	ctx.SetStatusCode(p.status)
+	platform.Echo(&ctx.Response.Header, id)
+	if p.retry > 0 {
+		seconds := strconv.FormatFloat(p.retry.Seconds(), 'f', 3, 64)
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, seconds)
+	}
+	ctx.SetContentType("text/plain")
+	ctx.SetBodyString(p.reason)
+}
--- /dev/null
+++ b/gateway/record.go
@@ -0,0 +1,209 @@
+package gateway
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/route"
+)
+
+// Events of the log. Each line has one of them in its field "event".
+const (
+	eventStart      = "start"
+	eventStopping   = "stopping"
+	eventStopped    = "stopped"
+	eventReload     = "reload"
+	eventConfig     = "configuration"
+	eventBadConfig  = "configuration-unreadable"
+	eventTargets    = "targets"
+	eventBadTarget  = "target-unreadable"
+	eventStoreDown  = "store-lost"
+	eventStoreUp    = "store-regained"
+	eventPeerUp     = "peer-regained"
+	eventPeerDown   = "peer-lost"
+	eventPeerFailed = "peer-unreached"
+	eventAnswered   = "answered"
+	eventRefused    = "refused"
+	eventAttempt    = "attempt-failed"
+	eventResumed    = "resumed"
+	eventCrash      = "target-crashed"
+	eventMalformed  = "malformed"
+)
+
+// recorder writes the log and counts.
+type recorder struct {
+	log     zerolog.Logger
+	metrics *metrics
+
+	mu   sync.Mutex
+	down map[string]bool // parts of the store that can't be read
+	bad  map[string]bool // entries of targets that were reported
+}
+
+func newRecorder(log zerolog.Logger, m *metrics) *recorder {
+	return &recorder{log: log, metrics: m, down: map[string]bool{}, bad: map[string]bool{}}
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
+}
+
+// answered notes an exchange that is over.
+func (r *recorder) answered(x *exchange, status int, reason string, retry time.Duration) {
+	took := time.Since(x.arrived)
+	r.metrics.observe(x, status, reason, took)
+	event := r.log.Info()
+	if reason != "" {
+		event = r.log.Warn()
+	}
+	x.fields(event).Int("status", status).Str("reason", reason).
+		Float64("took", milliseconds(took)).Float64("retry", milliseconds(retry)).
+		Send()
+}
+
+// fields adds what is known of an exchange to a line.
+func (x *exchange) fields(event *zerolog.Event) *zerolog.Event {
+	revision := uint64(0)
+	if table := x.gateway.core.view.Load(); table != nil {
+		revision = table.Version
+	}
+	return event.Str("event", eventAnswered).Str("request", x.call.ID).Str("team", x.team).
+		Str("route", x.route.Name).Str("service", x.service).Str("target", x.target).
+		Int("sends", x.sends).Int("prompt", x.ask.Chain.Total).Float64("waited", milliseconds(x.waited)).
+		Uint64("revision", revision).Float64("age", milliseconds(x.gateway.core.age()))
+}
+
+// streamed notes a stream that is over.
+func (r *recorder) streamed(x *exchange, f *flow, reason string) {
+	took := time.Since(x.arrived)
+	status := f.attempt.response.StatusCode()
+	r.metrics.observe(x, status, reason, took)
+	r.metrics.first.WithLabelValues(x.service).Observe(f.head.Seconds())
+	event := r.log.Info()
+	if reason != "" {
+		event = r.log.Warn()
+	}
+	x.fields(event).Int("status", status).Str("reason", reason).
+		Float64("first", milliseconds(f.head)).Float64("took", milliseconds(took)).Str("last", x.lastEvent).
+		Send()
+}
+
+// refused notes a request that was refused before it had a route and a team.
+func (r *recorder) refused(call *platform.Call, p *problem, age time.Duration) {
+	r.metrics.refusals.WithLabelValues(p.reason).Inc()
+	r.log.Warn().Str("event", eventRefused).Str("request", call.ID).Int("status", p.status).Str("reason", p.reason).
+		Float64("age", milliseconds(age)).Float64("retry", milliseconds(p.retry)).Send()
+}
+
+// attempt notes a send that failed.
+func (r *recorder) attempt(x *exchange, a *attempt, err error) {
+	r.metrics.attempts.WithLabelValues(x.service).Inc()
+	status := 0
+	if a.response != nil {
+		status = a.response.StatusCode()
+	}
+	r.log.Warn().Str("event", eventAttempt).Str("request", x.call.ID).Str("route", x.route.Name).
+		Str("target", a.choice.Target).Int("sends", x.sends).Int("status", status).
+		Float64("took", milliseconds(time.Since(a.sent))).Float64("expected", milliseconds(a.choice.Expect)).
+		Str("last", x.lastEvent).Err(err).Send()
+}
+
+// resumed notes a stream that goes on at another target.
+func (r *recorder) resumed(x *exchange) {
+	r.log.Info().Str("event", eventResumed).Str("request", x.call.ID).Str("target", x.target).
+		Str("last", x.lastEvent).Send()
+}
+
+// crash notes a target that ended while it ran a request.
+func (r *recorder) crash(x *exchange, count uint8) {
+	r.log.Warn().Str("event", eventCrash).Str("request", x.call.ID).Str("target", x.target).
+		Uint64("digest", x.digest).Uint8("crashes", count).Send()
+}
+
+// malformed notes a request that is not well-formed.
+func (r *recorder) malformed(err error) {
+	r.metrics.refusals.WithLabelValues(reasonMalformed).Inc()
+	r.log.Warn().Str("event", eventMalformed).Err(err).Send()
+}
+
+// store notes whether a part of the store can be read. Only changes are logged.
+func (r *recorder) store(part string, err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	r.metrics.store.WithLabelValues(part, result).Inc()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down[part] == (err != nil) {
+		return
+	}
+	r.down[part] = err != nil
+	if err != nil {
+		r.log.Warn().Str("event", eventStoreDown).Str("part", part).Err(err).Send()
+		return
+	}
+	r.log.Info().Str("event", eventStoreUp).Str("part", part).Send()
+}
+
+// config notes a configuration that is in force.
+func (r *recorder) config(t *route.Table) {
+	r.metrics.revision.Set(float64(t.Version))
+	r.log.Info().Str("event", eventConfig).Uint64("revision", t.Version).Int("routes", len(t.Routes)).
+		Int("teams", len(t.Teams)).Send()
+}
+
+// badConfig notes a configuration that can't be used.
+func (r *recorder) badConfig(row uint64, err error) {
+	r.log.Error().Str("event", eventBadConfig).Uint64("row", row).Err(err).Send()
+}
+
+// badTarget notes an entry of a target that can't be used, once.
+func (r *recorder) badTarget(key string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.bad[key] || len(r.bad) >= maxReported {
+		return
+	}
+	r.bad[key] = true
+	r.log.Warn().Str("event", eventBadTarget).Str("target", key).Err(err).Send()
+}
+
+// maxReported bounds the entries of targets that are remembered as reported.
+const maxReported = 1024
+
+// targets notes a change of the list of targets.
+func (r *recorder) targets(ready, leaving int) {
+	r.log.Info().Str("event", eventTargets).Int("ready", ready).Int("leaving", leaving).Send()
+}
+
+// peer notes another host that was heard of again, or not any more.
+func (r *recorder) peer(address netip.AddrPort, place string, up bool) {
+	event, name := r.log.Warn(), eventPeerDown
+	if up {
+		event, name = r.log.Info(), eventPeerUp
+	}
+	event.Str("event", name).Stringer("peer", address).Str("place", place).Send()
+}
+
+// peerFailed notes that news could not be sent.
+func (r *recorder) peerFailed(err error) {
+	r.metrics.peerErrors.Inc()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down["peers"] {
+		return
+	}
+	r.down["peers"] = true
+	r.log.Warn().Str("event", eventPeerFailed).Err(err).Send()
+}
+
+// process notes the start, the reload or the stop of the process.
+func (r *recorder) process(name string, s *Settings) {
+	r.log.Info().Str("event", name).Str("host", s.Name).Str("place", s.Place).
+		Stringer("listen", s.Listen).Stringer("peer", s.Peer).Send()
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,55 @@
+// Package gateway is the process of one host that serves the callers of the
+// users' platform: it takes their requests, asks package placement where each one
+// runs, sends it there, and passes the answer on.
+package gateway
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cassiachute/cassiachute/settings"
+)
+
+// Defaults of the settings.
+const (
+	defaultGrace  = 8 * time.Second
+	defaultRevoke = 5 * time.Second
+	defaultWindow = 10 * time.Second
+	defaultRatio  = 0.2
+	defaultFixed  = 20
+	defaultMemory = 256 // MiB
+)
+
+// Settings are the settings of a gateway.
+type Settings struct {
+	Name    string           `json:"name"`    // name of the host, for logs
+	Place   string           `json:"place"`   // data centre
+	Listen  netip.AddrPort   `json:"listen"`  // address for callers
+	Ready   netip.AddrPort   `json:"ready"`   // address where the balancer asks whether the host is ready
+	Peer    netip.AddrPort   `json:"peer"`    // address for the other gateways
+	Metrics netip.AddrPort   `json:"metrics"` // address for metrics and status, none without one
+	Store   netip.AddrPort   `json:"store"`   // address of the platform's store
+	Seeds   []netip.AddrPort `json:"seeds"`   // addresses of hosts that may serve; the ports are not used
+	Memory  settings.Amount  `json:"memory"`  // limit of the process in MiB
+	Cores   settings.Amount  `json:"cores"`   // processors
+	Grace   settings.Span    `json:"grace"`   // time between the signal to stop and the end of the process
+	Revoke  settings.Span    `json:"revoke"`  // time in which a key that is taken away stops working
+	Window  settings.Span    `json:"window"`  // over which repeats are counted
+	Ratio   settings.Amount  `json:"ratio"`   // of repeats to requests
+	Fixed   settings.Amount  `json:"fixed"`   // repeats of the fleet in a window that are allowed without requests
+	Level   string           `json:"level"`   // least level of log lines
+}
+
+// NewSettings returns settings with the defaults.
+func NewSettings() Settings { return Settings{Level: "info"} }
+
+// Check returns all faults as one error marked settings.ErrInvalid, or nil.
+func (s *Settings) Check() error {
+	var c settings.Checker
+	c.Require(s.Place != "", "place", "must name the data centre")
+	c.Address(s.Listen, "listen")
+	c.Address(s.Ready, "ready")
+	c.Address(s.Peer, "peer")
+	c.Address(s.Store, "store")
+	return c.Err()
+}
--- /dev/null
+++ b/gateway/watch.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/route"
+)
+
+const (
+	feedWait     = time.Second // longest time that a feed of the configuration waits
+	targetsEvery = 700 * time.Millisecond
+	hostsEvery   = 10 * time.Second
+	hostsFirst   = time.Second // between reads until another host is known
+	storeRetry   = 200 * time.Millisecond
+	storeTimeout = time.Second
+)
+
+// watcher reads the store and tells the core.
+type watcher struct {
+	gateway *Gateway
+	client  *platform.Client
+	listing *route.Listing
+	version uint64 // of the store, up to which the configuration was read
+	up      map[string]bool
+}
+
+// every runs a step until the context ends. The step returns the time until the
+// next.
+func every(ctx context.Context, step func() time.Duration) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		timer := time.NewTimer(0)
+		defer timer.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-timer.C:
+				timer.Reset(step())
+			}
+		}
+	}()
+	return done
+}
+
+// config reads the configuration, or waits for a change of it.
+func (w *watcher) config() time.Duration {
+	asked := awake()
+	page, err := w.page()
+	if err != nil {
+		if errors.Is(err, platform.ErrExpired) {
+			w.version = 0
+		}
+		w.gateway.record.store("configuration", err)
+		return storeRetry
+	}
+	w.gateway.record.store("configuration", nil)
+	for _, row := range page.Rows {
+		if row.Key == platform.KeyConfig && !row.Removed {
+			w.apply(row)
+		}
+	}
+	w.version = page.Version
+	if w.gateway.core.view.Load() == nil {
+		w.version = 0
+		return storeRetry
+	}
+	w.gateway.core.asOf.Store(int64(asked))
+	return 0
+}
+
+func (w *watcher) page() (platform.Page, error) {
+	if w.version == 0 {
+		return w.client.Scan(platform.TableOperator)
+	}
+	return w.client.Feed(platform.TableOperator, w.version, feedWait)
+}
+
+// apply puts a configuration in force unless a newer one is.
+func (w *watcher) apply(row platform.Row) {
+	table, err := platform.DecodeConfig(row.Value)
+	if err != nil {
+		w.gateway.record.badConfig(row.Version, err)
+		return
+	}
+	w.gateway.apply(table)
+}
+
+// targets reads the list of targets.
+func (w *watcher) targets() time.Duration {
+	page, err := w.client.Scan(platform.TableTargets)
+	w.gateway.record.store("targets", err)
+	if err != nil {
+		w.listing.Fail()
+		return storeRetry
+	}
+	list := make([]route.Target, 0, len(page.Rows))
+	for _, row := range page.Rows {
+		t, err := platform.DecodeTarget(row)
+		if err != nil {
+			w.gateway.record.badTarget(row.Key, err)
+			continue
+		}
+		list = append(list, t)
+	}
+	w.gateway.setTargets(w.listing.Read(time.Now(), list))
+	return targetsEvery
+}
+
+// hosts writes the row of this host and reads those of the others.
+func (w *watcher) hosts() time.Duration {
+	if !w.up["hosts"] {
+		err := w.client.PutHost(platform.Host{Address: w.gateway.settings.Peer, Place: w.gateway.settings.Place})
+		w.gateway.record.store("hosts", err)
+		if err != nil {
+			return storeRetry
+		}
+		w.up["hosts"] = true
+	}
+	list, err := w.client.Hosts()
+	w.gateway.record.store("hosts", err)
+	if err != nil {
+		return storeRetry
+	}
+	for _, h := range list {
+		w.gateway.peers.meet(h.Address, time.Now())
+	}
+	if w.gateway.peers.count() == 0 {
+		return hostsFirst
+	}
+	return hostsEvery
+}
--- a/host/host.go
+++ b/host/host.go
@@ -95,7 +95,7 @@
 	shards    map[wire.Shard]*dispatch.Shard
 	owners    map[wire.Shard]netip.AddrPort
 	intake    *intake.Table
-	suspect   *suspects
+	suspect   *retry.Suspects
 	orders    *order.Table
 	placeHash uint32 // of the name of this host's place
 	links     map[netip.AddrPort]*link
@@ -125,7 +125,7 @@
 		owners:    map[wire.Shard]netip.AddrPort{},
 		links:     map[netip.AddrPort]*link{},
 		budgets:   map[uint32]*retry.Budget{},
-		suspect:   newSuspects(),
+		suspect:   retry.NewSuspects(),
 		seeds:     config.Seeds,
 		placeHash: uint32(xxhash.Sum64String(config.Place)),
 	}
--- a/host/suspect.go
+++ b/host/suspect.go
@@ -4,90 +4,52 @@
 	"net/netip"
 	"time"
 
-	lru "github.com/hashicorp/golang-lru/v2"
-
 	"github.com/cassiachute/cassiachute/wire"
 )
 
-const (
-	suspectEntries = 4096
-	suspectLife    = 10 * time.Minute
-	// MaxCrashes is the number of crashes after which a request is refused.
-	MaxCrashes = 2
-)
-
-// crashes is what is known of a request that ran on a target that crashed.
-type crashes struct {
-	count uint8
-	last  time.Time
-}
-
-// suspects counts the crashes that coincided with each request.
-type suspects struct {
-	rows *lru.Cache[uint64, crashes]
-}
-
-func newSuspects() *suspects {
-	rows, _ := lru.New[uint64, crashes](suspectEntries)
-	return &suspects{rows: rows}
-}
-
-func (s *suspects) count(now time.Time, digest uint64) uint8 {
-	row, ok := s.rows.Get(digest)
-	if !ok || now.Sub(row.last) > suspectLife {
-		return 0
-	}
-	return row.count
-}
-
-func (s *suspects) raise(now time.Time, digest uint64, count uint8) bool {
-	if count <= s.count(now, digest) {
-		return false
-	}
-	s.rows.Add(digest, crashes{count: count, last: now})
-	return true
-}
+// MaxCrashes is the number of crashes after which a request is refused.
+const MaxCrashes = 2
 
 // Crashed takes the news that a target crashed while it ran a request. The
 // digest names the team and the body. It returns whether the request is to be
 // refused from now on.
 func (h *Host) Crashed(now time.Time, digest uint64) bool {
 	h.tickAt(now)
-	count := h.suspect.count(now, digest) + 1
-	h.suspect.raise(now, digest, count)
+	count := h.suspect.Count(now, digest) + 1
+	h.suspect.Raise(now, digest, count)
 	h.tellSuspect(&wire.Suspect{Digest: digest, Crashes: count}, netip.AddrPort{})
 	return count >= MaxCrashes
 }
 
 // Poisonous returns whether a request is refused for the targets it crashed.
 func (h *Host) Poisonous(now time.Time, digest uint64) bool {
-	return h.suspect.count(now, digest) >= MaxCrashes
+	return h.suspect.Count(now, digest) >= MaxCrashes
 }
 
 // Suspected returns whether a request was on a target that crashed.
 func (h *Host) Suspected(now time.Time, digest uint64) bool {
-	return h.suspect.count(now, digest) > 0
+	return h.suspect.Count(now, digest) > 0
 }
 
 // Completed clears a request that ran to its end.
 func (h *Host) Completed(now time.Time, digest uint64) {
 	h.tickAt(now)
-	if h.suspect.count(now, digest) == 0 {
+	if h.suspect.Count(now, digest) == 0 {
 		return
 	}
-	h.suspect.rows.Remove(digest)
+	h.suspect.Clear(digest)
 	h.tellSuspect(&wire.Suspect{Digest: digest, Cleared: true}, netip.AddrPort{})
 }
 
 // takeSuspect takes what a peer knows and passes news on.
 func (h *Host) takeSuspect(now time.Time, from netip.AddrPort, m *wire.Suspect) {
 	if m.Cleared {
-		if h.suspect.rows.Remove(m.Digest) {
+		if h.suspect.Clear(m.Digest) {
 			h.tellSuspect(m, from)
 		}
 		return
 	}
-	if h.suspect.raise(now, m.Digest, m.Crashes) {
+	if h.suspect.Raise(now, m.Digest, m.Crashes) {
 		h.tellSuspect(m, from)
 	}
 }
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -239,7 +239,7 @@
 
 // listHosts tells the platform which hosts there are.
 func (f *fleet) listHosts() {
-	var list platform.Hosts
+	var list standin.HostList
 	for _, h := range f.hosts {
 		list.Hosts = append(list.Hosts, platform.Host{Address: h.settings.Peer, Place: h.settings.Place})
 	}
--- /dev/null
+++ b/placement/board.go
@@ -0,0 +1,156 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cassiachute/cassiachute/route"
+)
+
+// Load is the work that one host has at a target.
+type Load struct {
+	Prompt  int // prompt tokens whose first event has not come
+	Running int // requests
+	Memory  int // tokens of the requests: prompts and expected output
+}
+
+func (l *Load) add(other Load) {
+	l.Prompt += other.Prompt
+	l.Running += other.Running
+	l.Memory += other.Memory
+}
+
+func (l *Load) sub(other Load) {
+	l.Prompt = max(0, l.Prompt-other.Prompt)
+	l.Running = max(0, l.Running-other.Running)
+	l.Memory = max(0, l.Memory-other.Memory)
+}
+
+// row is what is known of one target.
+type row struct {
+	target route.Target
+	key    uint64 // hash of the identity
+	own    Load
+	peers  Load
+	health health
+	memory *memory
+}
+
+// load returns the work of all hosts at the target.
+func (r *row) load() Load {
+	l := r.own
+	l.add(r.peers)
+	return l
+}
+
+// pool is what is known of one service.
+type pool struct {
+	engine  *route.Engine
+	pace    *Pace
+	typical time.Duration // time of an answer of a plain service
+	rows    []*row        // ordered by the identity of the target
+	teams   map[string]*teamUse
+	tight   time.Duration // tightest aim of the routes to the service
+	queue   []ticket
+}
+
+// Board holds the tables of services, targets and teams.
+type Board struct {
+	place string
+	pools map[string]*pool
+	rows  map[string]*row
+	peers map[uint64]*peer
+}
+
+// NewBoard returns a Board of a host in a data centre, without targets.
+func NewBoard(place string) *Board {
+	return &Board{place: place, pools: map[string]*pool{}, rows: map[string]*row{}, peers: map[uint64]*peer{}}
+}
+
+func (b *Board) pool(service string) *pool {
+	p := b.pools[service]
+	if p == nil {
+		p = &pool{pace: NewPace(), typical: typicalAnswer, teams: map[string]*teamUse{}}
+		b.pools[service] = p
+	}
+	return p
+}
+
+// Configure takes the services and the aims of their routes.
+func (b *Board) Configure(table *route.Table) {
+	for _, p := range b.pools {
+		p.tight = 0
+	}
+	for i := range table.Services {
+		b.pool(table.Services[i].Name).engine = table.Services[i].Engine
+	}
+	for i := range table.Routes {
+		r := &table.Routes[i]
+		for _, s := range r.Shares {
+			p := b.pool(s.Service)
+			if r.Aim > 0 && (p.tight == 0 || r.Aim < p.tight) {
+				p.tight = r.Aim
+			}
+		}
+	}
+}
+
+// SetTargets takes the present list of targets. A target that is no longer listed
+// takes no new request.
+func (b *Board) SetTargets(targets []route.Target) {
+	present := map[string]bool{}
+	for _, t := range targets {
+		present[t.ID] = true
+		r := b.rows[t.ID]
+		if r == nil {
+			r = &row{key: xxhash.Sum64String(t.ID), health: newHealth(), memory: newMemory()}
+			b.rows[t.ID] = r
+		}
+		if !r.target.Born.Equal(t.Born) {
+			r.memory.forget()
+		}
+		r.target = t
+	}
+	for id, r := range b.rows {
+		if present[id] {
+			continue
+		}
+		r.target.Leaving = true
+		if r.own.Running == 0 {
+			delete(b.rows, id)
+		}
+	}
+	b.regroup()
+}
+
+// regroup orders the targets by service.
+func (b *Board) regroup() {
+	for _, p := range b.pools {
+		p.rows = p.rows[:0]
+	}
+	for _, r := range b.rows {
+		p := b.pool(r.target.Service)
+		p.rows = append(p.rows, r)
+	}
+	for _, p := range b.pools {
+		slices.SortFunc(p.rows, func(a, c *row) int { return cmp.Compare(a.target.ID, c.target.ID) })
+	}
+}
+
+// Target returns a target by its identity.
+func (b *Board) Target(id string) (route.Target, bool) {
+	r := b.rows[id]
+	if r == nil {
+		return route.Target{}, false
+	}
+	return r.target, true
+}
+
+// Ready returns whether a target is known and takes new requests.
+func (b *Board) Ready(id string) bool {
+	r := b.rows[id]
+	return r != nil && !r.target.Leaving
+}
--- /dev/null
+++ b/placement/choose.go
@@ -0,0 +1,222 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	typicalAnswer   = 30 * time.Millisecond // of a plain service, until learnt
+	typicalWeight   = 0.05
+	engineAimPart   = 0.55 // part of the tightest aim that prompts may queue at an engine
+	aheadPart       = 0.5  // of that, for a team above its share
+	failingPart     = 0.3  // of that, at a target that fails often
+	memoryPart      = 0.95 // part of an engine's memory that is filled
+	rereadWeight    = 2.0  // of prompt tokens that another target would not have to read
+	farPenalty      = 5 * time.Millisecond
+	leastRetryAfter = 200 * time.Millisecond
+	maxRetryAfter   = 3 * time.Second
+	outputCost      = 2 // cost units of a generated token; a prompt token read costs 1
+	expectedOutput  = 0.5
+)
+
+// Ask describes a request that wants a target.
+type Ask struct {
+	Service  string
+	Team     string
+	Chain    Chain
+	Output   int           // most tokens to be generated
+	Aim      time.Duration // time to the first event, or the answer, that the caller wants
+	Elapsed  time.Duration // since the request arrived
+	Excluded []string      // targets that failed it
+}
+
+// Cost returns the cost units of the request.
+func (a *Ask) Cost() float64 {
+	return float64(a.Chain.Total) + outputCost*expectedOutput*float64(a.Output)
+}
+
+// Choice is the decision about a request: a target, or none and the time after
+// which there may be one.
+type Choice struct {
+	Target  string
+	Load    Load          // what the request adds at the target
+	Expect  time.Duration // time to the first event
+	After   time.Duration // wait until a target may have room
+	Reason  Reason        // why there is no target
+	Ahead   bool          // the team is above its share
+	Waiting time.Duration // prompts queued ahead at the target
+	Queue   int           // prompt tokens queued at the target, with those of the request
+}
+
+// Reason tells why a request has no target.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone    Reason = ""
+	ReasonMissing Reason = "no-target" // the service has no usable target
+	ReasonFull    Reason = "full"      // all targets have as much work as they finish in time
+	ReasonLate    Reason = "late"      // the request can't be served in the time it has
+)
+
+// Choose decides about a request.
+func (b *Board) Choose(now time.Time, a *Ask) Choice {
+	p := b.pool(a.Service)
+	if p.engine == nil {
+		return b.choosePlain(now, p, a)
+	}
+	return b.chooseEngine(now, p, a)
+}
+
+// usable returns whether a request may be sent to a target.
+func (r *row) usable(now time.Time, a *Ask) bool {
+	return !r.target.Leaving && r.health.usable(now) && !slices.Contains(a.Excluded, r.target.ID)
+}
+
+// choosePlain takes the target with the most free slots. It answers bursts on
+// services of few slots: what does not fit waits here, not in the target's queue.
+func (b *Board) choosePlain(now time.Time, p *pool, a *Ask) Choice {
+	var best *row
+	bestScore := 0.0
+	usable := 0
+	for _, r := range p.rows {
+		if !r.usable(now, a) {
+			continue
+		}
+		usable++
+		running := r.load().Running
+		if running >= r.target.Slots {
+			continue
+		}
+		score := float64(running)/float64(r.target.Slots) + r.health.failures
+		if r.target.Place != b.place {
+			score += 1 / float64(8*r.target.Slots)
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = r, score
+		}
+	}
+	if best == nil {
+		if usable == 0 {
+			return Choice{Reason: ReasonMissing, After: firstSuspension}
+		}
+		return Choice{Reason: ReasonFull, After: max(leastRetryAfter, p.typical)}
+	}
+	return Choice{Target: best.target.ID, Load: Load{Running: 1}, Expect: p.typical}
+}
+
+// chooseEngine weighs the prompts queued at each engine against the parts of this
+// prompt that it has read already. It answers load above capacity: an engine gets
+// no more prompts than it reads in time, so that what is admitted is in time.
+func (b *Board) chooseEngine(now time.Time, p *pool, a *Ask) Choice {
+	first, second := p.rendezvous(a.Chain.Deepest())
+	ahead := b.ahead(now, a.Service, a.Team)
+	c := Choice{Reason: ReasonMissing, After: firstSuspension, Ahead: ahead}
+	bestScore := time.Duration(0)
+	shortest := time.Duration(-1)
+	for _, r := range p.rows {
+		if !r.usable(now, a) {
+			continue
+		}
+		load := r.load()
+		held := r.memory.held(a.Chain)
+		drag := r.health.drag()
+		wait := scale(p.pace.Wait(load.Prompt), drag)
+		own := p.pace.Wait(a.Chain.Total - held)
+		if c.Target == "" && c.Reason == ReasonMissing {
+			c.Reason = ReasonFull
+		}
+		limit := p.limit(a, ahead, r)
+		need := Load{Prompt: a.Chain.Total - held, Running: 1, Memory: a.Chain.Total + int(expectedOutput*float64(a.Output))}
+		if over := wait - limit; over > 0 || !p.fits(load, need) {
+			over = max(over, 0)
+			if shortest < 0 || over < shortest {
+				shortest = over
+			}
+			continue
+		}
+		score := wait + scale(p.reread(a.Chain, held, r == first, r == second), rereadWeight*drag)
+		if r.target.Place != b.place {
+			score += farPenalty
+		}
+		if c.Target == "" || score < bestScore {
+			bestScore = score
+			c.Target, c.Load, c.Waiting = r.target.ID, need, wait
+			c.Expect = seconds(p.pace.Start()) + wait + own
+		}
+	}
+	if c.Target != "" {
+		c.Reason, c.After = ReasonNone, 0
+		return c
+	}
+	if c.Reason == ReasonFull {
+		c.After = min(maxRetryAfter, max(leastRetryAfter, shortest+leastRetryAfter))
+	}
+	return c
+}
+
+// limit returns how long prompts may queue at an engine for a request to be sent
+// there.
+func (p *pool) limit(a *Ask, ahead bool, r *row) time.Duration {
+	aim := p.tight
+	if aim == 0 || a.Aim > 0 && a.Aim < aim {
+		aim = a.Aim
+	}
+	limit := scale(aim, engineAimPart)
+	if ahead {
+		limit = scale(limit, aheadPart)
+	}
+	if r.health.failing() {
+		limit = scale(limit, failingPart)
+	}
+	return limit
+}
+
+// fits returns whether an engine has a slot and memory for a request.
+func (p *pool) fits(load, need Load) bool {
+	if load.Running+1 > p.engine.Slots {
+		return false
+	}
+	return load.Running == 0 || float64(load.Memory+need.Memory) <= memoryPart*float64(p.engine.Memory)
+}
+
+// reread returns the time for the prompt tokens that the target has to read. The
+// first targets by rendezvous count as having read the shared parts for other
+// hosts.
+func (p *pool) reread(c Chain, held int, first, second bool) time.Duration {
+	switch {
+	case first:
+		held = max(held, c.Shared())
+	case second:
+		held = max(held, c.Shared()/2)
+	}
+	return p.pace.Wait(c.Total - held)
+}
+
+// rendezvous returns the two targets that all hosts prefer for a prompt part, so
+// that it is read at few engines without a call between hosts.
+func (p *pool) rendezvous(part uint64) (first, second *row) {
+	if part == 0 {
+		return nil, nil
+	}
+	var top, next uint64
+	for _, r := range p.rows {
+		if r.target.Leaving {
+			continue
+		}
+		weight := mix(part, r.key)
+		switch {
+		case first == nil || weight > top:
+			second, next = first, top
+			first, top = r, weight
+		case second == nil || weight > next:
+			second, next = r, weight
+		}
+	}
+	return first, second
+}
+
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
--- /dev/null
+++ b/placement/queue.go
@@ -0,0 +1,130 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	enginePatience = 0.125 // part of the aim that a request waits here for an engine
+	plainPatience  = 0.6   // part of the aim that a request waits here for a plain target
+	maxWaiting     = 512   // requests that wait for one service
+)
+
+// ticket is a request that waits for a target.
+type ticket struct {
+	id    uint64
+	ask   *Ask
+	since time.Time
+	until time.Time
+}
+
+// Grant is a decision about a request that waited.
+type Grant struct {
+	ID     uint64
+	Choice Choice
+}
+
+// Patience returns how long a request may wait here for a target. It is refused
+// at once beyond that, while its caller can still turn elsewhere.
+func (b *Board) Patience(a *Ask) time.Duration {
+	part := plainPatience
+	if b.pool(a.Service).engine != nil {
+		part = enginePatience
+	}
+	return max(0, scale(a.Aim, part)-a.Elapsed)
+}
+
+// Wait queues a request. It returns false if the request is to be refused now.
+func (b *Board) Wait(now time.Time, id uint64, a *Ask) bool {
+	p := b.pool(a.Service)
+	patience := b.Patience(a)
+	if patience <= 0 || len(p.queue) >= maxWaiting {
+		return false
+	}
+	p.queue = append(p.queue, ticket{id: id, ask: a, since: now, until: now.Add(patience)})
+	return true
+}
+
+// Withdraw removes a request that waits. It returns false if it does not wait.
+func (b *Board) Withdraw(service string, id uint64) bool {
+	p := b.pool(service)
+	at := slices.IndexFunc(p.queue, func(t ticket) bool { return t.id == id })
+	if at < 0 {
+		return false
+	}
+	p.queue = slices.Delete(p.queue, at, at+1)
+	return true
+}
+
+// Serve decides again about the requests that wait for a service, in the order of
+// their arrival, those of teams above their share last.
+func (b *Board) Serve(now time.Time, service string) []Grant {
+	p := b.pool(service)
+	if len(p.queue) == 0 {
+		return nil
+	}
+	var grants []Grant
+	var later []ticket
+	kept := p.queue[:0]
+	for _, t := range p.queue {
+		if p.engine != nil && b.ahead(now, service, t.ask.Team) {
+			later = append(later, t)
+			continue
+		}
+		if g, ok := b.grant(now, t); ok {
+			grants = append(grants, g)
+			continue
+		}
+		kept = append(kept, t)
+	}
+	p.queue = kept
+	for _, t := range later {
+		if g, ok := b.grant(now, t); ok {
+			grants = append(grants, g)
+			continue
+		}
+		p.queue = append(p.queue, t)
+	}
+	return grants
+}
+
+func (b *Board) grant(now time.Time, t ticket) (Grant, bool) {
+	c := b.Choose(now, t.ask)
+	if c.Target == "" {
+		return Grant{}, false
+	}
+	b.Sent(now, t.ask, &c)
+	return Grant{ID: t.id, Choice: c}, true
+}
+
+// Expire removes the requests that waited long enough and returns their names.
+func (b *Board) Expire(now time.Time) []Grant {
+	var grants []Grant
+	for _, p := range b.pools {
+		kept := p.queue[:0]
+		for _, t := range p.queue {
+			if now.Before(t.until) {
+				kept = append(kept, t)
+				continue
+			}
+			grants = append(grants, Grant{ID: t.id, Choice: b.Choose(now, t.ask)})
+			if last := &grants[len(grants)-1]; last.Choice.Target != "" {
+				b.Sent(now, t.ask, &last.Choice)
+			}
+		}
+		p.queue = kept
+	}
+	return grants
+}
+
+// Services returns the names of the services that requests wait for.
+func (b *Board) Services() []string {
+	var names []string
+	for name, p := range b.pools {
+		if len(p.queue) > 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/placement/share.go
@@ -0,0 +1,56 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// usageLife is the time over which past usage loses all but 1/e of its weight.
+const usageLife = 2 * time.Second
+
+// usage is a decaying sum.
+type usage struct {
+	value float64
+	at    time.Time
+}
+
+func (u *usage) add(now time.Time, amount float64) {
+	u.value = u.read(now) + amount
+	u.at = now
+}
+
+func (u *usage) read(now time.Time) float64 {
+	if u.value == 0 {
+		return 0
+	}
+	return u.value * math.Exp(-max(0, now.Sub(u.at).Seconds())/usageLife.Seconds())
+}
+
+// Demand is what a team received and asked for of late, in cost units.
+type Demand struct {
+	Team     string
+	Received float64
+	Asked    float64 // at least what it received
+}
+
+// Level returns the max-min share of the capacity that was handed out: a team that
+// received less has a claim before one that received more. It answers floods of
+// one team: the flood raises its own demand and not its share.
+func Level(demands []Demand) float64 {
+	sorted := slices.Clone(demands)
+	slices.SortFunc(sorted, func(a, b Demand) int { return cmp.Compare(a.Asked, b.Asked) })
+	left := 0.0
+	for _, d := range sorted {
+		left += d.Received
+	}
+	for i, d := range sorted {
+		even := left / float64(len(sorted)-i)
+		if d.Asked >= even {
+			return even
+		}
+		left -= d.Asked
+	}
+	return math.Inf(1)
+}
--- a/program/program.go
+++ b/program/program.go
@@ -32,7 +32,7 @@
 
 // Common are the flags of the programs that serve.
 type Common struct {
-	Settings string `short:"s" long:"settings" value-name:"FILE" description:"settings file (JSON)"`
+	Settings string `short:"s" long:"settings" env:"CASSIACHUTE_CONFIG" value-name:"FILE" description:"settings file (JSON)"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
 	Version  bool   `long:"version" description:"print the version and exit"`
 	Level    string `long:"level" value-name:"LEVEL" description:"least level of log lines, in place of the settings' own"`
--- /dev/null
+++ b/retry/fleet.go
@@ -0,0 +1,62 @@
+package retry
+
+import "time"
+
+const (
+	slices     = 10  // of the window
+	safety     = 0.8 // part of the allowance that is used, since hosts count apart
+	minFactors = 1
+)
+
+// Allowance bounds the repeats of one service over the whole fleet without
+// calls between hosts: each host uses the ratio on its own requests and an even
+// part of the fixed sum. It answers targets that fail most requests, where
+// repeats would double their load.
+type Allowance struct {
+	ratio    float64
+	fixed    float64
+	slice    time.Duration
+	requests [slices]int
+	repeats  [slices]int
+	at       int64 // number of the newest slice
+}
+
+// NewAllowance returns an Allowance of ratio × requests + fixed repeats in each
+// window.
+func NewAllowance(ratio, fixed float64, window time.Duration) *Allowance {
+	return &Allowance{ratio: ratio, fixed: fixed, slice: max(time.Millisecond, window/slices)}
+}
+
+func (a *Allowance) advance(now time.Time) int {
+	number := now.UnixNano() / int64(a.slice)
+	if number-a.at >= slices {
+		a.requests, a.repeats = [slices]int{}, [slices]int{}
+		a.at = number
+	}
+	for a.at < number {
+		a.at++
+		a.requests[a.at%slices] = 0
+		a.repeats[a.at%slices] = 0
+	}
+	return int(a.at % slices)
+}
+
+// Earn takes a new request.
+func (a *Allowance) Earn(now time.Time) { a.requests[a.advance(now)]++ }
+
+// Spend returns whether a repeat is allowed in a fleet of so many hosts, and
+// takes it.
+func (a *Allowance) Spend(now time.Time, hosts int) bool {
+	at := a.advance(now)
+	requests, repeats := 0, 0
+	for i := range slices {
+		requests += a.requests[i]
+		repeats += a.repeats[i]
+	}
+	allowed := safety * (a.ratio*float64(requests) + a.fixed/float64(max(minFactors, hosts)))
+	if float64(repeats+1) > allowed {
+		return false
+	}
+	a.repeats[at]++
+	return true
+}
--- /dev/null
+++ b/route/listing.go
@@ -0,0 +1,57 @@
+package route
+
+import "time"
+
+// lapseGrace is the time after an outage of the store in which entries that
+// lapsed meanwhile come back.
+const lapseGrace = 2500 * time.Millisecond
+
+// Listing keeps the list of targets through outages of the store. Entries lapse
+// while targets can't renew them; those that are missing right after an outage
+// are kept for a short time.
+type Listing struct {
+	targets  map[string]Target
+	down     bool
+	returned time.Time // end of the last outage
+}
+
+// NewListing returns an empty Listing.
+func NewListing() *Listing { return &Listing{targets: map[string]Target{}} }
+
+// Fail takes a read that did not succeed.
+func (l *Listing) Fail() { l.down = true }
+
+// Read takes the targets that the store lists and returns those to be used.
+func (l *Listing) Read(now time.Time, targets []Target) []Target {
+	if l.down {
+		l.down = false
+		l.returned = now
+	}
+	next := map[string]Target{}
+	for _, t := range targets {
+		next[t.ID] = t
+	}
+	if !l.returned.IsZero() && now.Sub(l.returned) < lapseGrace {
+		l.keep(next)
+	}
+	l.targets = next
+	list := make([]Target, 0, len(next))
+	for _, t := range next {
+		list = append(list, t)
+	}
+	return list
+}
+
+// keep adds the known targets that are missing, unless another target has their
+// address now.
+func (l *Listing) keep(next map[string]Target) {
+	taken := map[string]bool{}
+	for _, t := range next {
+		taken[t.Address.String()] = true
+	}
+	for id, t := range l.targets {
+		if _, ok := next[id]; !ok && !t.Leaving && !taken[t.Address.String()] {
+			next[id] = t
+		}
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -88,3 +89,49 @@
 	}
 	return errors.Wrap(ErrInvalid, strings.Join(c.faults, "; "))
 }
+
+// Span is a duration that a template fills in from a value that may be missing.
+// It is zero without a number.
+type Span struct{ time.Duration }
+
+// UnmarshalText parses a number with its unit, or a unit alone.
+func (s *Span) UnmarshalText(text []byte) error {
+	if !strings.ContainsAny(string(text), "0123456789") {
+		s.Duration = 0
+		return nil
+	}
+	var d Duration
+	err := d.UnmarshalText(text)
+	s.Duration = d.Duration
+	return err
+}
+
+// Or returns the span, or a default if there is none.
+func (s Span) Or(missing time.Duration) time.Duration {
+	if s.Duration <= 0 {
+		return missing
+	}
+	return s.Duration
+}
+
+// Amount is a number that a template fills in from a value that may be missing.
+type Amount float64
+
+// UnmarshalText parses a number, or no text.
+func (a *Amount) UnmarshalText(text []byte) error {
+	if len(text) == 0 {
+		*a = 0
+		return nil
+	}
+	value, err := strconv.ParseFloat(string(text), 64)
+	*a = Amount(value)
+	return errors.Wrap(err, "number")
+}
+
+// Or returns the amount, or a default if there is none.
+func (a Amount) Or(missing float64) float64 {
+	if a <= 0 {
+		return missing
+	}
+	return float64(a)
+}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"net"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -25,7 +24,7 @@
 	PathCounts = "/standin/counts"
 )
 
-const defaultPage = 100
+const defaultPage = 500
 
 // Faults are the faults in force.
 type Faults struct {
@@ -35,6 +34,11 @@
 	Late int  `json:"late"` // so many next writes take effect only after Slow, with no reply
 }
 
+// HostList is the body of a call that sets the list of hosts.
+type HostList struct {
+	Hosts []platform.Host `json:"hosts"`
+}
+
 // Counts are the calls so far.
 type Counts struct {
 	Reads   uint64 `json:"reads"`
@@ -69,8 +73,11 @@
 	writes   *rate.Limiter
 
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[rowName]platform.RowItem
 	last    uint64
+	changes []platform.RowItem // in the order of their versions
+	lost    uint64             // newest version whose change is no longer kept
+	changed chan struct{}      // closed at the next change
 	objects map[string][]byte
 	hosts   []version
 	faults  Faults
@@ -84,7 +91,8 @@
 		listener: listener,
 		reads:    rate.NewLimiter(rate.Limit(config.Reads), int(config.Reads)),
 		writes:   rate.NewLimiter(rate.Limit(config.Writes), int(config.Writes)),
-		rows:     map[string]platform.Row{},
+		rows:     map[rowName]platform.RowItem{},
+		changed:  make(chan struct{}),
 		objects:  map[string][]byte{},
 	}
 	p.server = &fasthttp.Server{Handler: p.handle, NoDefaultServerHeader: true}
@@ -130,7 +138,7 @@
 		control(ctx, p.SetFaults)
 		return
 	case PathHosts:
-		control(ctx, func(h platform.Hosts) { p.SetHosts(h.Hosts) })
+		control(ctx, func(h HostList) { p.SetHosts(h.Hosts) })
 		return
 	case PathCounts:
 		reply.JSON(ctx, fasthttp.StatusOK, p.Counts())
@@ -185,14 +193,14 @@
 	switch {
 	case path == platform.PathTransact && ctx.IsPost():
 		p.transact(ctx)
-	case path == platform.PathRow:
-		p.row(ctx)
 	case path == platform.PathRows:
 		p.page(ctx)
-	case path == platform.PathHosts:
-		reply.JSON(ctx, fasthttp.StatusOK, platform.Hosts{Hosts: p.listed()})
-	case strings.HasPrefix(path, platform.PathObjects):
-		p.object(ctx, path)
+	case path == platform.PathFeed:
+		p.feed(ctx)
+	case strings.HasPrefix(path, platform.PathPutObject):
+		p.putObject(ctx, strings.TrimPrefix(path, platform.PathPutObject))
+	case strings.HasPrefix(path, platform.PathObject):
+		p.object(ctx, strings.TrimPrefix(path, platform.PathObject))
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -206,103 +214,3 @@
 	}
 	set(value)
 }
-
-func (p *Platform) transact(ctx *fasthttp.RequestCtx) {
-	var t platform.Transaction
-	if err := json.Unmarshal(ctx.PostBody(), &t); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-		return
-	}
-	receipt := p.Transact(t)
-	status := fasthttp.StatusOK
-	if len(receipt.Failed) > 0 {
-		status = fasthttp.StatusConflict
-	}
-	reply.JSON(ctx, status, receipt)
-}
-
-// Transact carries out a transaction.
-func (p *Platform) Transact(t platform.Transaction) platform.Receipt {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var receipt platform.Receipt
-	for _, check := range t.Checks {
-		if p.rows[check.Key].Version != check.Version {
-			receipt.Failed = append(receipt.Failed, check.Key)
-		}
-	}
-	if len(receipt.Failed) > 0 {
-		return receipt
-	}
-	p.last++
-	receipt.Version = p.last
-	for _, put := range t.Puts {
-		p.rows[put.Key] = platform.Row{Key: put.Key, Version: p.last, Value: put.Value}
-	}
-	for _, key := range t.Drops {
-		delete(p.rows, key)
-	}
-	return receipt
-}
-
-func (p *Platform) row(ctx *fasthttp.RequestCtx) {
-	p.mu.Lock()
-	row, ok := p.rows[string(ctx.QueryArgs().Peek("key"))]
-	p.mu.Unlock()
-	if !ok {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-		return
-	}
-	reply.JSON(ctx, fasthttp.StatusOK, row)
-}
-
-func (p *Platform) page(ctx *fasthttp.RequestCtx) {
-	prefix := string(ctx.QueryArgs().Peek("prefix"))
-	after := string(ctx.QueryArgs().Peek("after"))
-	limit := ctx.QueryArgs().GetUintOrZero("limit")
-	if limit == 0 {
-		limit = defaultPage
-	}
-	rows := []platform.Row{}
-	p.mu.Lock()
-	for key, row := range p.rows {
-		if strings.HasPrefix(key, prefix) && key > after {
-			rows = append(rows, row)
-		}
-	}
-	p.mu.Unlock()
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
-	reply.JSON(ctx, fasthttp.StatusOK, platform.Rows{Rows: rows[:min(limit, len(rows))]})
-}
-
-func (p *Platform) object(ctx *fasthttp.RequestCtx, path string) {
-	key := strings.TrimPrefix(path, platform.PathObjects)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	switch string(ctx.Method()) {
-	case fasthttp.MethodPut:
-		p.objects[key] = slices.Clone(ctx.PostBody())
-	case fasthttp.MethodDelete:
-		delete(p.objects, key)
-	default:
-		body, ok := p.objects[key]
-		if !ok {
-			ctx.SetStatusCode(fasthttp.StatusNotFound)
-			return
-		}
-		ctx.SetBody(body)
-	}
-}
-
-// listed returns the hosts as they were the lag ago.
-func (p *Platform) listed() []platform.Host {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	hosts := []platform.Host{}
-	for _, v := range p.hosts {
-		if time.Since(v.since) >= p.config.Lag {
-			hosts = v.hosts
-		}
-	}
-	return hosts
-}
--- a/target/line.go
+++ b/target/line.go
@@ -43,7 +43,8 @@
 	wait  time.Duration // longest time that one read may take
 	wrote bool
 	bad   bool
-	since time.Time // when it became idle
+	since time.Time     // when it became idle
+	keep  time.Duration // longest time that it may stay idle
 }
 
 // lineReader applies the line's timeout to each read.
@@ -107,6 +108,8 @@
 	line *Line
 	src  io.Reader
 	left int // bytes that the head announced, -1 if chunked, -2 if not framed
+
+	complete bool
 }
 
 // NewBody returns the body of a response that Receive read.
@@ -118,6 +121,9 @@
 	return b
 }
 
+// Complete returns whether the body was read to its end.
+func (b *Body) Complete() bool { return b.complete }
+
 // Framed returns whether the end of the body can be told from a broken
 // connection.
 func (b *Body) Framed() bool { return b.left != -2 }
@@ -125,6 +131,12 @@
 // Read implements io.Reader. It returns io.EOF only after a complete body;
 // other errors are marked ErrSilent or ErrBroken.
 func (b *Body) Read(p []byte) (int, error) {
+	n, err := b.read(p)
+	b.complete = b.complete || errors.Is(err, io.EOF)
+	return n, err
+}
+
+func (b *Body) read(p []byte) (int, error) {
 	if b.left == 0 {
 		return 0, io.EOF
 	}
@@ -173,11 +185,22 @@
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*Line
 	routes map[netip.AddrPort]netip.AddrPort
+	dial   time.Duration // longest time that a new connection takes
 }
 
+// Option changes a Pool.
+type Option func(p *Pool)
+
+// WithDialTimeout sets the longest time that a new connection takes.
+func WithDialTimeout(limit time.Duration) Option { return func(p *Pool) { p.dial = limit } }
+
 // NewPool returns an empty Pool. Routes replace addresses to dial.
-func NewPool(routes map[netip.AddrPort]netip.AddrPort) *Pool {
-	return &Pool{idle: map[netip.AddrPort][]*Line{}, routes: routes}
+func NewPool(routes map[netip.AddrPort]netip.AddrPort, options ...Option) *Pool {
+	p := &Pool{idle: map[netip.AddrPort][]*Line{}, routes: routes, dial: dialTimeout}
+	for _, option := range options {
+		option(p)
+	}
+	return p
 }
 
 // Get returns a connection to a target. fresh asks for a new one. The error is
@@ -191,12 +214,12 @@
 	if via, ok := p.routes[address]; ok {
 		address = via
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: p.dial}
 	conn, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, fault.Mark(errors.Wrapf(err, "dial %s", address), ErrUnreached)
 	}
-	l := &Line{conn: conn, wait: dialTimeout}
+	l := &Line{conn: conn, wait: p.dial, keep: maxIdleAge}
 	l.rd = bufio.NewReaderSize(lineReader{line: l}, readBufferBytes)
 	return l, nil
 }
@@ -208,7 +231,7 @@
 	for lines := p.idle[address]; len(lines) > 0; lines = p.idle[address] {
 		l := lines[len(lines)-1]
 		p.idle[address] = lines[:len(lines)-1]
-		if time.Since(l.since) < maxIdleAge && l.quiet() {
+		if time.Since(l.since) < l.keep && l.quiet() {
 			return l
 		}
 		l.conn.Close()
--- a/wire/message.go
+++ b/wire/message.go
@@ -30,15 +30,16 @@
 	KindSuspect  Kind = 15
 	KindClaim    Kind = 16
 	KindClaimed  Kind = 17
+	KindNews     Kind = 18
 
-	kindLimit = 18
+	kindLimit = 19
 )
 
 var kindNames = [kindLimit]string{
 	KindBeat: "beat", KindRoster: "roster", KindTicket: "ticket", KindGrant: "grant", KindDeny: "deny",
 	KindEnd: "end", KindMove: "move", KindPreempt: "preempt", KindTotals: "totals", KindPull: "pull",
 	KindResync: "resync", KindAsk: "ask", KindSnapshot: "snapshot", KindSteps: "steps",
-	KindSuspect: "suspect", KindClaim: "claim", KindClaimed: "claimed",
+	KindSuspect: "suspect", KindClaim: "claim", KindClaimed: "claimed", KindNews: "news",
 }
 
 // String returns the name of the kind.
@@ -344,6 +345,8 @@
 	switch k {
 	case KindBeat:
 		return &Beat{}
+	case KindNews:
+		return &News{}
 	case KindRoster:
 		return &Roster{}
 	case KindTicket:
