--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,6 +101,9 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen at %s", address)
 		}
+		if address == g.settings.Listen {
+			l = callerListener{TCPListener: l.(*net.TCPListener), idle: g.idle}
+		}
 		g.listeners = append(g.listeners, l)
 	}
 	socket, err := mesh.NewSocket(g.settings.Peer, mesh.Events{
@@ -111,6 +114,14 @@
 	return err
 }
 
+// idle returns how long a caller's connection may stay idle.
+func (g *Gateway) idle() time.Duration {
+	if table := g.core.view.Load(); table != nil && table.Idle > 0 {
+		return table.Idle
+	}
+	return idleTimeout
+}
+
 func (g *Gateway) watchValues() {
 	m := g.record.metrics
 	m.watch("in_flight_requests", "Requests that are not answered yet.", func() float64 { return float64(g.inFlight.Load()) })
--- /dev/null
+++ b/gateway/listener.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// acceptPause is the time after which a connection is accepted again when the
+// process has no descriptor left.
+const acceptPause = 50 * time.Millisecond
+
+// callerListener accepts the connections of callers.
+type callerListener struct {
+	*net.TCPListener
+	idle func() time.Duration // longest time that a connection stays idle
+}
+
+// Accept implements net.Listener. It waits while there is no descriptor left.
+func (l callerListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.AcceptTCP()
+		if err == nil {
+			return &callerConn{TCPConn: conn, idle: l.idle}, nil
+		}
+		if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) {
+			return nil, err
+		}
+		time.Sleep(acceptPause)
+	}
+}
+
+// callerConn is a connection whose idle time follows the configuration. The
+// server's own idle timeout is fixed when it starts.
+type callerConn struct {
+	*net.TCPConn
+	idle func() time.Duration
+}
+
+// SetReadDeadline implements net.Conn. A deadline beyond the one for reading a
+// request is that of an idle connection.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	if idle := c.idle(); time.Until(t) > readTimeout {
+		t = time.Now().Add(min(idle, idleTimeout))
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -213,14 +213,15 @@
 		return reasonTimeout
 	}
 	for {
-		p := f.broke(err)
-		if p == nil {
-			f.attempt, p = x.open()
+		if p := f.broke(err); p != nil {
+			return p.reason
 		}
+		a, p := x.open()
 		if p != nil {
 			return p.reason
 		}
-		if f.attempt.over {
+		f.attempt = a
+		if a.over {
 			return reasonBroken
 		}
 		f.events.rest = nil
--- /dev/null
+++ b/gateway/stream_test.go
@@ -0,0 +1,99 @@
+package gateway_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+)
+
+// A stream whose target breaks off goes on at another one, without an event lost
+// or doubled, under the head of the first.
+func TestBrokenStreamGoesOn(t *testing.T) {
+	script := func(a *arrival) bool {
+		a.begin()
+		if a.header("Last-Event-Id") == "3" {
+			a.events(4, 6)
+			a.end()
+			return true
+		}
+		a.events(1, 3)
+		a.chunk("id: 4\nda")
+		return false
+	}
+	w := newWorld(t, newScripted(t, "a", "model", script), newScripted(t, "b", "model", script))
+	r := w.do(call{path: "/stream/x", key: "key1", id: "r1"})
+	require.NoError(t, r.err)
+	require.Equal(t, fasthttp.StatusOK, r.status)
+	require.Equal(t, wantEvents(6), r.body)
+}
+
+// A stream that can't go on ends with a broken connection, and the process lives.
+func TestStreamThatCantGoOnNeverEndsCleanly(t *testing.T) {
+	script := func(a *arrival) bool {
+		a.begin()
+		a.events(1, 3)
+		return false
+	}
+	w := newWorld(t, newScripted(t, "a", "model", script))
+	for _, path := range []string{"/stream/x", "/once/x"} {
+		r := w.do(call{path: path, key: "key1", id: "r1"})
+		require.Error(t, r.err, path)
+	}
+	w.until(func() bool { return w.do(call{path: "/none/", id: "r2"}).status == fasthttp.StatusNotFound })
+}
+
+// An event that does not follow the last one is not passed on.
+func TestResumedStreamMustFollow(t *testing.T) {
+	script := func(a *arrival) bool {
+		a.begin()
+		if a.header("Last-Event-Id") != "" {
+			a.events(5, 6)
+			a.end()
+			return true
+		}
+		a.events(1, 3)
+		return false
+	}
+	w := newWorld(t, newScripted(t, "a", "model", script), newScripted(t, "b", "model", script))
+	require.Error(t, w.do(call{path: "/stream/x", key: "key1", id: "r1"}).err)
+}
+
+// A target that falls silent in the middle of a stream is left for another one.
+func TestSilentStreamGoesOn(t *testing.T) {
+	script := func(a *arrival) bool {
+		a.begin()
+		if a.header("Last-Event-Id") == "2" {
+			a.events(3, 4)
+			a.end()
+			return true
+		}
+		a.events(1, 2)
+		closed(a.conn, waitLimit)
+		return false
+	}
+	w := newWorld(t, newScripted(t, "a", "model", script), newScripted(t, "b", "model", script))
+	r := w.do(call{path: "/stream/x", key: "key1", id: "r1"})
+	require.NoError(t, r.err)
+	require.Equal(t, wantEvents(4), r.body)
+}
+
+// The work for a caller that left ends at the target.
+func TestCallerThatLeftIsCancelled(t *testing.T) {
+	ended := make(chan bool, 1)
+	a := newScripted(t, "a", "model", func(a *arrival) bool {
+		ended <- closed(a.conn, waitLimit)
+		return false
+	})
+	w := newWorld(t, a)
+	conn := w.dial("POST /once/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r1\r\nX-Key: key1\r\nContent-Length: 0\r\n\r\n")
+	w.until(func() bool { return len(a.seen()) == 1 })
+	conn.Close()
+	select {
+	case gone := <-ended:
+		require.True(t, gone)
+	case <-time.After(time.Second):
+		t.Fatal("the target still works")
+	}
+}
--- /dev/null
+++ b/gateway/world_test.go
@@ -0,0 +1,375 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/gateway"
+	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/settings"
+	standin "github.com/cassiachute/cassiachute/standin/platform"
+)
+
+const waitLimit = 10 * time.Second
+
+// world is a gateway between scripted targets and a stand-in of the store.
+type world struct {
+	t       *testing.T
+	store   *standin.Platform
+	client  *platform.Client
+	address netip.AddrPort
+	ready   netip.AddrPort
+	stop    context.CancelFunc
+	done    chan error
+	version uint64
+	logs    *buffer
+}
+
+// buffer collects the log.
+type buffer struct {
+	mu  sync.Mutex
+	all bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.all.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.all.String()
+}
+
+func listen(t *testing.T) (net.Listener, netip.AddrPort) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	return l, l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, address := listen(t)
+	l.Close()
+	return address
+}
+
+func newWorld(t *testing.T, targets ...*scripted) *world {
+	t.Helper()
+	l, storeAddress := listen(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &world{
+		t: t, store: standin.New(standin.NewConfig(), l), client: platform.NewClient(storeAddress),
+		address: freeAddress(t), ready: freeAddress(t), done: make(chan error, 1), logs: &buffer{},
+	}
+	w.store.Run(ctx)
+	w.configure(nil)
+	for _, s := range targets {
+		w.list(s, "ready")
+	}
+	s := gateway.NewSettings()
+	s.Name, s.Place = "host1", "place1"
+	s.Listen, s.Ready, s.Peer, s.Store = w.address, w.ready, freeAddress(t), storeAddress
+	s.Grace = settings.Span{Duration: 3 * time.Second}
+	s.Revoke = settings.Span{Duration: 3 * time.Second}
+	g, err := gateway.New(s, gateway.WithLog(zerolog.New(w.logs)))
+	require.NoError(t, err)
+	serving, stop := context.WithCancel(ctx)
+	w.stop = stop
+	go func() { w.done <- g.Run(serving) }()
+	t.Cleanup(func() {
+		stop()
+		cancel()
+	})
+	w.until(func() bool {
+		status, _ := w.get(w.ready, platform.PathReady)
+		return status == fasthttp.StatusOK
+	})
+	w.until(func() bool {
+		return len(targets) == 0 || bytes.Contains([]byte(w.logs.String()), []byte(`"event":"targets"`))
+	})
+	return w
+}
+
+// until waits for a condition.
+func (w *world) until(condition func() bool) {
+	w.t.Helper()
+	require.Eventually(w.t, condition, waitLimit, 5*time.Millisecond)
+}
+
+func (w *world) get(address netip.AddrPort, path string) (int, string) {
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+address.String()+path, time.Second)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return status, string(body)
+}
+
+// put writes a row of a table, as the operator and the targets do.
+func (w *world) put(table, key string, value any) {
+	w.t.Helper()
+	body, err := json.Marshal(value)
+	require.NoError(w.t, err)
+	w.store.Transact(platform.TransactCall{Puts: []platform.RowItem{{Table: table, Key: key, Value: body}}})
+}
+
+// document is the operator's configuration.
+type document struct {
+	Version  uint64          `json:"version"`
+	Routes   []documentRoute `json:"routes"`
+	Services []documentPlace `json:"services"`
+	Tenants  []documentTeam  `json:"tenants"`
+}
+
+type documentRoute struct {
+	Name     string `json:"name"`
+	Host     string `json:"host"`
+	Prefix   string `json:"prefix"`
+	Kind     string `json:"kind"`
+	Timeout  int    `json:"timeoutMs"`
+	Aim      int    `json:"targetLatencyMs"`
+	Pause    int    `json:"gapTargetMs"`
+	Service  string `json:"service"`
+	Attempts int    `json:"maxAttempts"`
+	Public   bool   `json:"public"`
+	Resume   bool   `json:"streamResume"`
+}
+
+type documentPlace struct {
+	Name   string          `json:"name"`
+	Engine *documentEngine `json:"engine,omitempty"`
+}
+
+type documentEngine struct {
+	Slots  int `json:"slots"`
+	Memory int `json:"kvCapacity"`
+}
+
+type documentTeam struct {
+	Name string   `json:"name"`
+	Keys []string `json:"apiKeys"`
+}
+
+// configure publishes the next version, changed as wanted.
+func (w *world) configure(change func(d *document)) {
+	w.version++
+	d := document{
+		Version: w.version,
+		Routes: []documentRoute{
+			{Name: "lookup", Host: "h", Prefix: "/lookup/", Kind: "idempotent", Timeout: 2000, Aim: 200, Service: "plain", Attempts: 2, Public: true},
+			{Name: "order", Host: "h", Prefix: "/order/", Kind: "non_idempotent", Timeout: 2000, Aim: 200, Service: "plain", Attempts: 2, Public: true},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: "streaming", Timeout: 5000, Aim: 600, Pause: 250, Service: "model", Attempts: 2, Resume: true},
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: "streaming", Timeout: 5000, Aim: 600, Pause: 250, Service: "model", Attempts: 1},
+		},
+		Services: []documentPlace{{Name: "plain"}, {Name: "model", Engine: &documentEngine{Slots: 8, Memory: 100000}}},
+		Tenants:  []documentTeam{{Name: "team1", Keys: []string{"key1"}}, {Name: "team2", Keys: []string{"key2"}}},
+	}
+	if change != nil {
+		change(&d)
+	}
+	w.put(platform.TableOperator, platform.KeyConfig, d)
+}
+
+// targetRow is the entry of a target.
+type targetRow struct {
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Slots   int    `json:"slots"`
+	State   string `json:"state"`
+}
+
+func (w *world) list(s *scripted, state string) {
+	w.put(platform.TableTargets, s.id, targetRow{
+		Service: s.service, Address: s.address.String(), Zone: "place1", Slots: 8, State: state,
+	})
+}
+
+// call is one request of a caller and its answer.
+type call struct {
+	path, key, id string
+	deadline      time.Duration
+}
+
+type result struct {
+	status int
+	header *fasthttp.ResponseHeader
+	body   string
+	err    error
+}
+
+// do sends a request on a new connection and reads the whole answer.
+func (w *world) do(c call) result {
+	var request fasthttp.Request
+	request.SetRequestURI("http://" + w.address.String() + c.path)
+	request.Header.SetHost("h")
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.Set("X-Attempt-Id", c.id)
+	request.Header.Set("X-Token-Count", "100,40")
+	request.SetBodyString("body of " + c.id)
+	if c.key != "" {
+		request.Header.Set("X-Key", c.key)
+	}
+	if c.deadline > 0 {
+		request.Header.Set("X-Deadline-Ms", fmt.Sprint(c.deadline.Milliseconds()))
+	}
+	conn, err := net.DialTimeout("tcp", w.address.String(), time.Second)
+	if err != nil {
+		return result{err: err}
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(waitLimit)); err != nil {
+		return result{err: err}
+	}
+	var raw bytes.Buffer
+	wr := bufio.NewWriter(&raw)
+	if err := request.Write(wr); err != nil {
+		return result{err: err}
+	}
+	wr.Flush()
+	if _, err := conn.Write(raw.Bytes()); err != nil {
+		return result{err: err}
+	}
+	return readResult(bufio.NewReader(conn))
+}
+
+func readResult(rd *bufio.Reader) result {
+	var response fasthttp.Response
+	r := result{err: response.Read(rd)}
+	r.status = response.StatusCode()
+	r.header = &fasthttp.ResponseHeader{}
+	response.Header.CopyTo(r.header)
+	r.body = string(response.Body())
+	return r
+}
+
+// arrival is a request at a scripted target.
+type arrival struct {
+	request fasthttp.Request
+	conn    net.Conn
+	number  int // of the requests at this target
+}
+
+func (a *arrival) header(name string) string { return string(a.request.Header.Peek(name)) }
+
+// answer writes a whole answer with the mark of the target.
+func (a *arrival) answer(status int, body string) {
+	fmt.Fprintf(a.conn, "HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\nX-Replica-Seal: s\r\nContent-Length: %d\r\n\r\n%s",
+		status, a.header("X-Attempt-Id"), len(body), body)
+}
+
+// begin writes the head of a stream.
+func (a *arrival) begin() {
+	fmt.Fprintf(a.conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		a.header("X-Attempt-Id"))
+}
+
+func (a *arrival) chunk(text string) { fmt.Fprintf(a.conn, "%x\r\n%s\r\n", len(text), text) }
+
+// events writes the events from one number to another.
+func (a *arrival) events(from, to int) {
+	for n := from; n <= to; n++ {
+		a.chunk(fmt.Sprintf("id: %d\ndata: %d\n\n", n, n))
+	}
+}
+
+func (a *arrival) end() { a.chunk("") }
+
+// wantEvents returns the events from 1 to a number.
+func wantEvents(to int) string {
+	var b bytes.Buffer
+	for n := 1; n <= to; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+// scripted is a target whose answers a test scripts.
+type scripted struct {
+	id       string
+	service  string
+	address  netip.AddrPort
+	listener net.Listener
+
+	mu       sync.Mutex
+	arrivals []*arrival
+}
+
+// newScripted starts a target. The script returns false to close the connection.
+func newScripted(t *testing.T, id, service string, script func(a *arrival) bool) *scripted {
+	t.Helper()
+	l, address := listen(t)
+	s := &scripted{id: id, service: service, address: address, listener: l}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn, script)
+		}
+	}()
+	return s
+}
+
+func (s *scripted) serve(conn net.Conn, script func(a *arrival) bool) {
+	defer conn.Close()
+	rd := bufio.NewReader(conn)
+	for {
+		a := &arrival{conn: conn}
+		if err := a.request.Read(rd); err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.arrivals = append(s.arrivals, a)
+		a.number = len(s.arrivals)
+		s.mu.Unlock()
+		if !script(a) {
+			return
+		}
+	}
+}
+
+// seen returns the requests that arrived.
+func (s *scripted) seen() []*arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*arrival(nil), s.arrivals...)
+}
+
+// closed returns whether the other side closes a connection within a time.
+func closed(conn net.Conn, limit time.Duration) bool {
+	if err := conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return true
+	}
+	_, err := conn.Read(make([]byte, 1))
+	return err == io.EOF
+}
+
+// dial opens a connection and sends bytes on it.
+func (w *world) dial(text string) net.Conn {
+	w.t.Helper()
+	conn, err := net.DialTimeout("tcp", w.address.String(), time.Second)
+	require.NoError(w.t, err)
+	w.t.Cleanup(func() { conn.Close() })
+	_, err = io.WriteString(conn, text)
+	require.NoError(w.t, err)
+	return conn
+}
--- a/placement/board.go
+++ b/placement/board.go
@@ -55,6 +55,7 @@
 	teams   map[string]*teamUse
 	tight   time.Duration // tightest aim of the routes to the service
 	queue   []ticket
+	shares  shares
 }
 
 // Board holds the tables of services, targets and teams.
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -9,6 +9,7 @@
 	enginePatience = 0.125 // part of the aim that a request waits here for an engine
 	plainPatience  = 0.6   // part of the aim that a request waits here for a plain target
 	maxWaiting     = 512   // requests that wait for one service
+	maxMisses      = 8     // requests that find no target before the others are left
 )
 
 // ticket is a request that waits for a target.
@@ -58,33 +59,29 @@
 }
 
 // Serve decides again about the requests that wait for a service, in the order of
-// their arrival, those of teams above their share last.
+// their arrival, those of teams above their share last. It gives up after some
+// that find no target, since the others ask for the same targets.
 func (b *Board) Serve(now time.Time, service string) []Grant {
 	p := b.pool(service)
 	if len(p.queue) == 0 {
 		return nil
 	}
 	var grants []Grant
-	var later []ticket
-	kept := p.queue[:0]
-	for _, t := range p.queue {
-		if p.engine != nil && b.ahead(now, service, t.ask.Team) {
-			later = append(later, t)
-			continue
-		}
-		if g, ok := b.grant(now, t); ok {
-			grants = append(grants, g)
-			continue
-		}
-		kept = append(kept, t)
-	}
-	p.queue = kept
-	for _, t := range later {
-		if g, ok := b.grant(now, t); ok {
-			grants = append(grants, g)
-			continue
+	for _, ahead := range []bool{false, true} {
+		misses := 0
+		kept := p.queue[:0]
+		for _, t := range p.queue {
+			turn := p.engine == nil && !ahead || p.engine != nil && b.ahead(now, service, t.ask.Team) == ahead
+			if turn && misses < maxMisses {
+				if g, ok := b.grant(now, t); ok {
+					grants = append(grants, g)
+					continue
+				}
+				misses++
+			}
+			kept = append(kept, t)
 		}
-		p.queue = append(p.queue, t)
+		p.queue = kept
 	}
 	return grants
 }
--- a/placement/team.go
+++ b/placement/team.go
@@ -18,43 +18,62 @@
 	return u
 }
 
+// levelLife is the time for which the shares of a service are used before they
+// are worked out again.
+const levelLife = 20 * time.Millisecond
+
+// shares are the max-min shares of a service at one moment.
+type shares struct {
+	at       time.Time
+	level    float64
+	received map[string]float64
+}
+
+// shares returns the present shares of a service over the whole fleet.
+func (b *Board) shares(now time.Time, service string, p *pool) *shares {
+	if now.Sub(p.shares.at) < levelLife && p.shares.received != nil {
+		return &p.shares
+	}
+	demands := b.demands(now, service, p)
+	received := make(map[string]float64, len(demands))
+	for _, d := range demands {
+		received[d.Team] = d.Received
+	}
+	p.shares = shares{at: now, level: Level(demands), received: received}
+	return &p.shares
+}
+
 // demands returns the demands of all teams over the whole fleet.
-func (b *Board) demands(now time.Time, service string) []Demand {
-	p := b.pool(service)
-	sums := map[string]*Demand{}
+func (b *Board) demands(now time.Time, service string, p *pool) []Demand {
+	list := make([]Demand, 0, len(p.teams))
+	rows := make(map[string]int, len(p.teams))
 	for name, u := range p.teams {
-		sums[name] = &Demand{Team: name, Received: u.received.read(now), Asked: u.asked.read(now)}
+		rows[name] = len(list)
+		list = append(list, Demand{Team: name, Received: u.received.read(now), Asked: u.asked.read(now)})
 	}
 	for _, peer := range b.peers {
 		if !peer.fresh(now) {
 			continue
 		}
 		for _, d := range peer.demands[service] {
-			sum := sums[d.Team]
-			if sum == nil {
-				sum = &Demand{Team: d.Team}
-				sums[d.Team] = sum
+			at, ok := rows[d.Team]
+			if !ok {
+				at = len(list)
+				rows[d.Team] = at
+				list = append(list, Demand{Team: d.Team})
 			}
-			sum.Received += d.Received
-			sum.Asked += d.Asked
+			list[at].Received += d.Received
+			list[at].Asked += d.Asked
 		}
 	}
-	list := make([]Demand, 0, len(sums))
-	for _, d := range sums {
-		d.Asked = max(d.Asked, d.Received)
-		list = append(list, *d)
+	for i := range list {
+		list[i].Asked = max(list[i].Asked, list[i].Received)
 	}
 	return list
 }
 
 // ahead returns whether a team received more than its max-min share of late.
 func (b *Board) ahead(now time.Time, service, team string) bool {
-	demands := b.demands(now, service)
-	level := Level(demands)
-	for _, d := range demands {
-		if d.Team == team {
-			return d.Received > level
-		}
-	}
-	return false
+	s := b.shares(now, service, b.pool(service))
+	return s.received[team] > s.level
 }
