--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -218,7 +218,7 @@
 // do sends a request on a new connection and reads the whole answer.
 func (w *world) do(c call) result {
 	var request fasthttp.Request
-	request.SetRequestURI("http://" + w.address.String() + c.path)
+	request.Header.SetRequestURI(c.path)
 	request.Header.SetHost("h")
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.Header.Set("X-Attempt-Id", c.id)
