Teams within their share of the promised capacity go first; loose aims leave room

Change: max-min shares of the configured rate; three standings of teams with their own queue limits; the queue here is ordered by due time and standing; the log tells standing, queue and expected time.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -245,6 +245,7 @@
 			return nil, p
 		}
 		choice, p := x.place()
+		x.choice = choice
 		if p != nil {
 			return nil, p
 		}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -45,7 +45,8 @@
 	unreached int
 	waited    time.Duration // here, for a target
 	target    string        // last target
-	lastEvent string        // last event that was passed on
+	choice    placement.Choice
+	lastEvent string // last event that was passed on
 
 	gone chan struct{} // closed when the caller left
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -170,7 +170,7 @@
 	g.server = &fasthttp.Server{
 		Handler: g.handle, ErrorHandler: g.malformed,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
-		ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Logger: quiet{},
 		ReadBufferSize: maxHeadBytes, MaxRequestBodySize: maxBodyBytes,
 	}
 	handlers := []fasthttp.RequestHandler{g.handle, g.ready, g.status()}
@@ -302,3 +302,9 @@
 		g.log.Warn().Str("event", eventStopping).Err(err).Int64("inflight", g.inFlight.Load()).Send()
 	}
 }
+
+// quiet drops what the server says of connections that callers broke off.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -73,7 +73,9 @@
 	}
 	return event.Str("event", eventAnswered).Str("request", x.call.ID).Str("team", x.team).
 		Str("route", x.route.Name).Str("service", x.service).Str("target", x.target).
-		Int("sends", x.sends).Int("prompt", x.ask.Chain.Total).Float64("waited", milliseconds(x.waited)).
+		Int("sends", x.sends).Int("prompt", x.ask.Chain.Total).
+		Int("unread", x.choice.Load.Prompt).Int("queue", x.choice.Queue).Float64("expected", milliseconds(x.choice.Expect)).
+		Stringer("standing", x.choice.Team).Float64("waited", milliseconds(x.waited)).
 		Uint64("revision", revision).Float64("age", milliseconds(x.gateway.core.age()))
 }
 
--- a/placement/board.go
+++ b/placement/board.go
@@ -64,6 +64,8 @@
 	pools map[string]*pool
 	rows  map[string]*row
 	peers map[uint64]*peer
+
+	promised float64 // cost units a second that the engines produce together, 0 if unknown
 }
 
 // NewBoard returns a Board of a host in a data centre, without targets.
@@ -82,6 +84,7 @@
 
 // Configure takes the services and the aims of their routes.
 func (b *Board) Configure(table *route.Table) {
+	b.promised = table.Rate
 	for _, p := range b.pools {
 		p.tight = 0
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -8,11 +8,13 @@
 const (
 	typicalAnswer   = 30 * time.Millisecond // of a plain service, until learnt
 	typicalWeight   = 0.05
-	engineAimPart   = 0.55 // part of the tightest aim that prompts may queue at an engine
-	aheadPart       = 0.5  // of that, for a team above its share
+	queuePart       = 0.55 // part of the tightest aim that prompts may queue at an engine
+	abovePart       = 0.6  // of that, for a team above its share
+	beyondPart      = 0.3  // of that, for a team beyond an even part
+	loosePart       = 0.5  // of that, for a request that can wait longer than others
 	failingPart     = 0.3  // of that, at a target that fails often
 	memoryPart      = 0.95 // part of an engine's memory that is filled
-	rereadWeight    = 2.0  // of prompt tokens that another target would not have to read
+	rereadWeight    = 12.0 // of prompt tokens that another target would not have to read
 	farPenalty      = 5 * time.Millisecond
 	leastRetryAfter = 200 * time.Millisecond
 	maxRetryAfter   = 3 * time.Second
@@ -44,7 +46,7 @@
 	Expect  time.Duration // time to the first event
 	After   time.Duration // wait until a target may have room
 	Reason  Reason        // why there is no target
-	Ahead   bool          // the team is above its share
+	Team    Standing      // of the team
 	Waiting time.Duration // prompts queued ahead at the target
 	Queue   int           // prompt tokens queued at the target, with those of the request
 }
@@ -111,8 +113,8 @@
 // no more prompts than it reads in time, so that what is admitted is in time.
 func (b *Board) chooseEngine(now time.Time, p *pool, a *Ask) Choice {
 	first, second := p.rendezvous(a.Chain.Deepest())
-	ahead := b.ahead(now, a.Service, a.Team)
-	c := Choice{Reason: ReasonMissing, After: firstSuspension, Ahead: ahead}
+	standing := b.standing(now, a.Service, a.Team)
+	c := Choice{Reason: ReasonMissing, After: firstSuspension, Team: standing}
 	bestScore := time.Duration(0)
 	shortest := time.Duration(-1)
 	for _, r := range p.rows {
@@ -127,7 +129,7 @@
 		if c.Target == "" && c.Reason == ReasonMissing {
 			c.Reason = ReasonFull
 		}
-		limit := p.limit(a, ahead, r)
+		limit := p.limit(a, standing, r)
 		need := Load{Prompt: a.Chain.Total - held, Running: 1, Memory: a.Chain.Total + int(expectedOutput*float64(a.Output))}
 		if over := wait - limit; over > 0 || !p.fits(load, need) {
 			over = max(over, 0)
@@ -156,16 +158,22 @@
 	return c
 }
 
-// limit returns how long prompts may queue at an engine for a request to be sent
-// there.
-func (p *pool) limit(a *Ask, ahead bool, r *row) time.Duration {
+// limit returns how long prompts may queue at an engine ahead of a request. A
+// request with a loose aim leaves room for those that can't wait as long as it can.
+func (p *pool) limit(a *Ask, standing Standing, r *row) time.Duration {
 	aim := p.tight
 	if aim == 0 || a.Aim > 0 && a.Aim < aim {
 		aim = a.Aim
 	}
-	limit := scale(aim, engineAimPart)
-	if ahead {
-		limit = scale(limit, aheadPart)
+	limit := scale(aim, queuePart)
+	switch standing {
+	case Above:
+		limit = scale(limit, abovePart)
+	case Beyond:
+		limit = scale(limit, beyondPart)
+	}
+	if a.Aim > aim {
+		limit = scale(limit, loosePart)
 	}
 	if r.health.failing() {
 		limit = scale(limit, failingPart)
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -6,18 +6,19 @@
 )
 
 const (
-	enginePatience = 0.125 // part of the aim that a request waits here for an engine
-	plainPatience  = 0.6   // part of the aim that a request waits here for a plain target
-	maxWaiting     = 512   // requests that wait for one service
-	maxMisses      = 8     // requests that find no target before the others are left
+	enginePatience = 0.25 // part of the tightest aim that a request waits here for an engine
+	loosePatience  = 0.6  // part of what its aim is looser that it waits besides
+	plainPatience  = 0.6  // part of the aim that a request waits here for a plain target
+	maxWaiting     = 512  // requests that wait for one service
+	maxMisses      = 8    // requests that find no target before the others are left
 )
 
 // ticket is a request that waits for a target.
 type ticket struct {
 	id    uint64
 	ask   *Ask
-	since time.Time
-	until time.Time
+	until time.Time // it waits no longer
+	due   time.Time // when its first event is wanted
 }
 
 // Grant is a decision about a request that waited.
@@ -26,14 +27,16 @@
 	Choice Choice
 }
 
-// Patience returns how long a request may wait here for a target. It is refused
-// at once beyond that, while its caller can still turn elsewhere.
+// Patience returns how long a request may wait here for a target, so that it is
+// still in time. It is refused beyond that, while its caller can turn elsewhere.
 func (b *Board) Patience(a *Ask) time.Duration {
-	part := plainPatience
-	if b.pool(a.Service).engine != nil {
-		part = enginePatience
+	p := b.pool(a.Service)
+	patience := scale(a.Aim, plainPatience)
+	if p.engine != nil {
+		tight := min(a.Aim, max(p.tight, 0))
+		patience = scale(tight, enginePatience) + scale(a.Aim-tight, loosePatience)
 	}
-	return max(0, scale(a.Aim, part)-a.Elapsed)
+	return max(0, patience-a.Elapsed)
 }
 
 // Wait queues a request. It returns false if the request is to be refused now.
@@ -43,7 +46,9 @@
 	if patience <= 0 || len(p.queue) >= maxWaiting {
 		return false
 	}
-	p.queue = append(p.queue, ticket{id: id, ask: a, since: now, until: now.Add(patience)})
+	t := ticket{id: id, ask: a, until: now.Add(patience), due: now.Add(a.Aim - a.Elapsed)}
+	at, _ := slices.BinarySearchFunc(p.queue, t, func(x, y ticket) int { return x.due.Compare(y.due) })
+	p.queue = slices.Insert(p.queue, at, t)
 	return true
 }
 
@@ -58,8 +63,9 @@
 	return true
 }
 
-// Serve decides again about the requests that wait for a service, in the order of
-// their arrival, those of teams above their share last. It gives up after some
+// Serve decides again about the requests that wait for a service, in the order in which
+// their first events are due, those of teams
+// above their share last. It gives up after some
 // that find no target, since the others ask for the same targets.
 func (b *Board) Serve(now time.Time, service string) []Grant {
 	p := b.pool(service)
@@ -67,11 +73,11 @@
 		return nil
 	}
 	var grants []Grant
-	for _, ahead := range []bool{false, true} {
+	for standing := Entitled; standing <= Beyond; standing++ {
 		misses := 0
 		kept := p.queue[:0]
 		for _, t := range p.queue {
-			turn := p.engine == nil && !ahead || p.engine != nil && b.ahead(now, service, t.ask.Team) == ahead
+			turn := b.standing(now, service, t.ask.Team) == standing
 			if turn && misses < maxMisses {
 				if g, ok := b.grant(now, t); ok {
 					grants = append(grants, g)
--- a/placement/share.go
+++ b/placement/share.go
@@ -35,22 +35,33 @@
 	Asked    float64 // at least what it received
 }
 
-// Level returns the max-min share of the capacity that was handed out: a team that
-// received less has a claim before one that received more. It answers floods of
-// one team: the flood raises its own demand and not its share.
-func Level(demands []Demand) float64 {
+// Level returns the max-min share of a capacity: each team gets what it asked for,
+// up to the level. It is infinite if the capacity is enough for all. It answers
+// floods of one team: the flood raises its own demand and not its share.
+func Level(demands []Demand, capacity float64) float64 {
 	sorted := slices.Clone(demands)
 	slices.SortFunc(sorted, func(a, b Demand) int { return cmp.Compare(a.Asked, b.Asked) })
-	left := 0.0
-	for _, d := range sorted {
-		left += d.Received
-	}
 	for i, d := range sorted {
-		even := left / float64(len(sorted)-i)
+		even := capacity / float64(len(sorted)-i)
 		if d.Asked >= even {
 			return even
 		}
-		left -= d.Asked
+		capacity -= d.Asked
 	}
 	return math.Inf(1)
 }
+
+// Standing tells what a team received of late compared with its share.
+type Standing uint8
+
+// The standings.
+const (
+	Entitled Standing = iota // less than its share of the capacity that is promised
+	Above                    // more, and no more than an even part of what was handed out
+	Beyond                   // more than that
+)
+
+// String returns the name of the standing.
+func (s Standing) String() string {
+	return [...]string{"entitled", "above", "beyond"}[min(s, Beyond)]
+}
--- a/placement/team.go
+++ b/placement/team.go
@@ -25,7 +25,8 @@
 // shares are the max-min shares of a service at one moment.
 type shares struct {
 	at       time.Time
-	level    float64
+	entitled float64 // max-min share of the promised capacity
+	even     float64 // max-min share of what was handed out
 	received map[string]float64
 }
 
@@ -36,10 +37,16 @@
 	}
 	demands := b.demands(now, service, p)
 	received := make(map[string]float64, len(demands))
+	handed := 0.0
 	for _, d := range demands {
 		received[d.Team] = d.Received
+		handed += d.Received
+	}
+	p.shares = shares{at: now, even: Level(demands, handed), received: received}
+	p.shares.entitled = p.shares.even
+	if b.promised > 0 {
+		p.shares.entitled = Level(demands, b.promised*usageLife.Seconds())
 	}
-	p.shares = shares{at: now, level: Level(demands), received: received}
 	return &p.shares
 }
 
@@ -72,8 +79,16 @@
 	return list
 }
 
-// ahead returns whether a team received more than its max-min share of late.
-func (b *Board) ahead(now time.Time, service, team string) bool {
+// standing compares what a team received of late with its share.
+func (b *Board) standing(now time.Time, service, team string) Standing {
 	s := b.shares(now, service, b.pool(service))
-	return s.received[team] > s.level
+	received := s.received[team]
+	switch {
+	case received <= s.entitled:
+		return Entitled
+	case received <= s.even:
+		return Above
+	default:
+		return Beyond
+	}
 }
--- a/route/table.go
+++ b/route/table.go
@@ -109,6 +109,7 @@
 	Teams    []Team
 	Idle     time.Duration // longest time that a caller's connection may stay idle
 	MaxBody  int           // bytes, 0 without a limit
+	Rate     float64       // cost units a second that all engines produce, 0 if it is not told
 
 	hosts    map[string][]*Route
 	services map[string]*Service
