--- a/placement/queue.go
+++ b/placement/queue.go
@@ -77,8 +77,8 @@
 		misses := 0
 		kept := p.queue[:0]
 		for _, t := range p.queue {
-			turn := b.standing(now, service, t.ask.Team) == standing
-			if turn && misses < maxMisses {
+			own, _ := b.standing(now, service, t.ask.Team)
+			if own == standing && misses < maxMisses {
 				if g, ok := b.grant(now, t); ok {
 					grants = append(grants, g)
 					continue
--- a/placement/team.go
+++ b/placement/team.go
@@ -79,16 +79,17 @@
 	return list
 }
 
-// standing compares what a team received of late with its share.
-func (b *Board) standing(now time.Time, service, team string) Standing {
+// standing compares what a team received of late with its share. It also returns
+// the even part over what the team received, at most 1.
+func (b *Board) standing(now time.Time, service, team string) (Standing, float64) {
 	s := b.shares(now, service, b.pool(service))
 	received := s.received[team]
 	switch {
 	case received <= s.entitled:
-		return Entitled
+		return Entitled, 1
 	case received <= s.even:
-		return Above
+		return Above, 1
 	default:
-		return Beyond
+		return Beyond, s.even / received
 	}
 }
