A team on one host gets as much as one over all hosts

Room at an engine is seen first by the host whose request ended, so hosts with much in flight take what comes free; both teams had nearly the same queue limit. Ruled out: wrong shares (bara stood above its share and below the even part, as it should). Change: above its share, a team's queue limit is a quarter times the square of the even part over what it received.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -9,8 +9,9 @@
 	typicalAnswer   = 30 * time.Millisecond // of a plain service, until learnt
 	typicalWeight   = 0.05
 	queuePart       = 0.55 // part of the tightest aim that prompts may queue at an engine
-	abovePart       = 0.25  // of that, for a team above its share
-	leastBeyondPart = 0.3 // of that, for a team far beyond an even part
+	evenPart        = 0.25 // of that, for a team that received an even part of what is handed out
+	leastAbovePart  = 0.08 // of that, for a team far above its share
+	mostAbovePart   = 0.7  // of that, for a team little above its share
 	loosePart       = 0.5  // of that, for a request that can wait longer than others
 	failingPart     = 0.3  // of that, at a target that fails often
 	memoryPart      = 0.95 // part of an engine's memory that is filled
@@ -113,7 +114,7 @@
 // no more prompts than it reads in time, so that what is admitted is in time.
 func (b *Board) chooseEngine(now time.Time, p *pool, a *Ask) Choice {
 	first, second := p.rendezvous(a.Chain.Deepest())
-	standing, excess := b.standing(now, a.Service, a.Team)
+	standing, lack := b.standing(now, a.Service, a.Team)
 	c := Choice{Reason: ReasonMissing, After: firstSuspension, Team: standing}
 	bestScore := time.Duration(0)
 	shortest := time.Duration(-1)
@@ -129,7 +130,7 @@
 		if c.Target == "" && c.Reason == ReasonMissing {
 			c.Reason = ReasonFull
 		}
-		limit := p.limit(a, standing, excess, r)
+		limit := p.limit(a, standing, lack, r)
 		need := Load{Prompt: a.Chain.Total - held, Running: 1, Memory: a.Chain.Total + int(expectedOutput*float64(a.Output))}
 		if over := wait - limit; over > 0 || !p.fits(load, need) {
 			over = max(over, 0)
@@ -160,18 +161,15 @@
 
 // limit returns how long prompts may queue at an engine ahead of a request. A
 // request with a loose aim leaves room for those that can't wait as long as it can,
-// and a team leaves room by its excess over an even part.
-func (p *pool) limit(a *Ask, standing Standing, excess float64, r *row) time.Duration {
+// and a team above its share by what it received compared with an even part.
+func (p *pool) limit(a *Ask, standing Standing, lack float64, r *row) time.Duration {
 	aim := p.tight
 	if aim == 0 || a.Aim > 0 && a.Aim < aim {
 		aim = a.Aim
 	}
 	limit := scale(aim, queuePart)
-	switch standing {
-	case Above:
-		limit = scale(limit, abovePart)
-	case Beyond:
-		limit = scale(limit, abovePart*max(leastBeyondPart, excess))
+	if standing != Entitled {
+		limit = scale(limit, min(mostAbovePart, max(leastAbovePart, evenPart*lack*lack)))
 	}
 	if a.Aim > aim {
 		limit = scale(limit, loosePart)
--- a/placement/team.go
+++ b/placement/team.go
@@ -80,16 +80,16 @@
 }
 
 // standing compares what a team received of late with its share. It also returns
-// the even part over what the team received, at most 1.
+// the even part over what the team received.
 func (b *Board) standing(now time.Time, service, team string) (Standing, float64) {
 	s := b.shares(now, service, b.pool(service))
 	received := s.received[team]
-	switch {
-	case received <= s.entitled:
+	if received <= s.entitled {
 		return Entitled, 1
-	case received <= s.even:
-		return Above, 1
-	default:
-		return Beyond, s.even / received
 	}
+	lack := s.even / received
+	if lack >= 1 {
+		return Above, lack
+	}
+	return Beyond, lack
 }
