Prompts with long shared parts wait here for the engines that keep them

Change: such a prompt goes only to the two engines that rendezvous names or to one that has read its parts, until its patience here is over; then to any.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -17,6 +17,7 @@
 	failingPart     = 0.3  // of that, at a target that fails often
 	memoryPart      = 0.95 // part of an engine's memory that is filled
 	rereadWeight    = 12.0 // of prompt tokens that another target would not have to read
+	smallReread     = 512  // tokens that any engine may read again
 	farPenalty      = 5 * time.Millisecond
 	leastRetryAfter = 200 * time.Millisecond
 	maxRetryAfter   = 3 * time.Second
@@ -33,6 +34,7 @@
 	Aim      time.Duration // time to the first event, or the answer, that the caller wants
 	Elapsed  time.Duration // since the request arrived
 	Excluded []string      // targets that failed it
+	Anywhere bool          // it has waited for the engines that keep its parts
 }
 
 // Cost returns the cost units of the request.
@@ -111,7 +113,8 @@
 }
 
 // chooseEngine weighs the prompts queued at each engine against the parts of this
-// prompt that it has read already. It answers load above capacity: an engine gets
+// prompt that it has read already. A prompt with long shared parts waits here first
+// for the engines that keep them. It answers load above capacity: an engine gets
 // no more prompts than it reads in time, so that what is admitted is in time.
 func (b *Board) chooseEngine(now time.Time, p *pool, a *Ask) Choice {
 	first, second := p.rendezvous(a.Chain.Deepest())
@@ -133,7 +136,8 @@
 		}
 		limit := p.limit(a, standing, lack, r)
 		need := Load{Prompt: a.Chain.Total - held, Running: 1, Memory: a.Chain.Total + int(expectedOutput*float64(a.Output))}
-		if over := wait - limit; over > 0 || !p.fits(load, need) {
+		home := a.Anywhere || r == first || r == second || a.Chain.Shared()-held <= smallReread
+		if over := wait - limit; over > 0 || !home || !p.fits(load, need) {
 			over = max(over, 0)
 			if shortest < 0 || over < shortest {
 				shortest = over
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -111,6 +111,7 @@
 				kept = append(kept, t)
 				continue
 			}
+			t.ask.Anywhere = true
 			grants = append(grants, Grant{ID: t.id, Choice: b.Choose(now, t.ask)})
 			if last := &grants[len(grants)-1]; last.Choice.Target != "" {
 				b.Sent(now, t.ask, &last.Choice)
