A prompt goes elsewhere only to an engine that is nearly idle

Cause: after its patience a prompt was still read whole at any engine with room, which costs others their turn. Change: patience 0.4 of the tightest aim; elsewhere only behind 0.15 of the usual queue.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -17,6 +17,7 @@
 	failingPart     = 0.3  // of that, at a target that fails often
 	memoryPart      = 0.95 // part of an engine's memory that is filled
 	rereadWeight    = 12.0 // of prompt tokens that another target would not have to read
+	spillPart       = 0.15 // of the queue, for a prompt that the engine has to read whole
 	smallReread     = 512  // tokens that any engine may read again
 	farPenalty      = 5 * time.Millisecond
 	leastRetryAfter = 200 * time.Millisecond
@@ -136,7 +137,11 @@
 		}
 		limit := p.limit(a, standing, lack, r)
 		need := Load{Prompt: a.Chain.Total - held, Running: 1, Memory: a.Chain.Total + int(expectedOutput*float64(a.Output))}
-		home := a.Anywhere || r == first || r == second || a.Chain.Shared()-held <= smallReread
+		home := r == first || r == second || a.Chain.Shared()-held <= smallReread
+		if !home {
+			limit = scale(limit, spillPart)
+			home = a.Anywhere
+		}
 		if over := wait - limit; over > 0 || !home || !p.fits(load, need) {
 			over = max(over, 0)
 			if shortest < 0 || over < shortest {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -6,11 +6,11 @@
 )
 
 const (
-	enginePatience = 0.25 // part of the tightest aim that a request waits here for an engine
-	loosePatience  = 0.6  // part of what its aim is looser that it waits besides
-	plainPatience  = 0.6  // part of the aim that a request waits here for a plain target
-	maxWaiting     = 512  // requests that wait for one service
-	maxMisses      = 8    // requests that find no target before the others are left
+	enginePatience = 0.4 // part of the tightest aim that a request waits here for an engine
+	loosePatience  = 0.6 // part of what its aim is looser that it waits besides
+	plainPatience  = 0.6 // part of the aim that a request waits here for a plain target
+	maxWaiting     = 512 // requests that wait for one service
+	maxMisses      = 8   // requests that find no target before the others are left
 )
 
 // ticket is a request that waits for a target.
