--- a/placement/choose.go
+++ b/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -164,7 +165,7 @@
 		return c
 	}
 	if c.Reason == ReasonFull {
-		c.After = min(maxRetryAfter, max(leastRetryAfter, shortest+leastRetryAfter))
+		c.After = min(maxRetryAfter, max(shortest, 0)+leastRetryAfter+settle(standing, lack))
 	}
 	return c
 }
@@ -197,6 +198,15 @@
 	return min(mostAbovePart, max(leastAbovePart, evenPart*lack*lack))
 }
 
+// settle returns the time until a team that is above its share is no longer, if it
+// receives nothing meanwhile.
+func settle(standing Standing, lack float64) time.Duration {
+	if standing == Entitled || lack <= 0 || lack >= 1 {
+		return 0
+	}
+	return seconds(usageLife.Seconds() * math.Log(1/lack))
+}
+
 // fits returns whether an engine has a slot and memory for a request.
 func (p *pool) fits(load, need Load) bool {
 	if load.Running+1 > p.engine.Slots {
