Requests that would outlast the process are refused; a stop waits for late ones

Between the last idle moment and the end of the process 0.1 s passed in which requests were still taken, and late requests at a hanging target outlast the grace. Ruled out: the listener (closed by then). Change: after a quarter of the grace, a request is taken only if its own time limit fits what is left; after the shutdown of the server the process waits again until nothing is in flight.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -62,14 +62,7 @@
 		lastEvent: call.LastEvent,
 	}
 	x.service = r.Pick(xxhash.Sum64String(call.ID))
-	wait := r.Timeout
-	if call.Deadline > 0 && (wait <= 0 || call.Deadline < wait) {
-		wait = call.Deadline
-	}
-	if wait <= 0 {
-		wait = defaultTimeout
-	}
-	x.limit = x.arrived.Add(wait)
+	x.limit = x.arrived.Add(r.Wait(call.Deadline))
 	x.ask = placement.Ask{
 		Service: x.service, Team: team, Output: call.Output, Aim: r.Aim,
 		Chain: placement.NewChain(parts(call.Parts), call.Prompt),
@@ -79,9 +72,6 @@
 	return x
 }
 
-// defaultTimeout bounds requests of routes without a timeout.
-const defaultTimeout = 30 * time.Second
-
 func parts(list []platform.Part) []placement.Part {
 	out := make([]placement.Part, 0, len(list))
 	for _, p := range list {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -52,7 +52,7 @@
 	switch {
 	case r == nil:
 		return nil, "", g.deny(fasthttp.StatusNotFound, reasonNoRoute)
-	case r.Kind == route.Stream && g.refusesLong(r):
+	case g.outlasts(r, call):
 		return nil, "", notRun(reasonStopping, rejectedRetry)
 	case r.Public || !table.Keyed():
 		return r, "", nil
@@ -148,13 +148,19 @@
 	}
 }
 
-// refusesLong returns whether streams of a route would outlast this process.
-func (g *Gateway) refusesLong(r *route.Route) bool {
+// outlasts returns whether a request might not be over when this process ends. Soon
+// after the signal to stop, a stream is taken if most streams of its route would be
+// over; later, only what its own time limits.
+func (g *Gateway) outlasts(r *route.Route, call *platform.Call) bool {
 	since := g.stopSince()
 	if since == 0 {
 		return false
 	}
-	return since+g.lengths.expect(r.Name) > g.grace-stopMargin
+	left := g.grace - stopMargin - since
+	if r.Kind == route.Stream && since < g.grace/4 {
+		return g.lengths.expect(r.Name) > left
+	}
+	return r.Wait(call.Deadline) > left
 }
 
 // stopMargin is the time before the end of the grace in which nothing is begun.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -185,7 +185,8 @@
 
 // ready answers whether the host takes new connections.
 func (g *Gateway) ready(ctx *fasthttp.RequestCtx) {
-	if g.stopping() || g.core.view.Load() == nil || string(ctx.Path()) != platform.PathReady {
+	fit := !g.stopping() && g.core.view.Load() != nil
+	if !fit || string(ctx.Path()) != platform.PathReady {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 }
@@ -287,19 +288,34 @@
 	began := time.Now()
 	g.stopFrom.Store(began.UnixNano())
 	g.record.process(eventStopping, &g.settings)
-	ticker := time.NewTicker(stopPoll)
-	defer ticker.Stop()
-	for time.Since(began) < g.grace-stopMargin {
-		if time.Since(began) > min(leastStop, g.grace/2) && g.inFlight.Load() == 0 {
-			break
-		}
-		<-ticker.C
-	}
-	time.Sleep(settleTime)
+	end := began.Add(g.grace - stopMargin)
+	pause(time.Until(began.Add(min(leastStop, g.grace/2))))
+	g.idleUntil(end)
 	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
 	defer cancel()
-	if err := g.server.ShutdownWithContext(ctx); err != nil {
-		g.log.Warn().Str("event", eventStopping).Err(err).Int64("inflight", g.inFlight.Load()).Send()
+	err := g.server.ShutdownWithContext(ctx)
+	g.idleUntil(end) // requests that kept connections brought meanwhile
+	if left := g.inFlight.Load(); left > 0 {
+		g.log.Warn().Str("event", eventStopping).Int64("inflight", left).Err(err).Send()
+	}
+}
+
+// pause waits for a time.
+func pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	<-timer.C
+}
+
+// idleUntil waits until no request was in flight for a short time, or until a time.
+func (g *Gateway) idleUntil(end time.Time) {
+	idle := time.Duration(0)
+	for idle < settleTime && time.Now().Before(end) {
+		pause(stopPoll)
+		idle += stopPoll
+		if g.inFlight.Load() > 0 {
+			idle = 0
+		}
 	}
 }
 
--- /dev/null
+++ b/gateway/plain_test.go
@@ -0,0 +1,278 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/platform"
+)
+
+func ok(a *arrival) bool {
+	a.answer(fasthttp.StatusOK, "done "+a.header("X-Attempt-Id"))
+	return true
+}
+
+// breaks takes a request and closes the connection.
+func breaks(*arrival) bool { return false }
+
+func TestAnswerIsPassedOn(t *testing.T) {
+	a := newScripted(t, "a", "plain", ok)
+	w := newWorld(t, a)
+	r := w.do(call{path: "/lookup/x?q=1", key: "key1", id: "r1"})
+	require.NoError(t, r.err)
+	require.Equal(t, "done r1", r.body)
+	require.Equal(t, "s", string(r.header.Peek("X-Replica-Seal")))
+	seen := a.seen()
+	require.Len(t, seen, 1)
+	require.Equal(t, "/lookup/x?q=1", string(seen[0].request.RequestURI()))
+	require.Equal(t, "a", seen[0].header("X-Expect-Replica"))
+	require.Empty(t, seen[0].header("X-Key"))
+	require.NotEmpty(t, seen[0].header("X-Deadline-Ms"))
+}
+
+// An order whose target broke off may have run: it is not sent again, and the
+// answer promises nothing.
+func TestBrokenOrderIsNotRepeated(t *testing.T) {
+	a, b := newScripted(t, "a", "plain", breaks), newScripted(t, "b", "plain", breaks)
+	w := newWorld(t, a, b)
+	r := w.do(call{path: "/order/x", id: "r1"})
+	require.NoError(t, r.err)
+	require.Equal(t, fasthttp.StatusBadGateway, r.status)
+	require.Len(t, append(a.seen(), b.seen()...), 1)
+}
+
+// An order that the targets say they did not run is refused with a promise, and
+// with the time for a new try.
+func TestRejectedOrderIsRefused(t *testing.T) {
+	reject := func(a *arrival) bool {
+		fmt.Fprint(a.conn, "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	a, b := newScripted(t, "a", "plain", reject), newScripted(t, "b", "plain", reject)
+	w := newWorld(t, a, b)
+	r := w.do(call{path: "/order/x", id: "r1"})
+	require.Equal(t, fasthttp.StatusServiceUnavailable, r.status)
+	require.NotEmpty(t, r.header.Peek("Retry-After"))
+	require.Len(t, append(a.seen(), b.seen()...), 2)
+}
+
+// A request that may be repeated is sent to another target after a failure.
+func TestLookupIsRepeated(t *testing.T) {
+	first := true
+	script := func(a *arrival) bool {
+		if first {
+			first = false
+			a.answer(fasthttp.StatusInternalServerError, "broken")
+			return true
+		}
+		return ok(a)
+	}
+	w := newWorld(t, newScripted(t, "a", "plain", script), newScripted(t, "b", "plain", script))
+	r := w.do(call{path: "/lookup/x", id: "r1"})
+	require.Equal(t, fasthttp.StatusOK, r.status)
+}
+
+// The answer of another request, one without the mark of a target, one with an
+// encoding and one that is cut short are never passed on.
+func TestForeignAnswersAreNotPassedOn(t *testing.T) {
+	cases := map[string]string{
+		"other request": "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Replica-Seal: s\r\nContent-Length: 3\r\n\r\nbad",
+		"no mark":       "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nContent-Length: 3\r\n\r\nbad",
+		"encoded":       "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Replica-Seal: s\r\nContent-Encoding: gzip\r\nContent-Length: 3\r\n\r\nbad",
+		"cut short":     "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Replica-Seal: s\r\nContent-Length: 9\r\n\r\nbad",
+		"no HTTP":       "garbage\r\n\r\n",
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, newScripted(t, "a", "plain", func(a *arrival) bool {
+				fmt.Fprint(a.conn, text)
+				return false
+			}))
+			r := w.do(call{path: "/order/x", id: "r1"})
+			require.Equal(t, fasthttp.StatusBadGateway, r.status)
+			require.NotEqual(t, "bad", r.body)
+			require.Empty(t, r.header.Peek("X-Replica-Seal"))
+		})
+	}
+}
+
+// A second answer behind the first belongs to no request: the connection is not
+// used again.
+func TestExtraAnswerIsDropped(t *testing.T) {
+	a := newScripted(t, "a", "plain", func(a *arrival) bool {
+		ok(a)
+		a.answer(fasthttp.StatusOK, "extra")
+		return true
+	})
+	w := newWorld(t, a)
+	for n := range 3 {
+		id := fmt.Sprintf("r%d", n)
+		require.Equal(t, "done "+id, w.do(call{path: "/lookup/x", id: id}).body)
+	}
+}
+
+// A target that does not answer is left for another one.
+func TestSilentTargetIsLeft(t *testing.T) {
+	silent := func(a *arrival) bool {
+		closed(a.conn, waitLimit)
+		return false
+	}
+	w := newWorld(t, newScripted(t, "a", "plain", silent), newScripted(t, "b", "plain", silent), newScripted(t, "c", "plain", ok))
+	w.until(func() bool { return w.do(call{path: "/lookup/x", id: "r1"}).status == fasthttp.StatusOK })
+}
+
+// The caller has its answer when the time of the route or its own is over.
+func TestTimeIsKept(t *testing.T) {
+	silent := func(a *arrival) bool {
+		closed(a.conn, waitLimit)
+		return false
+	}
+	w := newWorld(t, newScripted(t, "a", "plain", silent))
+	began := time.Now()
+	r := w.do(call{path: "/order/x", id: "r1", deadline: 400 * time.Millisecond})
+	require.Equal(t, fasthttp.StatusGatewayTimeout, r.status)
+	require.Less(t, time.Since(began), 900*time.Millisecond)
+}
+
+// Without a target, a request is refused at once.
+func TestNoTargetIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(t)
+	began := time.Now()
+	r := w.do(call{path: "/stream/x", key: "key1", id: "r1"})
+	require.Equal(t, fasthttp.StatusServiceUnavailable, r.status)
+	require.NotEmpty(t, r.header.Peek("Retry-After"))
+	require.Less(t, time.Since(began), 300*time.Millisecond)
+}
+
+func TestKeys(t *testing.T) {
+	a := newScripted(t, "a", "model", func(a *arrival) bool {
+		a.begin()
+		a.events(1, 1)
+		a.end()
+		return true
+	})
+	w := newWorld(t, a)
+	require.Equal(t, fasthttp.StatusOK, w.do(call{path: "/stream/x", key: "key1", id: "r1"}).status)
+	require.Equal(t, "team1", a.seen()[0].header("X-Tenant"))
+	require.Equal(t, fasthttp.StatusUnauthorized, w.do(call{path: "/stream/x", key: "none", id: "r2"}).status)
+	w.configure(func(d *document) { d.Tenants = d.Tenants[1:] })
+	w.until(func() bool {
+		return w.do(call{path: "/stream/x", key: "key1", id: "r3"}).status == fasthttp.StatusUnauthorized
+	})
+}
+
+// While the store can't be read, requests with keys stop before a key that was
+// taken away must have stopped; requests without keys go on, and nobody is told
+// that a route or a key does not exist.
+func TestKeysStopWithoutTheStore(t *testing.T) {
+	a := newScripted(t, "a", "model", func(a *arrival) bool {
+		a.begin()
+		a.events(1, 1)
+		a.end()
+		return true
+	})
+	w := newWorld(t, a, newScripted(t, "b", "plain", ok))
+	w.outage(true)
+	began := time.Now()
+	w.until(func() bool {
+		return w.do(call{path: "/stream/x", key: "key1", id: "r1"}).status == fasthttp.StatusServiceUnavailable
+	})
+	require.Less(t, time.Since(began), 3*time.Second)
+	require.Equal(t, fasthttp.StatusOK, w.do(call{path: "/lookup/x", id: "r2"}).status)
+	require.Equal(t, fasthttp.StatusServiceUnavailable, w.do(call{path: "/unknown/", id: "r3"}).status)
+	w.outage(false)
+	w.until(func() bool { return w.do(call{path: "/stream/x", key: "key1", id: "r4"}).status == fasthttp.StatusOK })
+}
+
+// A configuration with a lower version is never applied.
+func TestConfigurationNeverRegresses(t *testing.T) {
+	w := newWorld(t, newScripted(t, "a", "plain", ok))
+	w.version = 10
+	w.configure(func(d *document) { d.Routes = d.Routes[:2] })
+	w.until(func() bool { return w.do(call{path: "/once/x", id: "r1"}).status == fasthttp.StatusNotFound })
+	w.version = 5
+	w.configure(nil)
+	w.version = 20
+	w.configure(func(d *document) { d.Routes = d.Routes[:1] })
+	w.until(func() bool {
+		require.Equal(t, fasthttp.StatusNotFound, w.do(call{path: "/once/x", id: "r2"}).status)
+		return w.do(call{path: "/order/x", id: "r3"}).status == fasthttp.StatusNotFound
+	})
+}
+
+// A target that leaves takes no new request.
+func TestLeavingTargetIsLeft(t *testing.T) {
+	a, b := newScripted(t, "a", "plain", ok), newScripted(t, "b", "plain", ok)
+	w := newWorld(t, a, b)
+	w.list(a, "draining")
+	w.until(func() bool { return w.logged(`"leaving":1`) })
+	before := len(a.seen())
+	for n := range 10 {
+		require.Equal(t, fasthttp.StatusOK, w.do(call{path: "/lookup/x", id: fmt.Sprintf("r%d", n)}).status)
+	}
+	require.Len(t, a.seen(), before)
+}
+
+// A planned stop cuts nothing: what is in flight is answered, kept connections are
+// served until the end, and each answer asks the caller to close.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	hold := make(chan struct{})
+	w := newWorld(t, newScripted(t, "a", "plain", func(a *arrival) bool {
+		if string(a.request.RequestURI()) == "/lookup/slow" {
+			<-hold
+		}
+		return ok(a)
+	}))
+	kept := w.dial("")
+	rd := bufio.NewReader(kept)
+	ask(t, kept, "/lookup/a", "r1")
+	require.Equal(t, fasthttp.StatusOK, readResult(rd).status)
+	slow := w.dial("")
+	ask(t, slow, "/lookup/slow", "r2")
+	w.until(func() bool { return w.inFlight() })
+	w.stop()
+	w.until(func() bool {
+		status, _ := w.get(w.ready, platform.PathReady)
+		return status == fasthttp.StatusServiceUnavailable
+	})
+	ask(t, kept, "/lookup/b", "r3")
+	r := readResult(rd)
+	require.Equal(t, "done r3", r.body)
+	require.True(t, r.header.ConnectionClose())
+	close(hold)
+	require.Equal(t, "done r2", readResult(bufio.NewReader(slow)).body)
+	select {
+	case err := <-w.done:
+		require.NoError(t, err)
+	case <-time.After(waitLimit):
+		t.Fatal("the process does not end")
+	}
+}
+
+// A request that would not be over when the process ends is refused, so that its
+// caller turns to another host.
+func TestRequestThatOutlastsTheProcessIsRefused(t *testing.T) {
+	w := newWorld(t, newScripted(t, "a", "plain", ok))
+	kept := w.dial("")
+	rd := bufio.NewReader(kept)
+	ask(t, kept, "/lookup/a", "r1")
+	require.Equal(t, fasthttp.StatusOK, readResult(rd).status)
+	w.stop()
+	w.until(func() bool { return w.do(call{path: "/order/x", id: "r2"}).status == fasthttp.StatusServiceUnavailable })
+	ask(t, kept, "/lookup/b", "r3")
+	r := readResult(rd)
+	require.NoError(t, r.err, "a kept connection is served until the process ends")
+}
+
+func ask(t *testing.T, conn net.Conn, path, id string) {
+	t.Helper()
+	_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 1000\r\n\r\n", path, id)
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(waitLimit)))
+}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -36,6 +36,7 @@
 	done    chan error
 	version uint64
 	logs    *buffer
+	targets []*scripted
 }
 
 // buffer collects the log.
@@ -77,7 +78,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &world{
 		t: t, store: standin.New(standin.NewConfig(), l), client: platform.NewClient(storeAddress),
-		address: freeAddress(t), ready: freeAddress(t), done: make(chan error, 1), logs: &buffer{},
+		address: freeAddress(t), ready: freeAddress(t), done: make(chan error, 1), logs: &buffer{}, targets: targets,
 	}
 	w.store.Run(ctx)
 	w.configure(nil)
@@ -373,3 +374,21 @@
 	require.NoError(w.t, err)
 	return conn
 }
+
+// outage makes the store fail all calls, or none.
+func (w *world) outage(down bool) { w.store.SetFaults(standin.Faults{Down: down}) }
+
+// logged returns whether the log has a text.
+func (w *world) logged(text string) bool {
+	return bytes.Contains([]byte(w.logs.String()), []byte(text))
+}
+
+// inFlight returns whether a scripted target holds a request.
+func (w *world) inFlight() bool {
+	for _, s := range w.targets {
+		if len(s.seen()) > 1 {
+			return true
+		}
+	}
+	return false
+}
--- a/route/table.go
+++ b/route/table.go
@@ -59,6 +59,22 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// defaultTimeout bounds requests of routes without a timeout.
+const defaultTimeout = 30 * time.Second
+
+// Wait returns the longest time that a request is worked on, for a caller that waits
+// for a time, 0 if it does not say.
+func (r *Route) Wait(caller time.Duration) time.Duration {
+	wait := r.Timeout
+	if wait <= 0 {
+		wait = defaultTimeout
+	}
+	if caller > 0 {
+		wait = min(wait, caller)
+	}
+	return wait
+}
+
 // Pick returns the service of a request, by the weights of the shares. Equal
 // draws give equal services.
 func (r *Route) Pick(draw uint64) string {
