--- a/cmd/cassia-gateway/main.go
+++ b/cmd/cassia-gateway/main.go
@@ -13,6 +13,7 @@
 	"github.com/cassiachute/cassiachute/gateway"
 	"github.com/cassiachute/cassiachute/logbook"
 	"github.com/cassiachute/cassiachute/program"
+	"github.com/cassiachute/cassiachute/settings"
 )
 
 const (
@@ -24,23 +25,48 @@
 
 func main() {
 	s := gateway.NewSettings()
-	run := func(ctx context.Context, log zerolog.Logger) error {
+	common := &program.Common{}
+	server := program.Server{Common: common, Load: &s, Check: s.Check, Level: func() string { return s.Level }}
+	server.Serve = func(ctx context.Context, log zerolog.Logger) error {
 		limit(&s)
 		book := logbook.NewBook(os.Stdout)
 		writing, stop := context.WithCancel(context.Background())
 		written := book.Run(writing)
-		g, err := cassiachute.NewGateway(s, cassiachute.WithLog(log.Output(book)))
-		if err == nil {
-			err = g.Run(ctx)
-		}
+		err := serve(ctx, s, log.Output(book), common.Settings)
 		stop()
 		if writeErr := <-written; writeErr != nil && err == nil {
 			return writeErr
 		}
 		return err
 	}
-	server := program.Server{Load: &s, Check: s.Check, Level: func() string { return s.Level }, Serve: run}
-	os.Exit(server.Main(os.Args[1:]))
+	if proceed, code := program.Parse(common, os.Args[1:], os.Stdout); !proceed {
+		os.Exit(code)
+	}
+	os.Exit(server.Run())
+}
+
+// serve runs a gateway and reloads its settings file until the context ends.
+func serve(ctx context.Context, s gateway.Settings, log zerolog.Logger, path string) error {
+	g, err := cassiachute.NewGateway(s, cassiachute.WithLog(log))
+	if err != nil {
+		return err
+	}
+	watching, stop := context.WithCancel(context.Background())
+	reloading := program.Reload{
+		Path: path,
+		Apply: func(body []byte) error {
+			next := gateway.NewSettings()
+			if err := settings.Parse(body, &next); err != nil {
+				return err
+			}
+			return g.Reload(next)
+		},
+		Done: g.Reloaded,
+	}.Run(watching)
+	err = g.Run(ctx)
+	stop()
+	<-reloading
+	return err
 }
 
 // limit fits the runtime to the host.
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -42,6 +42,16 @@
 	}
 }
 
+// reload takes changed settings. Allowances of repeats start anew.
+func (c *core) reload(s Settings) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.Ratio != c.settings.Ratio || s.Fixed != c.settings.Fixed || s.Window != c.settings.Window {
+		c.allowances = map[string]*retry.Allowance{}
+	}
+	c.settings = s
+}
+
 // age returns the time for which a change of the configuration may have gone
 // unnoticed.
 func (c *core) age() time.Duration { return awake() - time.Duration(c.asOf.Load()) }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -15,7 +15,6 @@
 )
 
 const (
-	keyAgePart    = 0.7 // part of the time for a key to stop after which news are too old for requests with keys
 	deniableAge   = 1800 * time.Millisecond
 	staleRetry    = 500 * time.Millisecond
 	rejectedRetry = 100 * time.Millisecond
@@ -132,7 +131,7 @@
 		return failure(statusGone, reasonCallerGone)
 	case x.remaining() < leastLeft:
 		return x.timeout()
-	case x.team != "" && g.core.age() > g.keyAge:
+	case x.team != "" && g.core.age() > g.limits.Load().keyAge:
 		return x.refuse(notRun(reasonStale, staleRetry))
 	case g.core.crashes(x.digest) >= poisonous:
 		return x.refuse(notRun(reasonPoison, poisonRetry))
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -56,7 +56,7 @@
 		return nil, "", notRun(reasonStopping, rejectedRetry)
 	case r.Public || !table.Keyed():
 		return r, "", nil
-	case g.core.age() > g.keyAge:
+	case g.core.age() > g.limits.Load().keyAge:
 		return nil, "", notRun(reasonStale, staleRetry)
 	}
 	team, ok := table.Team(call.Key)
@@ -156,8 +156,9 @@
 	if since == 0 {
 		return false
 	}
-	left := g.grace - stopMargin - since
-	if r.Kind == route.Stream && since < g.grace/4 {
+	grace := g.limits.Load().grace
+	left := grace - stopMargin - since
+	if r.Kind == route.Stream && since < grace/4 {
 		return g.lengths.expect(r.Name) > left
 	}
 	return r.Wait(call.Deadline) > left
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,12 +45,11 @@
 	mesh     *mesh.Socket
 	peers    *contacts
 	lengths  lengths
-	keyAge   time.Duration // age of the configuration from which requests with keys are refused
-	grace    time.Duration
 	boot     uint64
 	number   uint64 // of the last news
 
 	ctx       context.Context
+	limits    atomic.Pointer[limits]
 	stopFrom  atomic.Int64 // Unix nanoseconds of the signal to stop, 0 before
 	inFlight  atomic.Int64
 	addresses atomic.Pointer[map[string]netip.AddrPort]
@@ -76,14 +75,13 @@
 		client:  platform.NewClient(s.Store, platform.WithTimeout(storeTimeout)),
 		peers:   newContacts(s.Peer),
 		lengths: lengths{means: map[string]time.Duration{}},
-		keyAge:  time.Duration(keyAgePart * float64(s.Revoke.Or(defaultRevoke))),
-		grace:   s.Grace.Or(defaultGrace),
 		boot:    uint64(time.Now().UnixMilli()),
 	}
 	for _, option := range options {
 		option(g)
 	}
 	g.record = newRecorder(g.log, newMetrics())
+	g.limits.Store(newLimits(&s))
 	g.addresses.Store(&map[string]netip.AddrPort{})
 	if err := g.listen(); err != nil {
 		return nil, err
@@ -288,8 +286,8 @@
 	began := time.Now()
 	g.stopFrom.Store(began.UnixNano())
 	g.record.process(eventStopping, &g.settings)
-	end := began.Add(g.grace - stopMargin)
-	pause(time.Until(began.Add(min(leastStop, g.grace/2))))
+	end := began.Add(g.limits.Load().grace - stopMargin)
+	pause(time.Until(began.Add(min(leastStop, g.limits.Load().grace/2))))
 	g.idleUntil(end)
 	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
 	defer cancel()
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -204,7 +204,16 @@
 	r.log.Warn().Str("event", eventPeerFailed).Err(err).Send()
 }
 
-// process notes the start, the reload or the stop of the process.
+// reload notes a reload of the settings.
+func (r *recorder) reload(err error) {
+	event := r.log.Info()
+	if err != nil {
+		event = r.log.Error()
+	}
+	event.Str("event", eventReload).Err(err).Send()
+}
+
+// process notes the start or the stop of the process.
 func (r *recorder) process(name string, s *Settings) {
 	r.log.Info().Str("event", name).Str("host", s.Name).Str("place", s.Place).
 		Stringer("listen", s.Listen).Stringer("peer", s.Peer).Send()
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
@@ -361,7 +362,7 @@
 		return true
 	}
 	_, err := conn.Read(make([]byte, 1))
-	return err == io.EOF
+	return errors.Is(err, io.EOF)
 }
 
 // dial opens a connection and sends bytes on it.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -52,7 +52,7 @@
 // Run receives until the context ends and reports its end on the channel.
 func (s *Socket) Run(ctx context.Context) <-chan struct{} {
 	done := make(chan struct{})
-	context.AfterFunc(ctx, func() { s.conn.Close() })
+	context.AfterFunc(ctx, func() { _ = s.conn.Close() })
 	go func() {
 		defer close(done)
 		buf := make([]byte, maxDatagramBytes)
