--- a/ctl/main.go
+++ b/ctl/main.go
@@ -31,6 +31,7 @@
 	Teams    teamsCommand    `command:"teams" description:"show what the teams receive"`
 	Targets  targetsCommand  `command:"targets" description:"show the targets and their slots"`
 	Audit    auditCommand    `command:"audit" description:"show the audit trail" long-description:"Example: cassia-ctl audit --after 120 --limit 20"`
+	Explain  explainCommand  `command:"explain" description:"tell the story of one request from logs of gateways" long-description:"Example: cassia-ctl explain 9c41d07be2a35f68 host1.log host2.log"`
 	Revision revisionCommand `command:"revision" description:"show a former configuration" long-description:"Example: cassia-ctl revision 120"`
 }
 
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -79,7 +79,7 @@
 // refuse answers a request that has no exchange.
 func (g *Gateway) refuse(ctx *fasthttp.RequestCtx, call *platform.Call, p *problem) {
 	p.write(ctx, call.ID)
-	g.record.refused(call, p, g.core.age())
+	g.record.refused(call, string(ctx.Request.Header.RequestURI()), p, g.core.age())
 }
 
 // malformed answers a request that is not well-formed HTTP.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 	for _, option := range options {
 		option(g)
 	}
+	g.log = g.log.With().Str("host", s.Name).Logger()
 	g.record = newRecorder(g.log, newMetrics())
 	g.limits.Store(newLimits(&s))
 	g.addresses.Store(&map[string]netip.AddrPort{})
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -75,6 +75,7 @@
 		Str("route", x.route.Name).Str("service", x.service).Str("target", x.target).
 		Int("sends", x.sends).Int("prompt", x.ask.Chain.Total).
 		Int("unread", x.choice.Load.Prompt).Int("queue", x.choice.Queue).Float64("expected", milliseconds(x.choice.Expect)).
+		Float64("limit", milliseconds(x.choice.Limit)).Float64("ahead", milliseconds(x.choice.Waiting)).
 		Stringer("standing", x.choice.Team).Float64("waited", milliseconds(x.waited)).
 		Uint64("revision", revision).Float64("age", milliseconds(x.gateway.core.age()))
 }
@@ -95,9 +96,9 @@
 }
 
 // refused notes a request that was refused before it had a route and a team.
-func (r *recorder) refused(call *platform.Call, p *problem, age time.Duration) {
+func (r *recorder) refused(call *platform.Call, path string, p *problem, age time.Duration) {
 	r.metrics.refusals.WithLabelValues(p.reason).Inc()
-	r.log.Warn().Str("event", eventRefused).Str("request", call.ID).Int("status", p.status).Str("reason", p.reason).
+	r.log.Warn().Str("event", eventRefused).Str("request", call.ID).Str("path", path).Int("status", p.status).Str("reason", p.reason).
 		Float64("age", milliseconds(age)).Float64("retry", milliseconds(p.retry)).Send()
 }
 
@@ -215,6 +216,6 @@
 
 // process notes the start or the stop of the process.
 func (r *recorder) process(name string, s *Settings) {
-	r.log.Info().Str("event", name).Str("host", s.Name).Str("place", s.Place).
+	r.log.Info().Str("event", name).Str("place", s.Place).
 		Stringer("listen", s.Listen).Stringer("peer", s.Peer).Send()
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -53,7 +53,8 @@
 	After   time.Duration // wait until a target may have room
 	Reason  Reason        // why there is no target
 	Team    Standing      // of the team
-	Waiting time.Duration // prompts queued ahead at the target
+	Limit   time.Duration // longest queue that the team may join
+	Waiting time.Duration // queue at the target; without one, the shortest that is over the limit
 	Queue   int           // prompt tokens queued at the target, with those of the request
 }
 
@@ -122,6 +123,7 @@
 	first, second := p.rendezvous(a.Chain.Deepest())
 	standing, lack := b.standing(now, a.Service, a.Team)
 	c := Choice{Reason: ReasonMissing, After: firstSuspension, Team: standing}
+	c.Limit = p.limit(a, standing, lack, nil)
 	bestScore := time.Duration(0)
 	shortest := time.Duration(-1)
 	for _, r := range p.rows {
@@ -165,6 +167,7 @@
 		return c
 	}
 	if c.Reason == ReasonFull {
+		c.Waiting = c.Limit + max(shortest, 0)
 		c.After = min(maxRetryAfter, max(shortest, 0)+leastRetryAfter+settle(standing, lack))
 	}
 	return c
@@ -183,7 +186,7 @@
 	if a.Aim > aim {
 		limit = scale(limit, loosePart)
 	}
-	if r.health.failing() {
+	if r != nil && r.health.failing() {
 		limit = scale(limit, failingPart)
 	}
 	return limit
--- a/program/program.go
+++ b/program/program.go
@@ -127,11 +127,15 @@
 	return s.Level()
 }
 
+// timeFormat is that of the time in log lines.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // NewLog returns a log of JSON lines. The error is marked settings.ErrInvalid.
 func NewLog(out io.Writer, level string) (zerolog.Logger, error) {
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil {
 		return zerolog.Nop(), fault.Mark(errors.Wrap(err, "level"), settings.ErrInvalid)
 	}
+	zerolog.TimeFieldFormat = timeFormat
 	return zerolog.New(out).Level(parsed).With().Timestamp().Logger(), nil
 }
