Hosts without the store ask their peers

One copy of taking a configuration and a list of targets. Test: TestHostWithoutTheStoreAsksPeers (fails without the change), listing tests.

--- a/gateway/core.go
+++ b/gateway/core.go
@@ -56,6 +56,17 @@
 // unnoticed.
 func (c *core) age() time.Duration { return awake() - time.Duration(c.asOf.Load()) }
 
+// confirm takes a sign that the configuration in force was the newest at an awake
+// time.
+func (c *core) confirm(at time.Duration) {
+	for {
+		known := c.asOf.Load()
+		if int64(at) <= known || c.asOf.CompareAndSwap(known, int64(at)) {
+			return
+		}
+	}
+}
+
 // allowance returns the allowance of repeats for a service. The caller holds the
 // lock.
 func (c *core) allowance(service string) *retry.Allowance {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/cassiachute/cassiachute/platform"
 	"github.com/cassiachute/cassiachute/route"
 	"github.com/cassiachute/cassiachute/target"
+	"github.com/cassiachute/cassiachute/wire"
 )
 
 const (
@@ -45,6 +46,9 @@
 	mesh     *mesh.Socket
 	peers    *contacts
 	lengths  lengths
+	known    knowledge
+	listing  *route.Listing // guarded by the lock of the core
+	answers  *mesh.Responder
 	boot     uint64
 	number   uint64 // of the last news
 
@@ -74,6 +78,7 @@
 		pool:    target.NewPool(nil, target.WithDialTimeout(dialTimeout)),
 		client:  platform.NewClient(s.Store, platform.WithTimeout(storeTimeout)),
 		peers:   newContacts(s.Peer),
+		listing: route.NewListing(),
 		lengths: lengths{means: map[string]time.Duration{}},
 		boot:    uint64(time.Now().UnixMilli()),
 	}
@@ -109,7 +114,11 @@
 		Received: g.hear,
 		Rejected: func(_ netip.AddrPort, err error) { g.record.peerFailed(err) },
 	})
+	if err != nil {
+		return err
+	}
 	g.mesh = socket
+	g.answers, err = mesh.NewResponder(g.settings.Peer, g.vouch)
 	return err
 }
 
@@ -141,9 +150,9 @@
 	for _, seed := range g.settings.Seeds {
 		g.peers.meet(netip.AddrPortFrom(seed.Addr(), g.settings.Peer.Port()), time.Now())
 	}
-	w := &watcher{gateway: g, client: g.client, listing: route.NewListing(), up: map[string]bool{}}
+	w := &watcher{gateway: g, client: g.client, up: map[string]bool{}}
 	ends := []<-chan struct{}{
-		g.mesh.Run(inner),
+		g.mesh.Run(inner), g.answers.Run(inner), every(inner, g.consult),
 		every(inner, w.config), every(inner, w.targets), every(inner, w.hosts),
 		every(inner, g.tell), every(inner, g.tick), every(inner, g.sweep),
 	}
@@ -203,36 +212,65 @@
 }
 
 // apply puts a configuration in force unless it is older than the present one.
-func (g *Gateway) apply(table *route.Table) {
+func (g *Gateway) apply(table *route.Table, value []byte) {
+	g.core.mu.Lock()
+	defer g.core.mu.Unlock()
 	present := g.core.view.Load()
 	if present != nil && table.Version <= present.Version {
 		return
 	}
-	g.core.mu.Lock()
 	g.core.board.Configure(table)
-	g.core.mu.Unlock()
 	g.core.view.Store(table)
+	g.known.setConfig(value)
 	g.record.config(table)
 }
 
-// setTargets takes the list of targets.
-func (g *Gateway) setTargets(list []route.Target) {
+// listingRead is how a listing takes targets: read here, or by another host.
+type listingRead func(l *route.Listing, now time.Time, targets []route.Target) []route.Target
+
+// failTargets takes a read of the list of targets that failed.
+func (g *Gateway) failTargets() {
+	g.core.mu.Lock()
+	defer g.core.mu.Unlock()
+	g.listing.Fail()
+}
+
+// takeTargets takes the list of targets as of an awake time, in the way that the
+// listing takes it. Entries that can't be used are left out.
+func (g *Gateway) takeTargets(rows []wire.TargetRow, asOf time.Duration, take listingRead) {
+	if !g.known.setTargets(rows, asOf) {
+		return
+	}
+	list := make([]route.Target, 0, len(rows))
+	for _, row := range rows {
+		t, err := platform.DecodeTarget(platform.Row{Key: row.Key, Value: row.Value})
+		if err != nil {
+			g.record.badTarget(row.Key, err)
+			continue
+		}
+		list = append(list, t)
+	}
+	g.core.mu.Lock()
+	list = take(g.listing, time.Now(), list)
+	g.core.board.SetTargets(list)
+	g.core.mu.Unlock()
+	g.setAddresses(list)
+}
+
+// setAddresses takes the addresses of the targets and closes the connections to
+// those that are gone.
+func (g *Gateway) setAddresses(list []route.Target) {
 	addresses := map[string]netip.AddrPort{}
-	ready, leaving := 0, 0
+	leaving := 0
 	for _, t := range list {
 		addresses[t.ID] = t.Address
 		if t.Leaving {
 			leaving++
-		} else {
-			ready++
 		}
 	}
-	g.core.mu.Lock()
-	g.core.board.SetTargets(list)
-	g.core.mu.Unlock()
 	before := *g.addresses.Swap(&addresses)
 	if len(before) != len(addresses) || leaving > 0 {
-		g.record.targets(ready, leaving)
+		g.record.targets(len(list)-leaving, leaving)
 	}
 	for id, address := range before {
 		if _, ok := addresses[id]; !ok {
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,8 @@
 	self netip.AddrPort
 	mu   sync.Mutex
 	rows map[netip.AddrPort]*contact
+
+	asked int // queries so far
 }
 
 func newContacts(self netip.AddrPort) *contacts {
@@ -82,6 +85,24 @@
 	return list
 }
 
+// turn returns the host that is to be asked next among those that are heard of.
+func (c *contacts) turn() (netip.AddrPort, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var heard []netip.AddrPort
+	for address, row := range c.rows {
+		if row.heard {
+			heard = append(heard, address)
+		}
+	}
+	if len(heard) == 0 {
+		return netip.AddrPort{}, false
+	}
+	slices.SortFunc(heard, netip.AddrPort.Compare)
+	c.asked++
+	return heard[c.asked%len(heard)], true
+}
+
 // list returns all hosts.
 func (c *contacts) list() []netip.AddrPort {
 	c.mu.Lock()
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -26,6 +26,7 @@
 	eventPeerUp     = "peer-regained"
 	eventPeerDown   = "peer-lost"
 	eventPeerFailed = "peer-unreached"
+	eventAsked      = "peer-asked"
 	eventAnswered   = "answered"
 	eventRefused    = "refused"
 	eventAttempt    = "attempt-failed"
@@ -161,8 +162,21 @@
 }
 
 // badConfig notes a configuration that can't be used.
-func (r *recorder) badConfig(row uint64, err error) {
-	r.log.Error().Str("event", eventBadConfig).Uint64("row", row).Err(err).Send()
+func (r *recorder) badConfig(err error) {
+	r.log.Error().Str("event", eventBadConfig).Err(err).Send()
+}
+
+// asked notes whether another host answered what it knows from the store. Only
+// changes are logged.
+func (r *recorder) asked(peer netip.AddrPort, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	name := "peer " + peer.String()
+	if r.down[name] == (err != nil) {
+		return
+	}
+	r.down[name] = err != nil
+	r.log.Info().Str("event", eventAsked).Stringer("peer", peer).Err(err).Send()
 }
 
 // badTarget notes an entry of a target that can't be used, once.
--- /dev/null
+++ b/gateway/relay_test.go
@@ -0,0 +1,46 @@
+package gateway_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/gateway"
+)
+
+// A host that never reads the store serves with what a peer knows, and stops a key
+// that is taken away in time.
+func TestHostWithoutTheStoreAsksPeers(t *testing.T) {
+	w := newWorld(t, newScripted(t, "a", "model", func(a *arrival) bool {
+		a.begin()
+		a.events(1, 1)
+		a.end()
+		return true
+	}))
+	s := w.settings("host2", freeAddress(t))
+	s.Peer = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), w.peer.Port())
+	s.Seeds = []netip.AddrPort{w.peer}
+	g, err := gateway.New(s)
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- g.Run(ctx) }()
+	second := *w
+	second.address = s.Listen
+	second.until(func() bool {
+		return second.do(call{path: "/stream/x", key: "key1", id: "r1"}).status == fasthttp.StatusOK
+	})
+	w.configure(func(d *document) { d.Tenants = d.Tenants[1:] })
+	began := time.Now()
+	second.until(func() bool {
+		return second.do(call{path: "/stream/x", key: "key1", id: "r2"}).status == fasthttp.StatusUnauthorized
+	})
+	require.Less(t, time.Since(began), 5*time.Second)
+	require.Equal(t, fasthttp.StatusOK, second.do(call{path: "/stream/x", key: "key2", id: "r3"}).status)
+	stop()
+	require.NoError(t, <-done)
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/cassiachute/cassiachute/platform"
 	"github.com/cassiachute/cassiachute/route"
+	"github.com/cassiachute/cassiachute/wire"
 )
 
 const (
@@ -23,7 +24,6 @@
 type watcher struct {
 	gateway *Gateway
 	client  *platform.Client
-	listing *route.Listing
 	version uint64 // of the store, up to which the configuration was read
 	up      map[string]bool
 }
@@ -62,7 +62,7 @@
 	w.gateway.record.store("configuration", nil)
 	for _, row := range page.Rows {
 		if row.Key == platform.KeyConfig && !row.Removed {
-			w.apply(row)
+			w.gateway.takeConfig(row.Value)
 		}
 	}
 	w.version = page.Version
@@ -70,7 +70,7 @@
 		w.version = 0
 		return storeRetry
 	}
-	w.gateway.core.asOf.Store(int64(asked))
+	w.gateway.core.confirm(asked)
 	return 0
 }
 
@@ -81,34 +81,20 @@
 	return w.client.Feed(platform.TableOperator, w.version, feedWait)
 }
 
-// apply puts a configuration in force unless a newer one is.
-func (w *watcher) apply(row platform.Row) {
-	table, err := platform.DecodeConfig(row.Value)
-	if err != nil {
-		w.gateway.record.badConfig(row.Version, err)
-		return
-	}
-	w.gateway.apply(table)
-}
-
 // targets reads the list of targets.
 func (w *watcher) targets() time.Duration {
+	asked := awake()
 	page, err := w.client.Scan(platform.TableTargets)
 	w.gateway.record.store("targets", err)
 	if err != nil {
-		w.listing.Fail()
+		w.gateway.failTargets()
 		return storeRetry
 	}
-	list := make([]route.Target, 0, len(page.Rows))
+	rows := make([]wire.TargetRow, 0, len(page.Rows))
 	for _, row := range page.Rows {
-		t, err := platform.DecodeTarget(row)
-		if err != nil {
-			w.gateway.record.badTarget(row.Key, err)
-			continue
-		}
-		list = append(list, t)
+		rows = append(rows, wire.TargetRow{Key: row.Key, Value: row.Value})
 	}
-	w.gateway.setTargets(w.listing.Read(time.Now(), list))
+	w.gateway.takeTargets(rows, asked, (*route.Listing).Read)
 	return targetsEvery
 }
 
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -33,6 +33,7 @@
 	client  *platform.Client
 	address netip.AddrPort
 	ready   netip.AddrPort
+	peer    netip.AddrPort
 	stop    context.CancelFunc
 	done    chan error
 	version uint64
@@ -86,11 +87,9 @@
 	for _, s := range targets {
 		w.list(s, "ready")
 	}
-	s := gateway.NewSettings()
-	s.Name, s.Place = "host1", "place1"
-	s.Listen, s.Ready, s.Peer, s.Store = w.address, w.ready, freeAddress(t), storeAddress
-	s.Grace = settings.Span{Duration: 3 * time.Second}
-	s.Revoke = settings.Span{Duration: 3 * time.Second}
+	s := w.settings("host1", storeAddress)
+	s.Listen, s.Ready = w.address, w.ready
+	w.peer = s.Peer
 	g, err := gateway.New(s, gateway.WithLog(zerolog.New(w.logs)))
 	require.NoError(t, err)
 	serving, stop := context.WithCancel(ctx)
@@ -110,6 +109,16 @@
 	return w
 }
 
+// settings returns settings of a gateway that reads a store.
+func (w *world) settings(name string, store netip.AddrPort) gateway.Settings {
+	s := gateway.NewSettings()
+	s.Name, s.Place = name, "place1"
+	s.Listen, s.Ready, s.Peer, s.Store = freeAddress(w.t), freeAddress(w.t), freeAddress(w.t), store
+	s.Grace = settings.Span{Duration: 3 * time.Second}
+	s.Revoke = settings.Span{Duration: 3 * time.Second}
+	return s
+}
+
 // until waits for a condition.
 func (w *world) until(condition func() bool) {
 	w.t.Helper()
--- a/route/listing.go
+++ b/route/listing.go
@@ -27,6 +27,14 @@
 		l.down = false
 		l.returned = now
 	}
+	return l.take(now, targets)
+}
+
+// Relay takes the targets that another host read from the store, which is not down
+// then, and returns those to be used.
+func (l *Listing) Relay(now time.Time, targets []Target) []Target { return l.take(now, targets) }
+
+func (l *Listing) take(now time.Time, targets []Target) []Target {
 	next := map[string]Target{}
 	for _, t := range targets {
 		next[t.ID] = t
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -109,3 +109,29 @@
 	}
 	return buf.Bytes(), nil
 }
+
+// WriteMessage writes a frame with one message.
+func WriteMessage(w io.Writer, m Message) error {
+	body, err := Encode([]Message{m})
+	if err != nil {
+		return err
+	}
+	return writeFrame(w, body)
+}
+
+// ReadMessage reads a frame with one message. The error is ErrFrameTooLarge,
+// ErrUnknownKind, ErrMalformed or that of the reader.
+func ReadMessage(r io.Reader) (Message, error) {
+	body, err := readFrame(r, MaxFrameBytes)
+	if err != nil {
+		return nil, err
+	}
+	messages, err := Decode(body)
+	if err != nil {
+		return nil, err
+	}
+	if len(messages) != 1 {
+		return nil, errors.Wrapf(ErrMalformed, "%d messages", len(messages))
+	}
+	return messages[0], nil
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -31,8 +31,10 @@
 	KindClaim    Kind = 16
 	KindClaimed  Kind = 17
 	KindNews     Kind = 18
+	KindQuery    Kind = 19
+	KindVouch    Kind = 20
 
-	kindLimit = 19
+	kindLimit = 21
 )
 
 var kindNames = [kindLimit]string{
@@ -40,6 +42,7 @@
 	KindEnd: "end", KindMove: "move", KindPreempt: "preempt", KindTotals: "totals", KindPull: "pull",
 	KindResync: "resync", KindAsk: "ask", KindSnapshot: "snapshot", KindSteps: "steps",
 	KindSuspect: "suspect", KindClaim: "claim", KindClaimed: "claimed", KindNews: "news",
+	KindQuery: "query", KindVouch: "vouch",
 }
 
 // String returns the name of the kind.
@@ -347,6 +350,10 @@
 		return &Beat{}
 	case KindNews:
 		return &News{}
+	case KindQuery:
+		return &Query{}
+	case KindVouch:
+		return &Vouch{}
 	case KindRoster:
 		return &Roster{}
 	case KindTicket:
--- /dev/null
+++ b/wire/vouch.go
@@ -0,0 +1,33 @@
+package wire
+
+// Query asks another gateway what it knows from the store.
+type Query struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Revision uint64 // version of the configuration in force at the sender, 0 for none
+}
+
+// Kind returns KindQuery.
+func (*Query) Kind() Kind { return KindQuery }
+
+// Vouch answers a query. Its ages are those at the moment of the answer.
+type Vouch struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Revision   uint64 // version of the configuration in force, 0 for none
+	Age        uint32 // milliseconds for which a newer one may have gone unnoticed
+	Config     []byte // configuration as the store has it, if it is newer than the asker's
+	TargetsAge uint32 // milliseconds since the list of targets was read
+	Targets    []TargetRow
+}
+
+// Kind returns KindVouch.
+func (*Vouch) Kind() Kind { return KindVouch }
+
+// TargetRow is the entry of a target as the store has it.
+type TargetRow struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Key   string
+	Value []byte
+}
