--- a/placement/choose.go
+++ b/placement/choose.go
@@ -12,8 +12,8 @@
 	queuePart       = 0.55 // part of the tightest aim that prompts may queue at an engine
 	entitledPart    = 0.5  // of that, for a team that received just its share of what is promised
 	evenPart        = 0.25 // of that, for a team that received an even part of what is handed out
-	leastAbovePart  = 0.08 // of that, for a team far above its share
-	mostAbovePart   = 0.5  // of that, for a team little above its share
+	leastAbovePart  = 0.05 // of that, for a team far above its share
+	mostAbovePart   = 0.7  // of that, for a team little above its share
 	loosePart       = 0.5  // of that, for a request that can wait longer than others
 	failingPart     = 0.3  // of that, at a target that fails often
 	memoryPart      = 0.95 // part of an engine's memory that is filled
@@ -198,7 +198,7 @@
 	if standing == Entitled {
 		return min(1, entitledPart*lack*lack)
 	}
-	return min(mostAbovePart, max(leastAbovePart, evenPart*lack*lack))
+	return min(mostAbovePart, max(leastAbovePart, evenPart*lack*lack*lack))
 }
 
 // settle returns the time until a team that is above its share is no longer, if it
