What becomes of a send is one decision, apart from I/O

Cause: whether a request may be sent again, is refused with a promise or fails was spread over booleans of the exchange.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/cassiachute/cassiachute/fault"
 	"github.com/cassiachute/cassiachute/placement"
 	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/retry"
 	"github.com/cassiachute/cassiachute/target"
 )
 
@@ -93,10 +94,14 @@
 // waits less long if there is an allowance for a repeat.
 func (a *attempt) await() error {
 	x := a.exchange
-	if x.route.Repeatable() && x.sends < x.route.Attempts {
+	if x.route.Repeatable() && x.history.Sends+1 < x.route.Attempts {
 		patience := max(silenceAims*x.route.Aim, silenceExpect*a.choice.Expect, leastSilence)
 		err := a.line.Await(min(patience, x.remaining()))
-		if !errors.Is(err, target.ErrSilent) || x.remaining() < leastLeft || x.gateway.core.spend(x.service) {
+		if !errors.Is(err, target.ErrSilent) || x.remaining() < leastLeft {
+			return err
+		}
+		if x.gateway.core.spend(x.service) {
+			x.spent = true
 			return err
 		}
 	}
@@ -146,7 +151,6 @@
 func (a *attempt) settle(err error) error {
 	x := a.exchange
 	if err == nil {
-		x.handed = true
 		return nil
 	}
 	switch {
@@ -160,7 +164,6 @@
 		a.finish(placement.Rejected)
 		return err
 	}
-	x.handed = true
 	switch {
 	case x.left():
 		a.finish(placement.Withdrawn)
@@ -257,9 +260,10 @@
 		if err == nil {
 			return a, nil
 		}
+		x.history.Take(resultOf(err))
 		x.gateway.record.attempt(x, a, err)
 		x.ask.Excluded = append(x.ask.Excluded, choice.Target)
-		if p := x.again(a, err); p != nil {
+		if p := x.again(err); p != nil {
 			if errors.Is(err, errFailed) {
 				return a, nil
 			}
@@ -268,31 +272,51 @@
 	}
 }
 
+// resultOf returns the result of a send that brought no answer.
+func resultOf(err error) retry.Result {
+	switch {
+	case errors.Is(err, errUnsent):
+		return retry.Unsent
+	case errors.Is(err, errRejected):
+		return retry.Rejected
+	case errors.Is(err, errFailed):
+		return retry.Failed
+	case errors.Is(err, target.ErrSilent):
+		return retry.Silent
+	default:
+		return retry.Broken
+	}
+}
+
 // again returns the problem if the request may not be sent once more after an
 // error.
-func (x *exchange) again(a *attempt, err error) *problem {
-	switch {
-	case x.left():
+func (x *exchange) again(err error) *problem {
+	if x.left() {
 		return failure(statusGone, reasonCallerGone)
-	case errors.Is(err, errUnsent):
-		x.unreached++
-		if x.unreached >= maxUnreached {
-			return x.refuse(notRun(reasonUnreached, staleRetry))
-		}
+	}
+	if x.remaining() < leastLeft {
+		return x.timeout()
+	}
+	result := resultOf(err)
+	spend := func() bool { return x.gateway.core.spend(x.service) }
+	if result == retry.Silent && x.spent {
+		x.spent = false
+		spend = func() bool { return true }
+	}
+	switch x.history.Decide(x.rule(), result, spend) {
+	case retry.Again:
 		return nil
-	case errors.Is(err, errRejected):
-		if x.sends >= x.route.Attempts || !x.gateway.core.spend(x.service) {
-			return x.refuse(notRun(reasonRejected, rejectedRetry))
+	case retry.Refuse:
+		if result == retry.Unsent {
+			return notRun(reasonUnreached, staleRetry)
 		}
-		return nil
-	case x.remaining() < leastLeft:
-		return x.timeout()
-	case !x.route.Repeatable() || x.sends >= x.route.Attempts:
-		return failure(fasthttp.StatusBadGateway, reasonTarget)
-	case errors.Is(err, target.ErrSilent):
-		return nil // the repeat was allowed when the wait ended
-	case !x.gateway.core.spend(x.service):
+		return notRun(reasonRejected, rejectedRetry)
+	default:
 		return failure(fasthttp.StatusBadGateway, reasonTarget)
 	}
-	return nil
+}
+
+// rule returns what the route allows.
+func (x *exchange) rule() retry.Rule {
+	return retry.Rule{Repeatable: x.route.Repeatable(), Attempts: x.route.Attempts}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/cassiachute/cassiachute/placement"
 	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/retry"
 	"github.com/cassiachute/cassiachute/route"
 	"github.com/cassiachute/cassiachute/target"
 )
@@ -20,7 +21,6 @@
 	rejectedRetry = 100 * time.Millisecond
 	poisonRetry   = 5 * time.Second
 	leastLeft     = 5 * time.Millisecond // of the caller's time, to begin anything
-	maxUnreached  = 3                    // targets that are tried in vain
 )
 
 // exchange is one request of a caller, from its arrival to its end.
@@ -39,9 +39,9 @@
 	digest  uint64
 	grants  chan placement.Choice // at most one at a time
 
-	sends     int  // times that bytes were handed to a target
-	handed    bool // a target may have run it
-	unreached int
+	history   retry.History // of the sends that brought no answer
+	sends     int           // all sends, for the log
+	spent     bool          // a repeat was allowed when a wait for an answer ended
 	waited    time.Duration // here, for a target
 	target    string        // last target
 	choice    placement.Choice
@@ -141,7 +141,7 @@
 
 // refuse returns a refusal, or a failure if a target may have run the request.
 func (x *exchange) refuse(p *problem) *problem {
-	if x.handed {
+	if x.history.MayHave {
 		return failure(fasthttp.StatusBadGateway, p.reason)
 	}
 	return p
@@ -149,7 +149,7 @@
 
 // timeout returns the answer when the time is over.
 func (x *exchange) timeout() *problem {
-	if x.handed {
+	if x.history.MayHave {
 		return failure(fasthttp.StatusGatewayTimeout, reasonTimeout)
 	}
 	return notRun(reasonTimeout, 0)
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -142,7 +142,8 @@
 		a.finish(placement.Failed)
 		x.gateway.record.attempt(x, a, err)
 		x.ask.Excluded = append(x.ask.Excluded, a.choice.Target)
-		if p := x.again(a, err); p != nil {
+		x.history.Take(resultOf(err))
+		if p := x.again(err); p != nil {
 			return nil, p
 		}
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -98,10 +98,8 @@
 	}
 	x.gateway.record.attempt(x, a, err)
 	x.ask.Excluded = append(x.ask.Excluded, a.choice.Target)
-	if errors.Is(err, target.ErrSilent) && !x.gateway.core.spend(x.service) {
-		return failure(fasthttp.StatusBadGateway, reasonTarget)
-	}
-	return x.again(a, err)
+	x.history.Take(resultOf(err))
+	return x.again(err)
 }
 
 // read reads until whole events have come or the stream has ended. The error is
@@ -145,7 +143,7 @@
 func (f *flow) patience() time.Duration {
 	x := f.exchange
 	left := max(leastLeft, x.remaining())
-	if !x.route.Resumable || x.sends >= x.route.Attempts {
+	if !x.route.Resumable || x.history.Sends+1 >= x.route.Attempts {
 		return left
 	}
 	return min(left, max(silencePauses*x.route.Pause, leastSilence))
--- /dev/null
+++ b/retry/history_test.go
@@ -0,0 +1,104 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cassiachute/cassiachute/fixedseed"
+	"github.com/cassiachute/cassiachute/retry"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
+// Over all orders of results: an order is never sent again once it may have run, a
+// refusal is never untrue, no request is sent to more targets than its route allows,
+// and every story ends.
+func TestHistoryKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rule := retry.Rule{
+			Repeatable: rapid.Bool().Draw(t, "repeatable"),
+			Attempts:   rapid.IntRange(1, 4).Draw(t, "attempts"),
+		}
+		var h retry.History
+		ran := false // a target may have run it
+		for sends, steps := 0, 0; ; steps++ {
+			require.Less(t, steps, 20, "the story does not end")
+			result := rapid.SampledFrom([]retry.Result{
+				retry.Unsent, retry.Rejected, retry.Failed, retry.Broken, retry.Silent,
+			}).Draw(t, "result")
+			if result != retry.Unsent {
+				sends++
+			}
+			ran = ran || result >= retry.Failed
+			h.Take(result)
+			verdict := h.Decide(rule, result, func() bool { return rapid.Bool().Draw(t, "spend") })
+			require.Equal(t, sends, h.Sends)
+			require.LessOrEqual(t, sends, rule.Attempts)
+			switch verdict {
+			case retry.Again:
+				require.True(t, rule.Repeatable || !ran)
+				if result != retry.Unsent {
+					require.Less(t, sends, rule.Attempts)
+				}
+				continue
+			case retry.Refuse:
+				require.False(t, ran)
+			case retry.Fail:
+				require.True(t, ran)
+			}
+			return
+		}
+	})
+}
+
+// The fleet's repeats stay within the ratio and the fixed sum, however the requests
+// are spread over hosts.
+func TestAllowanceHoldsOverTheFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(1, 12).Draw(t, "hosts")
+		fleet := make([]*retry.Allowance, hosts)
+		for i := range fleet {
+			fleet[i] = retry.NewAllowance(0.2, 50, 10*time.Second)
+		}
+		now := time.Unix(5000, 0)
+		requests, repeats := 0, 0
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			a := fleet[rapid.IntRange(0, hosts-1).Draw(t, "host")]
+			for range rapid.IntRange(0, 3).Draw(t, "requests") {
+				a.Earn(now)
+				requests++
+			}
+			for a.Spend(now, hosts) {
+				repeats++
+			}
+		}
+		require.LessOrEqual(t, float64(repeats), 0.2*float64(requests)+50)
+	})
+}
+
+// After a window without requests, what was spent counts no more.
+func TestAllowanceSlides(t *testing.T) {
+	a := retry.NewAllowance(0, 10, 10*time.Second)
+	now := time.Unix(5000, 0)
+	spent := 0
+	for a.Spend(now, 1) {
+		spent++
+	}
+	require.Equal(t, 8, spent)
+	require.False(t, a.Spend(now.Add(9*time.Second), 1))
+	require.True(t, a.Spend(now.Add(11*time.Second), 1))
+}
+
+func TestSuspectsCountAndClear(t *testing.T) {
+	s := retry.NewSuspects()
+	now := time.Unix(5000, 0)
+	require.True(t, s.Raise(now, 1, 2))
+	require.False(t, s.Raise(now, 1, 2))
+	require.Equal(t, uint8(2), s.Count(now, 1))
+	require.Zero(t, s.Count(now.Add(time.Hour), 1))
+	require.True(t, s.Clear(1))
+	require.False(t, s.Clear(1))
+}
