The queue ahead of a prompt leaves time for the prompt itself

Change: a prompt joins a queue only if its first event is expected within 0.9 of its aim, or the queue is under 0.15 of it; it waits here for that as for any room.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -10,6 +10,8 @@
 	typicalAnswer   = 30 * time.Millisecond // of a plain service, until learnt
 	typicalWeight   = 0.05
 	queuePart       = 0.55 // part of the tightest aim that prompts may queue at an engine
+	slackPart       = 0.9  // part of the aim in which the first event is expected
+	leastSlackPart  = 0.15 // part of the aim that may queue ahead of any prompt
 	entitledPart    = 0.5  // of that, for a team that received just its share of what is promised
 	evenPart        = 0.25 // of that, for a team that received an even part of what is handed out
 	leastAbovePart  = 0.05 // of that, for a team far above its share
@@ -138,7 +140,7 @@
 		if c.Target == "" && c.Reason == ReasonMissing {
 			c.Reason = ReasonFull
 		}
-		limit := p.limit(a, standing, lack, r)
+		limit := min(p.limit(a, standing, lack, r), p.slack(a, own))
 		need := Load{Prompt: a.Chain.Total - held, Running: 1, Memory: a.Chain.Total + int(expectedOutput*float64(a.Output))}
 		home := r == first || r == second || a.Chain.Shared()-held <= smallReread
 		if !home {
@@ -192,6 +194,12 @@
 	return limit
 }
 
+// slack returns how long prompts may queue ahead of one that takes a time itself, so
+// that its first event is in time; a prompt too long for that takes a short queue.
+func (p *pool) slack(a *Ask, own time.Duration) time.Duration {
+	return max(scale(a.Aim, leastSlackPart), scale(a.Aim, slackPart)-seconds(p.pace.Start())-own-a.Elapsed)
+}
+
 // turn returns the part of the queue for a team, by what it received compared with
 // its share.
 func turn(standing Standing, lack float64) float64 {
