A prompt goes to one engine first, to the second after its patience

Change: the second engine only after the patience here; 200 tokens in place of 512 may be read again anywhere.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -21,7 +21,7 @@
 	memoryPart      = 0.95 // part of an engine's memory that is filled
 	rereadWeight    = 12.0 // of prompt tokens that another target would not have to read
 	spillPart       = 0.15 // of the queue, for a prompt that the engine has to read whole
-	smallReread     = 512  // tokens that any engine may read again
+	smallReread     = 200  // tokens that any engine may read again
 	farPenalty      = 5 * time.Millisecond
 	leastRetryAfter = 200 * time.Millisecond
 	maxRetryAfter   = 3 * time.Second
@@ -142,7 +142,7 @@
 		}
 		limit := min(p.limit(a, standing, lack, r), p.slack(a, own))
 		need := Load{Prompt: a.Chain.Total - held, Running: 1, Memory: a.Chain.Total + int(expectedOutput*float64(a.Output))}
-		home := r == first || r == second || a.Chain.Shared()-held <= smallReread
+		home := r == first || r == second && a.Anywhere || a.Chain.Shared()-held <= smallReread
 		if !home {
 			limit = scale(limit, spillPart)
 			home = a.Anywhere
