Teams above their share leave engines whose streams are too slow

Ruled out: refusals (156 of 5,687), crashes (2 of 387). Change: the pause between events is learnt for each target, the pause that streams need from their announced length and time; at an engine slower than that, teams above their share get the square of the ratio of the queue.

--- a/gateway/core.go
+++ b/gateway/core.go
@@ -142,6 +142,13 @@
 	return left
 }
 
+// gap takes the pause between two events of a stream.
+func (c *core) gap(target string, pause time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.board.Gap(target, pause)
+}
+
 // ended takes the end of a request at its target.
 func (c *core) ended(x *exchange, target string, left placement.Load, o placement.Outcome, took time.Duration) {
 	now := time.Now()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -63,7 +63,7 @@
 	x.service = r.Pick(xxhash.Sum64String(call.ID))
 	x.limit = x.arrived.Add(r.Wait(call.Deadline))
 	x.ask = placement.Ask{
-		Service: x.service, Team: team, Output: call.Output, Aim: r.Aim,
+		Service: x.service, Team: team, Output: call.Output, Aim: r.Aim, Time: r.Wait(call.Deadline),
 		Chain: placement.NewChain(parts(call.Parts), call.Prompt),
 	}
 	ctx.Request.CopyTo(x.request)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -33,6 +33,7 @@
 	buf      []byte
 	head     time.Duration // time to the first event
 	count    int           // flushes
+	passed   time.Time     // when the last event was passed on
 }
 
 // stream answers a request with a series of events.
@@ -190,6 +191,11 @@
 	}
 	f.next = nil
 	f.count++
+	now := time.Now()
+	if f.count > 1 {
+		x.gateway.core.gap(x.target, now.Sub(f.passed))
+	}
+	f.passed = now
 	if err != nil || x.left() {
 		return reasonCallerGone
 	}
--- a/placement/board.go
+++ b/placement/board.go
@@ -37,6 +37,7 @@
 	peers  Load
 	health health
 	memory *memory
+	gap    time.Duration // mean pause between events
 }
 
 // load returns the work of all hosts at the target.
@@ -54,6 +55,7 @@
 	rows    []*row        // ordered by the identity of the target
 	teams   map[string]*teamUse
 	tight   time.Duration // tightest aim of the routes to the service
+	need    time.Duration // pause between events that streams need to be over in time
 	queue   []ticket
 	shares  shares
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -36,6 +36,7 @@
 	Chain    Chain
 	Output   int           // most tokens to be generated
 	Aim      time.Duration // time to the first event, or the answer, that the caller wants
+	Time     time.Duration // in which the whole answer is wanted
 	Elapsed  time.Duration // since the request arrived
 	Excluded []string      // targets that failed it
 	Anywhere bool          // it has waited for the engines that keep its parts
@@ -188,6 +189,9 @@
 	if a.Aim > aim {
 		limit = scale(limit, loosePart)
 	}
+	if standing != Entitled {
+		limit = scale(limit, p.crowd(r))
+	}
 	if r != nil && r.health.failing() {
 		limit = scale(limit, failingPart)
 	}
--- /dev/null
+++ b/placement/crowd.go
@@ -0,0 +1,52 @@
+package placement
+
+import "time"
+
+const (
+	gapWeight      = 0.02  // of the newest pause between events in the mean of a target
+	needGrowth     = 1.001 // of the pause that streams need, at each request that needs less
+	leastCrowdPart = 0.2   // of the queue, at an engine far too crowded
+)
+
+// need returns the longest pause between events with which a stream of the announced
+// length is over in time.
+func (a *Ask) need(stride int) time.Duration {
+	if a.Output <= 0 || a.Time <= a.Aim {
+		return 0
+	}
+	events := max(1, a.Output/max(1, stride))
+	return (a.Time - a.Aim) / time.Duration(events)
+}
+
+// learnNeed takes what a request needs.
+func (p *pool) learnNeed(a *Ask) {
+	if p.engine == nil {
+		return
+	}
+	need := a.need(p.engine.Stride)
+	switch {
+	case need == 0:
+	case p.need == 0 || need < p.need:
+		p.need = need
+	default:
+		p.need = min(need, scale(p.need, needGrowth))
+	}
+}
+
+// Gap takes the pause between two events of a stream.
+func (b *Board) Gap(target string, pause time.Duration) {
+	if r := b.rows[target]; r != nil {
+		r.gap += scale(pause-r.gap, gapWeight)
+	}
+}
+
+// crowd returns the part of the queue that is left at an engine whose streams are too
+// slow to be over in time. It answers prompts that are read without a break: each
+// step of the engine then reads a piece of one, and long streams miss their end.
+func (p *pool) crowd(r *row) float64 {
+	if r == nil || p.need == 0 || r.gap <= p.need {
+		return 1
+	}
+	part := float64(p.need) / float64(r.gap)
+	return max(leastCrowdPart, part*part)
+}
--- /dev/null
+++ b/placement/crowd_test.go
@@ -0,0 +1,51 @@
+package placement_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiachute/cassiachute/placement"
+	"github.com/cassiachute/cassiachute/route"
+)
+
+// Load pattern: prompts are read without a break, so that streams get slower than
+// their callers can wait. A team above its share leaves such an engine; a team within
+// its share is served as before.
+func TestTeamsAboveTheirShareLeaveCrowdedEngines(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := placement.NewBoard("place1")
+	b.Configure(route.NewTable(route.Table{
+		Version: 1, Rate: 1000,
+		Routes:   []route.Route{{Aim: tightAim, Shares: []route.Share{{Service: "model", Weight: 1}}}},
+		Services: []route.Service{{Name: "model", Engine: &route.Engine{Slots: 100, Memory: 10_000_000, Stride: 5}}},
+	}))
+	b.SetTargets([]route.Target{{ID: "e", Service: "model", Slots: 100, Address: netip.MustParseAddrPort("10.0.0.1:80")}})
+	ask := func(team string, prompt int) *placement.Ask {
+		return &placement.Ask{
+			Service: "model", Team: team, Aim: tightAim, Time: 12 * time.Second, Output: 1000,
+			Chain: placement.NewChain(nil, prompt),
+		}
+	}
+	greedy, modest := ask("greedy", 3000), ask("modest", 100)
+	b.Asked(now, greedy)
+	b.Asked(now, modest)
+	c := b.Choose(now, greedy)
+	require.Equal(t, "e", c.Target)
+	b.Sent(now, greedy, &c)
+	now = now.Add(30 * time.Millisecond) // the shares are worked out again
+	require.Equal(t, "e", b.Choose(now, greedy).Target)
+	before := b.Choose(now, greedy).Limit
+	for range 500 {
+		b.Gap("e", 200*time.Millisecond)
+	}
+	require.Empty(t, b.Choose(now, greedy).Target)
+	require.Equal(t, "e", b.Choose(now, modest).Target)
+	require.Equal(t, before, b.Choose(now, greedy).Limit, "the limit without an engine does not change")
+	for range 500 {
+		b.Gap("e", 20*time.Millisecond)
+	}
+	require.Equal(t, "e", b.Choose(now, greedy).Target)
+}
--- a/placement/track.go
+++ b/placement/track.go
@@ -4,7 +4,9 @@
 
 // Asked takes the arrival of a request.
 func (b *Board) Asked(now time.Time, a *Ask) {
-	b.pool(a.Service).team(a.Team).asked.add(now, a.Cost())
+	p := b.pool(a.Service)
+	p.team(a.Team).asked.add(now, a.Cost())
+	p.learnNeed(a)
 }
 
 // Sent takes a request that goes to its target.
--- a/route/table.go
+++ b/route/table.go
@@ -109,6 +109,7 @@
 type Engine struct {
 	Slots  int // requests that one engine runs at once
 	Memory int // tokens that one engine holds
+	Stride int // tokens in one event of a stream
 }
 
 // Team is a tenant of the fleet.
