--- a/cassiachute.go
+++ b/cassiachute.go
@@ -14,7 +14,8 @@
 
 // config is what the options set.
 type config struct {
-	log zerolog.Logger
+	log     zerolog.Logger
+	dropped func() uint64
 }
 
 // Option changes a part that New… returns.
@@ -23,8 +24,12 @@
 // WithLog sets the log. Without it, nothing is logged.
 func WithLog(log zerolog.Logger) Option { return func(c *config) { c.log = log } }
 
+// WithDropped sets where a gateway reads the number of log lines that were dropped,
+// for its metrics. Without it, none are counted.
+func WithDropped(dropped func() uint64) Option { return func(c *config) { c.dropped = dropped } }
+
 func newConfig(options []Option) config {
-	c := config{log: zerolog.Nop()}
+	c := config{log: zerolog.Nop(), dropped: func() uint64 { return 0 }}
 	for _, option := range options {
 		option(&c)
 	}
@@ -46,5 +51,6 @@
 // NewGateway returns a host that serves callers on the users' platform once Run
 // is called. The error is marked settings.ErrInvalid if the settings are at fault.
 func NewGateway(s gateway.Settings, options ...Option) (*gateway.Gateway, error) {
-	return gateway.New(s, gateway.WithLog(newConfig(options).log))
+	c := newConfig(options)
+	return gateway.New(s, gateway.WithLog(c.log), gateway.WithDropped(c.dropped))
 }
--- a/cmd/cassia-gateway/main.go
+++ b/cmd/cassia-gateway/main.go
@@ -32,7 +32,7 @@
 		book := logbook.NewBook(os.Stdout)
 		writing, stop := context.WithCancel(context.Background())
 		written := book.Run(writing)
-		err := serve(ctx, s, log.Output(book), common.Settings)
+		err := serve(ctx, s, common.Settings, cassiachute.WithLog(log.Output(book)), cassiachute.WithDropped(book.Dropped))
 		stop()
 		if writeErr := <-written; writeErr != nil && err == nil {
 			return writeErr
@@ -46,8 +46,8 @@
 }
 
 // serve runs a gateway and reloads its settings file until the context ends.
-func serve(ctx context.Context, s gateway.Settings, log zerolog.Logger, path string) error {
-	g, err := cassiachute.NewGateway(s, cassiachute.WithLog(log))
+func serve(ctx context.Context, s gateway.Settings, path string, options ...cassiachute.Option) error {
+	g, err := cassiachute.NewGateway(s, options...)
 	if err != nil {
 		return err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,7 @@
 	known    knowledge
 	listing  *route.Listing // guarded by the lock of the core
 	answers  *mesh.Responder
+	dropped  func() uint64 // log lines that were dropped
 	boot     uint64
 	number   uint64 // of the last news
 
@@ -67,6 +68,9 @@
 // WithLog sets the log.
 func WithLog(log zerolog.Logger) Option { return func(g *Gateway) { g.log = log } }
 
+// WithDropped sets where the number of log lines that were dropped is read.
+func WithDropped(dropped func() uint64) Option { return func(g *Gateway) { g.dropped = dropped } }
+
 // New returns a Gateway that listens at its addresses and serves once Run is
 // called. The error is marked settings.ErrInvalid if the settings are at fault.
 func New(s Settings, options ...Option) (*Gateway, error) {
@@ -74,7 +78,7 @@
 		return nil, err
 	}
 	g := &Gateway{
-		settings: s, log: zerolog.Nop(), core: newCore(s),
+		settings: s, log: zerolog.Nop(), core: newCore(s), dropped: func() uint64 { return 0 },
 		pool:    target.NewPool(nil, target.WithDialTimeout(dialTimeout)),
 		client:  platform.NewClient(s.Store, platform.WithTimeout(storeTimeout)),
 		peers:   newContacts(s.Peer),
@@ -135,6 +139,7 @@
 	m.watch("in_flight_requests", "Requests that are not answered yet.", func() float64 { return float64(g.inFlight.Load()) })
 	m.watch("configuration_age_seconds", "Age of the newest sign that the configuration is current.",
 		func() float64 { return g.core.age().Seconds() })
+	m.watch("log_lines_dropped", "Log lines that were dropped.", func() float64 { return float64(g.dropped()) })
 	m.watch("peers", "Other hosts that are known.", func() float64 { return float64(g.peers.count()) })
 	m.watch("store_calls", "Calls to the store.", func() float64 {
 		reads, writes := g.client.Calls()
--- a/wire/message.go
+++ b/wire/message.go
@@ -343,50 +343,34 @@
 // Kind implements Message.
 func (*Claimed) Kind() Kind { return KindClaimed }
 
+// blanks make an empty message of each kind.
+var blanks = [kindLimit]func() Message{
+	KindBeat:     func() Message { return &Beat{} },
+	KindNews:     func() Message { return &News{} },
+	KindQuery:    func() Message { return &Query{} },
+	KindVouch:    func() Message { return &Vouch{} },
+	KindRoster:   func() Message { return &Roster{} },
+	KindTicket:   func() Message { return &Ticket{} },
+	KindGrant:    func() Message { return &Grant{} },
+	KindDeny:     func() Message { return &Deny{} },
+	KindEnd:      func() Message { return &End{} },
+	KindMove:     func() Message { return &Move{} },
+	KindPreempt:  func() Message { return &Preempt{} },
+	KindTotals:   func() Message { return &Totals{} },
+	KindPull:     func() Message { return &Pull{} },
+	KindResync:   func() Message { return &Resync{} },
+	KindAsk:      func() Message { return &Ask{} },
+	KindSnapshot: func() Message { return &Snapshot{} },
+	KindSteps:    func() Message { return &Steps{} },
+	KindSuspect:  func() Message { return &Suspect{} },
+	KindClaim:    func() Message { return &Claim{} },
+	KindClaimed:  func() Message { return &Claimed{} },
+}
+
 // blank returns an empty message of a kind, or nil if the kind is unknown.
 func blank(k Kind) Message {
-	switch k {
-	case KindBeat:
-		return &Beat{}
-	case KindNews:
-		return &News{}
-	case KindQuery:
-		return &Query{}
-	case KindVouch:
-		return &Vouch{}
-	case KindRoster:
-		return &Roster{}
-	case KindTicket:
-		return &Ticket{}
-	case KindGrant:
-		return &Grant{}
-	case KindDeny:
-		return &Deny{}
-	case KindEnd:
-		return &End{}
-	case KindMove:
-		return &Move{}
-	case KindPreempt:
-		return &Preempt{}
-	case KindTotals:
-		return &Totals{}
-	case KindPull:
-		return &Pull{}
-	case KindResync:
-		return &Resync{}
-	case KindAsk:
-		return &Ask{}
-	case KindSnapshot:
-		return &Snapshot{}
-	case KindSteps:
-		return &Steps{}
-	case KindSuspect:
-		return &Suspect{}
-	case KindClaim:
-		return &Claim{}
-	case KindClaimed:
-		return &Claimed{}
-	default:
+	if k >= kindLimit || blanks[k] == nil {
 		return nil
 	}
+	return blanks[k]()
 }
