--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,63 @@
+package mesh_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiachute/cassiachute/mesh"
+	"github.com/cassiachute/cassiachute/wire"
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// News arrive as they were sent, and a datagram that is not well-formed is reported.
+func TestNewsArrive(t *testing.T) {
+	received := make(chan *wire.News, 1)
+	rejected := make(chan error, 1)
+	a, err := mesh.NewSocket(loopback, mesh.Events{
+		Received: func(_ netip.AddrPort, n *wire.News) { received <- n },
+		Rejected: func(_ netip.AddrPort, err error) { rejected <- err },
+	})
+	require.NoError(t, err)
+	b, err := mesh.NewSocket(loopback, mesh.Events{})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := a.Run(ctx)
+	news := &wire.News{
+		Boot: 1, Number: 2, Revision: 3, Place: "p",
+		Loads:   []wire.TargetLoad{{Target: "i-1", Prompt: 4, Running: 5, Memory: 6}},
+		Demands: []wire.TeamDemand{{Service: "s", Team: "t", Received: 7, Asked: 8}},
+		Crashes: []wire.Crash{{Digest: 9, Count: 1}},
+	}
+	require.NoError(t, b.Send(news, []netip.AddrPort{a.Address()}))
+	select {
+	case got := <-received:
+		require.Equal(t, news, got)
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing arrived")
+	}
+	cancel()
+	<-done
+}
+
+// A query has the answer of its host; a host that does not answer is an error.
+func TestAsk(t *testing.T) {
+	r, err := mesh.NewResponder(netip.MustParseAddrPort("127.0.0.3:17461"), func(q *wire.Query) *wire.Vouch {
+		return &wire.Vouch{Revision: q.Revision + 1, Age: 5, Config: []byte("c")}
+	})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := r.Run(ctx)
+	v, err := mesh.Ask(ctx, netip.MustParseAddrPort("127.0.0.3:17461"), &wire.Query{Revision: 6})
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), v.Revision)
+	require.Equal(t, "c", string(v.Config))
+	_, err = mesh.Ask(ctx, netip.MustParseAddrPort("127.0.0.3:1"), &wire.Query{})
+	require.ErrorIs(t, err, mesh.ErrAnswer)
+	cancel()
+	<-done
+}
