Targets whose streams fall silent at once are left before a timeout

Change: with three streams or more, none of which had an event for 4 mean pauses and 0.3 s, a target is left, for 1.5 s at most, since old connections may be silent while new ones work. Test: TestHushedTargetIsLeft.

--- a/gateway/core.go
+++ b/gateway/core.go
@@ -137,8 +137,9 @@
 func (c *core) first(x *exchange, choice placement.Choice, took time.Duration) placement.Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	left := c.board.First(&x.ask, choice, took)
-	c.serve(time.Now(), x.service)
+	now := time.Now()
+	left := c.board.First(now, &x.ask, choice, took)
+	c.serve(now, x.service)
 	return left
 }
 
@@ -146,7 +147,7 @@
 func (c *core) gap(target string, pause time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.board.Gap(target, pause)
+	c.board.Gap(time.Now(), target, pause)
 }
 
 // ended takes the end of a request at its target.
--- a/placement/board.go
+++ b/placement/board.go
@@ -38,6 +38,8 @@
 	health health
 	memory *memory
 	gap    time.Duration // mean pause between events
+	heard  time.Time     // last event of any stream
+	flows  int           // streams of this host that had their first event
 }
 
 // load returns the work of all hosts at the target.
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -83,7 +83,7 @@
 
 // usable returns whether a request may be sent to a target.
 func (r *row) usable(now time.Time, a *Ask) bool {
-	return !r.target.Leaving && r.health.usable(now) && !slices.Contains(a.Excluded, r.target.ID)
+	return !r.target.Leaving && r.health.usable(now) && !r.hushed(now) && !slices.Contains(a.Excluded, r.target.ID)
 }
 
 // choosePlain takes the target with the most free slots. It answers bursts on
--- a/placement/crowd.go
+++ b/placement/crowd.go
@@ -5,7 +5,11 @@
 const (
 	gapWeight      = 0.02  // of the newest pause between events in the mean of a target
 	needGrowth     = 1.001 // of the pause that streams need, at each request that needs less
-	leastCrowdPart = 0.2   // of the queue, at an engine far too crowded
+	leastFlows     = 3     // streams that must be silent at once
+	hushGaps       = 4     // mean pauses for which they must be silent
+	leastHush      = 300 * time.Millisecond
+	maxHush        = 1500 * time.Millisecond
+	leastCrowdPart = 0.2 // of the queue, at an engine far too crowded
 )
 
 // need returns the longest pause between events with which a stream of the announced
@@ -34,12 +38,21 @@
 }
 
 // Gap takes the pause between two events of a stream.
-func (b *Board) Gap(target string, pause time.Duration) {
+func (b *Board) Gap(now time.Time, target string, pause time.Duration) {
 	if r := b.rows[target]; r != nil {
 		r.gap += scale(pause-r.gap, gapWeight)
+		r.heard = now
 	}
 }
 
+// hushed returns whether all streams of a target fell silent at once. It answers
+// targets that are cut off or stand still: their streams show it before any timeout.
+// Later, new requests tell whether only old connections are silent.
+func (r *row) hushed(now time.Time) bool {
+	silent := now.Sub(r.heard)
+	return r.flows >= leastFlows && silent > max(leastHush, hushGaps*r.gap) && silent < maxHush
+}
+
 // crowd returns the part of the queue that is left at an engine whose streams are too
 // slow to be over in time. It answers prompts that are read without a break: each
 // step of the engine then reads a piece of one, and long streams miss their end.
--- a/placement/crowd_test.go
+++ b/placement/crowd_test.go
@@ -39,13 +39,38 @@
 	require.Equal(t, "e", b.Choose(now, greedy).Target)
 	before := b.Choose(now, greedy).Limit
 	for range 500 {
-		b.Gap("e", 200*time.Millisecond)
+		b.Gap(now, "e", 200*time.Millisecond)
 	}
 	require.Empty(t, b.Choose(now, greedy).Target)
 	require.Equal(t, "e", b.Choose(now, modest).Target)
 	require.Equal(t, before, b.Choose(now, greedy).Limit, "the limit without an engine does not change")
 	for range 500 {
-		b.Gap("e", 20*time.Millisecond)
+		b.Gap(now, "e", 20*time.Millisecond)
 	}
 	require.Equal(t, "e", b.Choose(now, greedy).Target)
 }
+
+// Load pattern: a target is cut off while streams run there. New requests leave it
+// before any of them times out.
+func TestHushedTargetIsLeft(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := placement.NewBoard("place1")
+	b.Configure(route.NewTable(route.Table{
+		Version: 1, Routes: []route.Route{{Aim: tightAim, Shares: []route.Share{{Service: "model", Weight: 1}}}},
+		Services: []route.Service{{Name: "model", Engine: &route.Engine{Slots: 100, Memory: 10_000_000, Stride: 5}}},
+	}))
+	b.SetTargets([]route.Target{{ID: "e", Service: "model", Slots: 100, Address: netip.MustParseAddrPort("10.0.0.1:80")}})
+	ask := &placement.Ask{Service: "model", Aim: tightAim, Chain: placement.NewChain(nil, 100)}
+	for range 3 {
+		c := b.Choose(now, ask)
+		require.Equal(t, "e", c.Target)
+		b.Sent(now, ask, &c)
+		b.First(now, ask, c, 50*time.Millisecond)
+	}
+	b.Gap(now, "e", 50*time.Millisecond)
+	require.Equal(t, "e", b.Choose(now.Add(200*time.Millisecond), ask).Target)
+	require.Empty(t, b.Choose(now.Add(400*time.Millisecond), ask).Target)
+	require.Equal(t, "e", b.Choose(now.Add(1600*time.Millisecond), ask).Target, "only old connections may be silent")
+	b.Gap(now.Add(500*time.Millisecond), "e", 500*time.Millisecond)
+	require.Equal(t, "e", b.Choose(now.Add(510*time.Millisecond), ask).Target)
+}
--- a/placement/track.go
+++ b/placement/track.go
@@ -23,7 +23,7 @@
 
 // First takes the first event of a request. What the request still holds is
 // returned.
-func (b *Board) First(a *Ask, c Choice, took time.Duration) Load {
+func (b *Board) First(now time.Time, a *Ask, c Choice, took time.Duration) Load {
 	r := b.rows[c.Target]
 	left := c.Load
 	left.Prompt = 0
@@ -31,6 +31,8 @@
 		return left
 	}
 	r.own.sub(Load{Prompt: c.Load.Prompt})
+	r.flows++
+	r.heard = now
 	p := b.pool(a.Service)
 	expected := seconds(p.pace.Start()) + p.pace.Wait(c.Queue)
 	r.health.took(took, expected)
@@ -63,6 +65,9 @@
 		return
 	}
 	r.own.sub(left)
+	if left.Prompt == 0 && left.Running > 0 {
+		r.flows = max(0, r.flows-1)
+	}
 	switch o {
 	case Done:
 		r.health.succeed()
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -240,7 +240,7 @@
 }
 
 func (w *world) first(x *work) {
-	x.left = w.boards[x.host].First(&x.ask, x.choice, w.now.Sub(x.sent))
+	x.left = w.boards[x.host].First(w.now, &x.ask, x.choice, w.now.Sub(x.sent))
 	r := w.result(x.load.team)
 	r.served++
 	r.tokens += x.ask.Chain.Total
