Names of the field; the search for an engine in steps of their own

Change: congestion, stalled, ratio, Reply in place of looser words; chooseEngine split into search, weigh and limit; the file of the messages between gateways is query.go. No decision changes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -122,7 +122,7 @@
 		return err
 	}
 	g.mesh = socket
-	g.answers, err = mesh.NewResponder(g.settings.Peer, g.vouch)
+	g.answers, err = mesh.NewResponder(g.settings.Peer, g.reply)
 	return err
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -49,13 +49,13 @@
 	return awake() - k.targetsAsOf
 }
 
-// vouch answers the query of another host.
-func (g *Gateway) vouch(q *wire.Query) *wire.Vouch {
+// reply answers the query of another host.
+func (g *Gateway) reply(q *wire.Query) *wire.Reply {
 	table := g.core.view.Load()
 	if table == nil {
-		return &wire.Vouch{}
+		return &wire.Reply{}
 	}
-	v := &wire.Vouch{Revision: table.Version, Age: uint32(g.core.age().Milliseconds())}
+	v := &wire.Reply{Revision: table.Version, Age: uint32(g.core.age().Milliseconds())}
 	g.known.mu.Lock()
 	defer g.known.mu.Unlock()
 	if table.Version > q.Revision {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -46,8 +46,8 @@
 
 // A query has the answer of its host; a host that does not answer is an error.
 func TestAsk(t *testing.T) {
-	r, err := mesh.NewResponder(netip.MustParseAddrPort("127.0.0.3:17461"), func(q *wire.Query) *wire.Vouch {
-		return &wire.Vouch{Revision: q.Revision + 1, Age: 5, Config: []byte("c")}
+	r, err := mesh.NewResponder(netip.MustParseAddrPort("127.0.0.3:17461"), func(q *wire.Query) *wire.Reply {
+		return &wire.Reply{Revision: q.Revision + 1, Age: 5, Config: []byte("c")}
 	})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/mesh/query.go
+++ b/mesh/query.go
@@ -21,12 +21,12 @@
 // Responder answers the queries of other hosts.
 type Responder struct {
 	listener net.Listener
-	answer   func(q *wire.Query) *wire.Vouch
+	answer   func(q *wire.Query) *wire.Reply
 }
 
 // NewResponder returns a Responder that listens at an address and answers once Run
 // is called.
-func NewResponder(address netip.AddrPort, answer func(q *wire.Query) *wire.Vouch) (*Responder, error) {
+func NewResponder(address netip.AddrPort, answer func(q *wire.Query) *wire.Reply) (*Responder, error) {
 	l, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen at %s", address)
@@ -68,7 +68,7 @@
 }
 
 // Ask sends a query to a host and returns its answer. The error is ErrAnswer.
-func Ask(ctx context.Context, host netip.AddrPort, q *wire.Query) (*wire.Vouch, error) {
+func Ask(ctx context.Context, host netip.AddrPort, q *wire.Query) (*wire.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	var dialer net.Dialer
@@ -87,9 +87,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrAnswer, "%s: %v", host, err)
 	}
-	vouch, ok := m.(*wire.Vouch)
+	reply, ok := m.(*wire.Reply)
 	if !ok {
 		return nil, errors.Wrapf(ErrAnswer, "%s: message of kind %s", host, m.Kind())
 	}
-	return vouch, nil
+	return reply, nil
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -83,7 +83,7 @@
 
 // usable returns whether a request may be sent to a target.
 func (r *row) usable(now time.Time, a *Ask) bool {
-	return !r.target.Leaving && r.health.usable(now) && !r.hushed(now) && !slices.Contains(a.Excluded, r.target.ID)
+	return !r.target.Leaving && r.health.usable(now) && !r.stalled(now) && !slices.Contains(a.Excluded, r.target.ID)
 }
 
 // choosePlain takes the target with the most free slots. It answers bursts on
@@ -123,74 +123,95 @@
 // for the engines that keep them. It answers load above capacity: an engine gets
 // no more prompts than it reads in time, so that what is admitted is in time.
 func (b *Board) chooseEngine(now time.Time, p *pool, a *Ask) Choice {
-	first, second := p.rendezvous(a.Chain.Deepest())
-	standing, lack := b.standing(now, a.Service, a.Team)
-	c := Choice{Reason: ReasonMissing, After: firstSuspension, Team: standing}
-	c.Limit = p.limit(a, standing, lack, nil)
-	bestScore := time.Duration(0)
-	shortest := time.Duration(-1)
+	standing, ratio := b.standing(now, a.Service, a.Team)
+	s := search{board: b, pool: p, ask: a, standing: standing, ratio: ratio, shortest: -1}
+	s.first, s.second = p.rendezvous(a.Chain.Deepest())
 	for _, r := range p.rows {
-		if !r.usable(now, a) {
-			continue
-		}
-		load := r.load()
-		held := r.memory.held(a.Chain)
-		drag := r.health.drag()
-		wait := scale(p.pace.Wait(load.Prompt), drag)
-		own := p.pace.Wait(a.Chain.Total - held)
-		if c.Target == "" && c.Reason == ReasonMissing {
-			c.Reason = ReasonFull
-		}
-		limit := min(p.limit(a, standing, lack, r), p.slack(a, own))
-		need := Load{Prompt: a.Chain.Total - held, Running: 1, Memory: a.Chain.Total + int(expectedOutput*float64(a.Output))}
-		home := r == first || r == second && a.Anywhere || a.Chain.Shared()-held <= smallReread
-		if !home {
-			limit = scale(limit, spillPart)
-			home = a.Anywhere
-		}
-		if over := wait - limit; over > 0 || !home || !p.fits(load, need) {
-			over = max(over, 0)
-			if shortest < 0 || over < shortest {
-				shortest = over
-			}
-			continue
-		}
-		score := wait + scale(p.reread(a.Chain, held, r == first, r == second), rereadWeight*drag)
-		if r.target.Place != b.place {
-			score += farPenalty
+		if r.usable(now, a) {
+			s.found = true
+			s.weigh(r)
 		}
-		if c.Target == "" || score < bestScore {
-			bestScore = score
-			c.Target, c.Load, c.Waiting = r.target.ID, need, wait
-			c.Expect = seconds(p.pace.Start()) + wait + own
+	}
+	c := s.best
+	c.Team, c.Limit = standing, p.limit(a, standing, ratio, nil)
+	switch {
+	case c.Target != "":
+	case !s.found:
+		c.Reason, c.After = ReasonMissing, firstSuspension
+	default:
+		over := max(s.shortest, 0)
+		c.Reason, c.Waiting = ReasonFull, c.Limit+over
+		c.After = min(maxRetryAfter, over+leastRetryAfter+settle(standing, ratio))
+	}
+	return c
+}
+
+// search looks for the engine of one request.
+type search struct {
+	board         *Board
+	pool          *pool
+	ask           *Ask
+	standing      Standing
+	ratio         float64 // of the team's share to what it received
+	first, second *row    // engines that keep the prompt's shared parts
+	found         bool    // an engine is usable
+	best          Choice
+	score         time.Duration // of the best; less is better
+	shortest      time.Duration // least excess of a queue over its limit, -1 without one
+}
+
+// weigh compares an engine with the best so far.
+func (s *search) weigh(r *row) {
+	p, a := s.pool, s.ask
+	load := r.load()
+	held := r.memory.held(a.Chain)
+	drag := r.health.drag()
+	wait := scale(p.pace.Wait(load.Prompt), drag)
+	own := p.pace.Wait(a.Chain.Total - held)
+	need := Load{Prompt: a.Chain.Total - held, Running: 1, Memory: a.Chain.Total + int(expectedOutput*float64(a.Output))}
+	limit, home := s.limit(r, held, own)
+	if wait > limit || !home || !p.fits(load, need) {
+		if over := max(wait-limit, 0); s.shortest < 0 || over < s.shortest {
+			s.shortest = over
 		}
+		return
 	}
-	if c.Target != "" {
-		c.Reason, c.After = ReasonNone, 0
-		return c
+	score := wait + scale(p.reread(a.Chain, held, r == s.first, r == s.second), rereadWeight*drag)
+	if r.target.Place != s.board.place {
+		score += farPenalty
 	}
-	if c.Reason == ReasonFull {
-		c.Waiting = c.Limit + max(shortest, 0)
-		c.After = min(maxRetryAfter, max(shortest, 0)+leastRetryAfter+settle(standing, lack))
+	if s.best.Target == "" || score < s.score {
+		s.score = score
+		s.best = Choice{Target: r.target.ID, Load: need, Waiting: wait, Expect: seconds(p.pace.Start()) + wait + own}
 	}
-	return c
+}
+
+// limit returns the longest queue that the request may join at an engine, and whether
+// it may go there at all.
+func (s *search) limit(r *row, held int, own time.Duration) (time.Duration, bool) {
+	limit := min(s.pool.limit(s.ask, s.standing, s.ratio, r), s.pool.slack(s.ask, own))
+	chain := s.ask.Chain
+	if r == s.first || r == s.second && s.ask.Anywhere || chain.Shared()-held <= smallReread {
+		return limit, true
+	}
+	return scale(limit, spillPart), s.ask.Anywhere
 }
 
 // limit returns how long prompts may queue at an engine ahead of a request. A
 // request with a loose aim leaves room for those that can't wait as long as it can,
 // and a team above its share by what it received compared with an even part.
-func (p *pool) limit(a *Ask, standing Standing, lack float64, r *row) time.Duration {
+func (p *pool) limit(a *Ask, standing Standing, ratio float64, r *row) time.Duration {
 	aim := p.tight
 	if aim == 0 || a.Aim > 0 && a.Aim < aim {
 		aim = a.Aim
 	}
 	limit := scale(aim, queuePart)
-	limit = scale(limit, turn(standing, lack))
+	limit = scale(limit, queuePartOf(standing, ratio))
 	if a.Aim > aim {
 		limit = scale(limit, loosePart)
 	}
 	if standing != Entitled {
-		limit = scale(limit, p.crowd(r))
+		limit = scale(limit, p.congestion(r))
 	}
 	if r != nil && r.health.failing() {
 		limit = scale(limit, failingPart)
@@ -204,22 +225,22 @@
 	return max(scale(a.Aim, leastSlackPart), scale(a.Aim, slackPart)-seconds(p.pace.Start())-own-a.Elapsed)
 }
 
-// turn returns the part of the queue for a team, by what it received compared with
+// queuePartOf returns the part of the queue for a team, by what it received compared with
 // its share.
-func turn(standing Standing, lack float64) float64 {
+func queuePartOf(standing Standing, ratio float64) float64 {
 	if standing == Entitled {
-		return min(1, entitledPart*lack*lack)
+		return min(1, entitledPart*ratio*ratio)
 	}
-	return min(mostAbovePart, max(leastAbovePart, evenPart*lack*lack*lack))
+	return min(mostAbovePart, max(leastAbovePart, evenPart*ratio*ratio*ratio))
 }
 
 // settle returns the time until a team that is above its share is no longer, if it
 // receives nothing meanwhile.
-func settle(standing Standing, lack float64) time.Duration {
-	if standing == Entitled || lack <= 0 || lack >= 1 {
+func settle(standing Standing, ratio float64) time.Duration {
+	if standing == Entitled || ratio <= 0 || ratio >= 1 {
 		return 0
 	}
-	return seconds(usageLife.Seconds() * math.Log(1/lack))
+	return seconds(usageLife.Seconds() * math.Log(1/ratio))
 }
 
 // fits returns whether an engine has a slot and memory for a request.
--- a/placement/crowd.go
+++ b/placement/congestion.go
@@ -3,13 +3,13 @@
 import "time"
 
 const (
-	gapWeight      = 0.02  // of the newest pause between events in the mean of a target
-	needGrowth     = 1.001 // of the pause that streams need, at each request that needs less
-	leastFlows     = 3     // streams that must be silent at once
-	hushGaps       = 4     // mean pauses for which they must be silent
-	leastHush      = 300 * time.Millisecond
-	maxHush        = 1500 * time.Millisecond
-	leastCrowdPart = 0.2 // of the queue, at an engine far too crowded
+	gapWeight          = 0.02  // of the newest pause between events in the mean of a target
+	needGrowth         = 1.001 // of the pause that streams need, at each request that needs less
+	leastFlows         = 3     // streams that must be silent at once
+	stallGaps          = 4     // mean pauses for which they must be silent
+	leastStall         = 300 * time.Millisecond
+	maxStall           = 1500 * time.Millisecond
+	leastCongestedPart = 0.2 // of the queue, at an engine far too slow
 )
 
 // need returns the longest pause between events with which a stream of the announced
@@ -45,21 +45,21 @@
 	}
 }
 
-// hushed returns whether all streams of a target fell silent at once. It answers
+// stalled returns whether all streams of a target fell silent at once. It answers
 // targets that are cut off or stand still: their streams show it before any timeout.
 // Later, new requests tell whether only old connections are silent.
-func (r *row) hushed(now time.Time) bool {
+func (r *row) stalled(now time.Time) bool {
 	silent := now.Sub(r.heard)
-	return r.flows >= leastFlows && silent > max(leastHush, hushGaps*r.gap) && silent < maxHush
+	return r.flows >= leastFlows && silent > max(leastStall, stallGaps*r.gap) && silent < maxStall
 }
 
-// crowd returns the part of the queue that is left at an engine whose streams are too
+// congestion returns the part of the queue that is left at an engine whose streams are too
 // slow to be over in time. It answers prompts that are read without a break: each
 // step of the engine then reads a piece of one, and long streams miss their end.
-func (p *pool) crowd(r *row) float64 {
+func (p *pool) congestion(r *row) float64 {
 	if r == nil || p.need == 0 || r.gap <= p.need {
 		return 1
 	}
 	part := float64(p.need) / float64(r.gap)
-	return max(leastCrowdPart, part*part)
+	return max(leastCongestedPart, part*part)
 }
--- a/placement/crowd_test.go
+++ b/placement/congestion_test.go
@@ -14,7 +14,7 @@
 // Load pattern: prompts are read without a break, so that streams get slower than
 // their callers can wait. A team above its share leaves such an engine; a team within
 // its share is served as before.
-func TestTeamsAboveTheirShareLeaveCrowdedEngines(t *testing.T) {
+func TestTeamsAboveTheirShareLeaveCongestedEngines(t *testing.T) {
 	now := time.Unix(1000, 0)
 	b := placement.NewBoard("place1")
 	b.Configure(route.NewTable(route.Table{
@@ -52,7 +52,7 @@
 
 // Load pattern: a target is cut off while streams run there. New requests leave it
 // before any of them times out.
-func TestHushedTargetIsLeft(t *testing.T) {
+func TestStalledTargetIsLeft(t *testing.T) {
 	now := time.Unix(1000, 0)
 	b := placement.NewBoard("place1")
 	b.Configure(route.NewTable(route.Table{
--- a/placement/team.go
+++ b/placement/team.go
@@ -88,9 +88,9 @@
 	if received <= s.entitled {
 		return Entitled, s.entitled / max(1, received)
 	}
-	lack := s.even / received
-	if lack >= 1 {
-		return Above, lack
+	ratio := s.even / received
+	if ratio >= 1 {
+		return Above, ratio
 	}
-	return Beyond, lack
+	return Beyond, ratio
 }
--- a/wire/message.go
+++ b/wire/message.go
@@ -32,7 +32,7 @@
 	KindClaimed  Kind = 17
 	KindNews     Kind = 18
 	KindQuery    Kind = 19
-	KindVouch    Kind = 20
+	KindReply    Kind = 20
 
 	kindLimit = 21
 )
@@ -42,7 +42,7 @@
 	KindEnd: "end", KindMove: "move", KindPreempt: "preempt", KindTotals: "totals", KindPull: "pull",
 	KindResync: "resync", KindAsk: "ask", KindSnapshot: "snapshot", KindSteps: "steps",
 	KindSuspect: "suspect", KindClaim: "claim", KindClaimed: "claimed", KindNews: "news",
-	KindQuery: "query", KindVouch: "vouch",
+	KindQuery: "query", KindReply: "reply",
 }
 
 // String returns the name of the kind.
@@ -348,7 +348,7 @@
 	KindBeat:     func() Message { return &Beat{} },
 	KindNews:     func() Message { return &News{} },
 	KindQuery:    func() Message { return &Query{} },
-	KindVouch:    func() Message { return &Vouch{} },
+	KindReply:    func() Message { return &Reply{} },
 	KindRoster:   func() Message { return &Roster{} },
 	KindTicket:   func() Message { return &Ticket{} },
 	KindGrant:    func() Message { return &Grant{} },
--- a/wire/vouch.go
+++ b/wire/query.go
@@ -10,8 +10,8 @@
 // Kind returns KindQuery.
 func (*Query) Kind() Kind { return KindQuery }
 
-// Vouch answers a query. Its ages are those at the moment of the answer.
-type Vouch struct {
+// Reply answers a query. Its ages are those at the moment of the answer.
+type Reply struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Revision   uint64 // version of the configuration in force, 0 for none
@@ -21,8 +21,8 @@
 	Targets    []TargetRow
 }
 
-// Kind returns KindVouch.
-func (*Vouch) Kind() Kind { return KindVouch }
+// Kind returns KindReply.
+func (*Reply) Kind() Kind { return KindReply }
 
 // TargetRow is the entry of a target as the store has it.
 type TargetRow struct {
