--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -88,6 +88,7 @@
 // be sent once more.
 func (f *flow) broke(err error) *problem {
 	x, a := f.exchange, f.attempt
+	f.events.rest = nil // a part of an event belongs to no other attempt
 	switch {
 	case x.left():
 		a.finish(placement.Withdrawn)
@@ -228,7 +229,6 @@
 		if a.over {
 			return reasonBroken
 		}
-		f.events.rest = nil
 		if err = f.read(); err == nil {
 			break
 		}
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,26 @@
 	require.Equal(t, wantEvents(6), r.body)
 }
 
+// A part of an event that came before the target broke off is not joined with the
+// events of the next target.
+func TestPartOfFirstEventIsDropped(t *testing.T) {
+	var broke atomic.Bool
+	script := func(a *arrival) bool {
+		a.begin()
+		if broke.CompareAndSwap(false, true) {
+			a.chunk("id: 1\nda")
+			return false
+		}
+		a.events(1, 3)
+		a.end()
+		return true
+	}
+	w := newWorld(t, newScripted(t, "a", "model", script), newScripted(t, "b", "model", script))
+	r := w.do(call{path: "/stream/x", key: "key1", id: "r1"})
+	require.NoError(t, r.err)
+	require.Equal(t, wantEvents(3), r.body)
+}
+
 // A stream that can't go on ends with a broken connection, and the process lives.
 func TestStreamThatCantGoOnNeverEndsCleanly(t *testing.T) {
 	script := func(a *arrival) bool {
