Tests of the gateway listen at addresses of their own

Ruled out: the code under test (it had not started). Change: loopback addresses by process and count, at ports that outgoing connections never get.

--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -22,7 +22,7 @@
 		return true
 	}))
 	s := w.settings("host2", freeAddress(t))
-	s.Peer = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), w.peer.Port())
+	require.Equal(t, w.peer.Port(), s.Peer.Port(), "seeds are asked at the own port")
 	s.Seeds = []netip.AddrPort{w.peer}
 	g, err := gateway.New(s)
 	require.NoError(t, err)
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -9,7 +9,9 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,11 +68,24 @@
 	return l, l.Addr().(*net.TCPAddr).AddrPort()
 }
 
+// addresses counts the addresses that were handed out.
+var addresses atomic.Uint32
+
+const (
+	freePort     = 17000 // below the ports that the system gives to outgoing connections
+	freePerPort  = 250
+	freeNetwork  = 127
+	freeNotLocal = 0x40 // keeps the addresses apart from 127.0.0.1
+)
+
+// freeAddress returns an address that no other test and no outgoing connection uses:
+// a loopback address of this process's own.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, address := listen(t)
-	l.Close()
-	return address
+	n := addresses.Add(1)
+	pid := os.Getpid()
+	host := netip.AddrFrom4([4]byte{freeNetwork, byte(pid>>8) | freeNotLocal, byte(pid), byte(n%freePerPort + 1)})
+	return netip.AddrPortFrom(host, freePort+uint16(n/freePerPort))
 }
 
 func newWorld(t *testing.T, targets ...*scripted) *world {
