--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -17,7 +17,6 @@
 	defaultWindow = 10 * time.Second
 	defaultRatio  = 0.2
 	defaultFixed  = 20
-	defaultMemory = 256 // MiB
 )
 
 // Settings are the settings of a gateway.
--- a/placement/board.go
+++ b/placement/board.go
@@ -147,18 +147,3 @@
 		slices.SortFunc(p.rows, func(a, c *row) int { return cmp.Compare(a.target.ID, c.target.ID) })
 	}
 }
-
-// Target returns a target by its identity.
-func (b *Board) Target(id string) (route.Target, bool) {
-	r := b.rows[id]
-	if r == nil {
-		return route.Target{}, false
-	}
-	return r.target, true
-}
-
-// Ready returns whether a target is known and takes new requests.
-func (b *Board) Ready(id string) bool {
-	r := b.rows[id]
-	return r != nil && !r.target.Leaving
-}
--- a/placement/track.go
+++ b/placement/track.go
@@ -82,9 +82,3 @@
 	case Rejected, Withdrawn:
 	}
 }
-
-// Suspended returns whether a target can't be reached at present.
-func (b *Board) Suspended(now time.Time, target string) bool {
-	r := b.rows[target]
-	return r != nil && !r.health.usable(now)
-}
--- a/retry/fleet.go
+++ b/retry/fleet.go
@@ -3,9 +3,8 @@
 import "time"
 
 const (
-	slices     = 10  // of the window
-	safety     = 0.8 // part of the allowance that is used, since hosts count apart
-	minFactors = 1
+	slices = 10  // of the window
+	safety = 0.8 // part of the allowance that is used, since hosts count apart
 )
 
 // Allowance bounds the repeats of one service over the whole fleet without
@@ -53,7 +52,7 @@
 		requests += a.requests[i]
 		repeats += a.repeats[i]
 	}
-	allowed := safety * (a.ratio*float64(requests) + a.fixed/float64(max(minFactors, hosts)))
+	allowed := safety * (a.ratio*float64(requests) + a.fixed/float64(max(1, hosts)))
 	if float64(repeats+1) > allowed {
 		return false
 	}
