Silence of a target is told from a broken connection; logs of failed tests are kept

Cause: fasthttp puts an error of its own in place of a timeout while it reads the head of an answer. It is no net.Error, so a target that stays silent was taken for a broken connection on the own interface, and its process for one that may have crashed. Ruled out: the gateway of the users' platform, which waits for the first byte before it reads the head.

--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/gateway"
+	"github.com/cassiachute/cassiachute/standin/loopback"
 )
 
 // A host that never reads the store serves with what a peer knows, and stops a key
@@ -21,7 +22,7 @@
 		a.end()
 		return true
 	}))
-	s := w.settings("host2", freeAddress(t))
+	s := w.settings("host2", loopback.Address())
 	require.Equal(t, w.peer.Port(), s.Peer.Port(), "seeds are asked at the own port")
 	s.Seeds = []netip.AddrPort{w.peer}
 	g, err := gateway.New(s)
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -9,9 +9,7 @@
 	"io"
 	"net"
 	"net/netip"
-	"os"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +20,7 @@
 	"github.com/cassiachute/cassiachute/gateway"
 	"github.com/cassiachute/cassiachute/platform"
 	"github.com/cassiachute/cassiachute/settings"
+	"github.com/cassiachute/cassiachute/standin/loopback"
 	standin "github.com/cassiachute/cassiachute/standin/platform"
 )
 
@@ -68,33 +67,13 @@
 	return l, l.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// addresses counts the addresses that were handed out.
-var addresses atomic.Uint32
-
-const (
-	freePort     = 17000 // below the ports that the system gives to outgoing connections
-	freePerPort  = 250
-	freeNetwork  = 127
-	freeNotLocal = 0x40 // keeps the addresses apart from 127.0.0.1
-)
-
-// freeAddress returns an address that no other test and no outgoing connection uses:
-// a loopback address of this process's own.
-func freeAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	n := addresses.Add(1)
-	pid := os.Getpid()
-	host := netip.AddrFrom4([4]byte{freeNetwork, byte(pid>>8) | freeNotLocal, byte(pid), byte(n%freePerPort + 1)})
-	return netip.AddrPortFrom(host, freePort+uint16(n/freePerPort))
-}
-
 func newWorld(t *testing.T, targets ...*scripted) *world {
 	t.Helper()
 	l, storeAddress := listen(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &world{
 		t: t, store: standin.New(standin.NewConfig(), l), client: platform.NewClient(storeAddress),
-		address: freeAddress(t), ready: freeAddress(t), done: make(chan error, 1), logs: &buffer{}, targets: targets,
+		address: loopback.Address(), ready: loopback.Address(), done: make(chan error, 1), logs: &buffer{}, targets: targets,
 	}
 	w.store.Run(ctx)
 	w.configure(nil)
@@ -127,7 +106,7 @@
 func (w *world) settings(name string, store netip.AddrPort) gateway.Settings {
 	s := gateway.NewSettings()
 	s.Name, s.Place = name, "place1"
-	s.Listen, s.Ready, s.Peer, s.Store = freeAddress(w.t), freeAddress(w.t), freeAddress(w.t), store
+	s.Listen, s.Ready, s.Peer, s.Store = loopback.Address(), loopback.Address(), loopback.Address(), store
 	s.Grace = settings.Span{Duration: 3 * time.Second}
 	s.Revoke = settings.Span{Duration: 3 * time.Second}
 	return s
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,6 +24,7 @@
 	"github.com/cassiachute/cassiachute/platform"
 	"github.com/cassiachute/cassiachute/settings"
 	"github.com/cassiachute/cassiachute/standin/faults"
+	"github.com/cassiachute/cassiachute/standin/loopback"
 	"github.com/cassiachute/cassiachute/standin/plain"
 	standin "github.com/cassiachute/cassiachute/standin/platform"
 )
@@ -33,7 +33,6 @@
 	patience    = 60 * time.Second // a condition that does not come about by then fails the test
 	poll        = 20 * time.Millisecond
 	operatorKey = "operator-key"
-	peerSecret  = "secret-of-the-peers"
 	poisonWord  = "poisonword"
 	spareHosts  = 4
 )
@@ -111,22 +110,13 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// lastPort is the last port that was given out. The ports are below those that
-// the system gives to outgoing connections.
-var lastPort atomic.Uint32
-
-const (
-	firstPort = 20000
-	portLimit = 32000
-)
-
 // start starts a fleet and waits until it serves.
 func start(t testing.TB, p plan) *fleet {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	f := &fleet{t: t, dir: t.TempDir(), plan: p, links: map[string]*faults.Proxy{}, ctx: ctx}
-	f.platform = freePort(t)
+	f := &fleet{t: t, dir: keptDir(t), plan: p, links: map[string]*faults.Proxy{}, ctx: ctx}
+	f.platform = loopback.Address()
 	f.spawn("platform", "cassia-standin", "platform", "--listen", f.platform.String(), "--lag", "1s")
 	f.listening(f.platform)
 	f.startTargets()
@@ -169,7 +159,7 @@
 }
 
 func (f *fleet) startTarget(name, service, place string, args []string) {
-	address := freePort(f.t)
+	address := loopback.Address()
 	args = append(args, "--listen", address.String())
 	tp := &targetProcess{
 		process: f.spawn(name, "cassia-standin", args...), name: name, service: service, place: place, address: address,
@@ -180,7 +170,7 @@
 }
 
 func (f *fleet) startAdmin() {
-	f.api = freePort(f.t)
+	f.api = loopback.Address()
 	s := admin.NewSettings()
 	s.Listen, s.Platform = f.api, f.platform
 	s.Operators = []admin.Operator{
@@ -203,8 +193,8 @@
 func (f *fleet) planHosts(count int) {
 	for n := range count {
 		s := entry.NewSettings()
-		s.Place, s.Secret = placeName(n%f.plan.places), peerSecret
-		s.Listen, s.Peer, s.Status = freePort(f.t), freePort(f.t), freePort(f.t)
+		s.Place, s.Secret = placeName(n%f.plan.places), f.dir // no other fleet has the secret
+		s.Listen, s.Peer, s.Status = loopback.Address(), loopback.Address(), loopback.Address()
 		s.Platform = f.link(fmt.Sprintf("host%d-platform", n+1), f.platform).Address()
 		s.Grace = settings.Duration{Duration: 500 * time.Millisecond}
 		f.planned = append(f.planned, &host{settings: s})
--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -6,11 +6,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/standin/faults"
 )
@@ -23,19 +25,36 @@
 	log  string
 }
 
-// freePort returns an address that nothing listens at and that is given out once.
-func freePort(t testing.TB) netip.AddrPort {
+// keptDir returns a new directory that is removed after a test that passed. That
+// of a failed test stays, and its path is logged.
+func keptDir(t testing.TB) string {
 	t.Helper()
-	for {
-		port := firstPort + lastPort.Add(1)
-		require.Less(t, port, uint32(portLimit), "no free port")
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
-		l, err := net.Listen("tcp", address.String())
-		if err == nil {
-			l.Close()
-			return address
+	dir, err := os.MkdirTemp("", "cassia-"+strings.ReplaceAll(t.Name(), "/", "-")+"-")
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("logs of the processes: %s", dir)
+			return
+		}
+		require.NoError(t, os.RemoveAll(dir))
+	})
+	return dir
+}
+
+// dump makes the hosts of a test that fails write their state and the stacks of
+// their goroutines to the files of their logs.
+func (f *fleet) dump() {
+	for _, h := range f.hosts {
+		_, body, err := fasthttp.GetTimeout(nil, "http://"+h.settings.Status.String()+"/status", time.Second)
+		if err != nil {
+			body = []byte(err.Error())
+		}
+		if err := os.WriteFile(h.log+".status", body, 0o600); err != nil {
+			f.t.Log(err)
 		}
+		h.signal(syscall.SIGQUIT)
 	}
+	time.Sleep(time.Second) // in which the stacks are written
 }
 
 // spawn starts a program whose log goes to a file.
@@ -73,6 +92,7 @@
 	deadline := time.Now().Add(patience)
 	for !condition() {
 		if time.Now().After(deadline) {
+			f.dump()
 			require.Fail(f.t, "condition did not come about", what)
 		}
 		time.Sleep(poll)
--- a/target/line.go
+++ b/target/line.go
@@ -158,9 +158,16 @@
 	return n, classify(err)
 }
 
+// timeout is an error that may say that time ran out. Those of net are, and
+// those that fasthttp puts in their place.
+type timeout interface {
+	error
+	Timeout() bool
+}
+
 func classify(err error) error {
-	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
+	var t timeout
+	if errors.As(err, &t) && t.Timeout() {
 		return fault.Mark(err, ErrSilent)
 	}
 	return fault.Mark(err, ErrBroken)
