News of peers are added up by what changed; their period grows with the fleet

Each news (1,600 a second) summed the loads of all peers at all engines anew, and served the queues of all services. Ruled out: the choice of an engine (13 us at 112 engines). Change: sums follow what changed (a property test compares them with sums worked out anew; benchmarks of a large fleet); a period between news of 50 ms or 4 ms a host, the life of news by the period; queues are served by the next tick; shares are worked out less often in large fleets.

--- a/gateway/core.go
+++ b/gateway/core.go
@@ -184,15 +184,12 @@
 	c.deliver(c.board.Expire(now))
 }
 
-// learn takes the news of another host.
+// learn takes the news of another host. The next tick serves those who wait.
 func (c *core) learn(now time.Time, from uint64, n placement.News) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.board.Learn(now, from, n)
-	c.hosts = max(c.hosts, c.board.Peers(now)+1)
-	for _, service := range c.board.Services() {
-		c.serve(now, service)
-	}
+	c.hosts = max(c.hosts, c.board.Peers()+1)
 }
 
 // blame counts a crash against a request.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,7 +31,6 @@
 	stopPoll      = 20 * time.Millisecond
 	leastStop     = 3 * time.Second // for the balancer to notice a planned stop
 	settleTime    = 50 * time.Millisecond
-	peerSilence   = 2 * time.Second
 	pathMetrics   = "/metrics"
 )
 
@@ -294,7 +293,7 @@
 func (g *Gateway) tick() time.Duration {
 	now := time.Now()
 	g.core.tick(now)
-	for _, address := range g.peers.silent(now, peerSilence) {
+	for _, address := range g.peers.silent(now) {
 		g.record.peer(address, "", false)
 	}
 	if g.inFlight.Load() == 0 {
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -11,7 +11,6 @@
 )
 
 const (
-	newsEvery  = 50 * time.Millisecond
 	peerForget = time.Minute // without news from a host that the store lists
 	maxCrashes = 64          // crashes told in one news
 )
@@ -69,9 +68,10 @@
 }
 
 // silent returns the hosts that were heard of and are silent now.
-func (c *contacts) silent(now time.Time, limit time.Duration) []netip.AddrPort {
+func (c *contacts) silent(now time.Time) []netip.AddrPort {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	limit := placement.PeerLife(len(c.rows) + 1)
 	var list []netip.AddrPort
 	for address, row := range c.rows {
 		if now.Sub(row.met) > peerForget {
@@ -124,7 +124,7 @@
 func (g *Gateway) tell() time.Duration {
 	hosts := g.peers.list()
 	if len(hosts) == 0 {
-		return newsEvery
+		return placement.NewsPeriod(1)
 	}
 	g.number++
 	news := g.core.newsOut(time.Now())
@@ -136,7 +136,7 @@
 	if err := g.mesh.Send(news, hosts); err != nil {
 		g.record.peerFailed(err)
 	}
-	return newsEvery
+	return placement.NewsPeriod(len(hosts) + 1)
 }
 
 // newsOut returns what the core tells.
--- /dev/null
+++ b/placement/bench_test.go
@@ -0,0 +1,103 @@
+package placement_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cassiachute/cassiachute/placement"
+	"github.com/cassiachute/cassiachute/route"
+)
+
+// A large fleet: each host hears of the work of all others at all engines.
+const (
+	largeHosts   = 81
+	largeEngines = 112
+	largeTeams   = 30
+)
+
+// largeBoard returns the board of a host of a large fleet and the news that each
+// other host tells.
+func largeBoard(now time.Time) (*placement.Board, []placement.News) {
+	b := placement.NewBoard("place1")
+	b.Configure(route.NewTable(route.Table{
+		Version: 1, Rate: 1_000_000,
+		Routes:   []route.Route{{Aim: tightAim, Shares: []route.Share{{Service: "model", Weight: 1}}}},
+		Services: []route.Service{{Name: "model", Engine: &route.Engine{Slots: 500, Memory: 10_000_000}}},
+	}))
+	var targets []route.Target
+	for n := range largeEngines {
+		targets = append(targets, route.Target{
+			ID: fmt.Sprintf("engine-%04d", n), Service: "model", Slots: 500, Place: "place1",
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80),
+		})
+	}
+	b.SetTargets(targets)
+	var news []placement.News
+	for n := range largeHosts - 1 {
+		var one placement.News
+		for k := n % 3; k < largeEngines; k += 3 {
+			one.Loads = append(one.Loads, placement.TargetLoad{
+				Target: targets[k].ID, Load: placement.Load{Prompt: 100 * n, Running: 1, Memory: 100},
+			})
+		}
+		for k := range largeTeams {
+			one.Demands = append(one.Demands, placement.ServiceDemand{
+				Service: "model", Demand: placement.Demand{Team: fmt.Sprintf("team%d", k), Received: 1000, Asked: 2000},
+			})
+		}
+		b.Learn(now, uint64(n), one)
+		news = append(news, one)
+	}
+	return b, news
+}
+
+func largeAsk(n int) *placement.Ask {
+	return &placement.Ask{
+		Service: "model", Team: fmt.Sprintf("team%d", n%largeTeams), Aim: tightAim, Output: 100, Time: 10 * time.Second,
+		Chain: placement.NewChain([]placement.Part{{ID: uint64(n % 50), Tokens: 500}, {ID: 1, Tokens: 300}}, 800),
+	}
+}
+
+// BenchmarkLearn takes the news of one host of a large fleet.
+func BenchmarkLearn(b *testing.B) {
+	now := time.Unix(1000, 0)
+	board, news := largeBoard(now)
+	b.ReportAllocs()
+	for n := range b.N {
+		now = now.Add(time.Millisecond)
+		board.Learn(now, uint64(n%len(news)), news[n%len(news)])
+	}
+}
+
+// BenchmarkTick runs what depends on time alone.
+func BenchmarkTick(b *testing.B) {
+	now := time.Unix(1000, 0)
+	board, _ := largeBoard(now)
+	b.ReportAllocs()
+	for range b.N {
+		board.Tick(now)
+	}
+}
+
+// BenchmarkChoose decides about a request.
+func BenchmarkChoose(b *testing.B) {
+	now := time.Unix(1000, 0)
+	board, _ := largeBoard(now)
+	b.ReportAllocs()
+	for n := range b.N {
+		board.Choose(now, largeAsk(n))
+	}
+}
+
+// BenchmarkShares decides about requests that come so seldom that the shares of
+// the teams are worked out for each.
+func BenchmarkShares(b *testing.B) {
+	now := time.Unix(1000, 0)
+	board, _ := largeBoard(now)
+	b.ReportAllocs()
+	for n := range b.N {
+		board.Choose(now.Add(time.Duration(n)*time.Microsecond*10), largeAsk(n))
+	}
+}
--- a/placement/board.go
+++ b/placement/board.go
@@ -132,6 +132,7 @@
 		}
 	}
 	b.regroup()
+	b.sum()
 }
 
 // regroup orders the targets by service.
--- a/placement/peer.go
+++ b/placement/peer.go
@@ -2,18 +2,31 @@
 
 import "time"
 
-// peerLife is the time after which what a peer told counts no more.
-const peerLife = 1500 * time.Millisecond
+const (
+	leastNewsPeriod   = 50 * time.Millisecond
+	newsPeriodPerHost = 4 * time.Millisecond
+	leastPeerLife     = 1500 * time.Millisecond
+	peerLifePeriods   = 5
+)
+
+// NewsPeriod returns the time between two news of each host of a fleet. It grows
+// with the fleet, so that a host handles as many news a second in a large one.
+func NewsPeriod(hosts int) time.Duration {
+	return max(leastNewsPeriod, time.Duration(hosts)*newsPeriodPerHost)
+}
+
+// PeerLife returns the time after which what a host of a fleet told counts no more.
+func PeerLife(hosts int) time.Duration {
+	return max(leastPeerLife, peerLifePeriods*NewsPeriod(hosts))
+}
 
 // peer is what another host told last.
 type peer struct {
 	at      time.Time
-	loads   map[string]Load
+	loads   []TargetLoad
 	demands map[string][]Demand
 }
 
-func (p *peer) fresh(now time.Time) bool { return now.Sub(p.at) < peerLife }
-
 // TargetLoad is the work of one host at one target.
 type TargetLoad struct {
 	Target string
@@ -56,48 +69,59 @@
 // leastDemand is the demand below which a team is forgotten, in cost units.
 const leastDemand = 1.0
 
-// Learn takes the news of another host.
+// Learn takes the news of another host. The sums are kept up to date by what
+// changed, so that the cost does not grow with the number of hosts.
 func (b *Board) Learn(now time.Time, from uint64, n News) {
-	p := &peer{at: now, loads: map[string]Load{}, demands: map[string][]Demand{}}
-	for _, l := range n.Loads {
-		p.loads[l.Target] = l.Load
-	}
+	b.forget(from)
+	p := &peer{at: now, loads: n.Loads, demands: map[string][]Demand{}}
 	for _, d := range n.Demands {
 		p.demands[d.Service] = append(p.demands[d.Service], d.Demand)
 	}
 	b.peers[from] = p
-	b.sum(now)
+	for _, l := range n.Loads {
+		if r := b.rows[l.Target]; r != nil {
+			r.peers.add(l.Load)
+		}
+	}
+}
+
+// forget drops what a peer told.
+func (b *Board) forget(from uint64) {
+	p := b.peers[from]
+	if p == nil {
+		return
+	}
+	delete(b.peers, from)
+	for _, l := range p.loads {
+		if r := b.rows[l.Target]; r != nil {
+			r.peers.sub(l.Load)
+		}
+	}
 }
 
 // Tick forgets peers that went silent.
 func (b *Board) Tick(now time.Time) {
+	life := PeerLife(len(b.peers) + 1)
 	for id, p := range b.peers {
-		if !p.fresh(now) {
-			delete(b.peers, id)
+		if now.Sub(p.at) >= life {
+			b.forget(id)
 		}
 	}
-	b.sum(now)
 }
 
 // sum adds up the loads that peers told.
-func (b *Board) sum(now time.Time) {
-	for id, r := range b.rows {
+func (b *Board) sum() {
+	for _, r := range b.rows {
 		r.peers = Load{}
-		for _, p := range b.peers {
-			if p.fresh(now) {
-				r.peers.add(p.loads[id])
+	}
+	for _, p := range b.peers {
+		for _, l := range p.loads {
+			if r := b.rows[l.Target]; r != nil {
+				r.peers.add(l.Load)
 			}
 		}
 	}
 }
 
 // Peers returns the number of other hosts that were heard of late.
-func (b *Board) Peers(now time.Time) int {
-	count := 0
-	for _, p := range b.peers {
-		if p.fresh(now) {
-			count++
-		}
-	}
-	return count
-}
+func (b *Board) Peers() int { return len(b.peers) }
--- /dev/null
+++ b/placement/peer_test.go
@@ -0,0 +1,64 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cassiachute/cassiachute/route"
+)
+
+// TestSumsOfPeersAreKept draws news, silences and changes of the list of targets,
+// and compares the sums that are kept with those worked out anew.
+func TestSumsOfPeersAreKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBoard("place1")
+		now := time.Unix(1000, 0)
+		id := func(n int) string { return fmt.Sprint("engine", n) }
+		t.Repeat(map[string]func(*rapid.T){
+			"targets": func(t *rapid.T) {
+				var list []route.Target
+				for _, n := range rapid.SliceOfDistinct(rapid.IntRange(0, 5), rapid.ID).Draw(t, "listed") {
+					list = append(list, route.Target{ID: id(n), Service: "model"})
+				}
+				b.SetTargets(list)
+			},
+			"news": func(t *rapid.T) {
+				var n News
+				for _, k := range rapid.SliceOfDistinct(rapid.IntRange(0, 5), rapid.ID).Draw(t, "busy") {
+					l := Load{Prompt: rapid.IntRange(0, 9).Draw(t, "prompt"), Running: 1, Memory: 5}
+					n.Loads = append(n.Loads, TargetLoad{Target: id(k), Load: l})
+				}
+				b.Learn(now, rapid.Uint64Range(0, 3).Draw(t, "from"), n)
+			},
+			"silence": func(t *rapid.T) {
+				now = now.Add(rapid.SampledFrom([]time.Duration{100 * time.Millisecond, PeerLife(4)}).Draw(t, "pause"))
+				b.Tick(now)
+			},
+			"": func(t *rapid.T) {
+				kept := map[string]Load{}
+				for name, r := range b.rows {
+					kept[name] = r.peers
+				}
+				b.sum()
+				for name, r := range b.rows {
+					require.Equal(t, r.peers, kept[name], name)
+				}
+			},
+		})
+	})
+}
+
+// TestNewsOfALargeFleet has as many news a second at each host of a large fleet as
+// of a middling one, and hears of a host well within the time that its news count.
+func TestNewsOfALargeFleet(t *testing.T) {
+	require.Equal(t, leastNewsPeriod, NewsPeriod(7))
+	for _, hosts := range []int{30, 100, 300, 1000} {
+		perSecond := float64(hosts) / NewsPeriod(hosts).Seconds()
+		require.InDelta(t, 250, perSecond, 1)
+		require.GreaterOrEqual(t, PeerLife(hosts), peerLifePeriods*NewsPeriod(hosts))
+	}
+}
--- a/placement/team.go
+++ b/placement/team.go
@@ -18,9 +18,16 @@
 	return u
 }
 
-// levelLife is the time for which the shares of a service are used before they
-// are worked out again.
-const levelLife = 20 * time.Millisecond
+const (
+	leastLevelLife   = 20 * time.Millisecond
+	levelLifePerHost = time.Millisecond
+)
+
+// levelLife returns the time for which the shares of a service are used before they
+// are worked out again, which takes longer in a large fleet.
+func (b *Board) levelLife() time.Duration {
+	return leastLevelLife + time.Duration(len(b.peers))*levelLifePerHost
+}
 
 // shares are the max-min shares of a service at one moment.
 type shares struct {
@@ -32,7 +39,7 @@
 
 // shares returns the present shares of a service over the whole fleet.
 func (b *Board) shares(now time.Time, service string, p *pool) *shares {
-	if now.Sub(p.shares.at) < levelLife && p.shares.received != nil {
+	if now.Sub(p.shares.at) < b.levelLife() && p.shares.received != nil {
 		return &p.shares
 	}
 	demands := b.demands(now, service, p)
@@ -59,9 +66,6 @@
 		list = append(list, Demand{Team: name, Received: u.received.read(now), Asked: u.asked.read(now)})
 	}
 	for _, peer := range b.peers {
-		if !peer.fresh(now) {
-			continue
-		}
 		for _, d := range peer.demands[service] {
 			at, ok := rows[d.Team]
 			if !ok {
