Few hosts of a large fleet read the store; the others ask them

Ruled out: longer waits between reads (the list of targets must be new within the time that a leaving target has, and keys must stop in time). Change: eight hosts read, chosen by rank among those whose knowledge is new; news tell its age. A host whose knowledge is old reads by itself, and seldom where nobody gets through. Small sites: eight hosts or fewer all read, as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +47,7 @@
 	peers    *contacts
 	lengths  lengths
 	known    knowledge
+	taking   sync.Mutex     // held while a list of targets is taken
 	listing  *route.Listing // guarded by the lock of the core
 	answers  *mesh.Responder
 	dropped  func() uint64 // log lines that were dropped
@@ -242,7 +244,9 @@
 // takeTargets takes the list of targets as of an awake time, in the way that the
 // listing takes it. Entries that can't be used are left out.
 func (g *Gateway) takeTargets(rows []wire.TargetRow, asOf time.Duration, take listingRead) {
-	if !g.known.setTargets(rows, asOf) {
+	g.taking.Lock()
+	defer g.taking.Unlock()
+	if !g.known.offer(asOf) {
 		return
 	}
 	list := make([]route.Target, 0, len(rows))
@@ -258,6 +262,7 @@
 	list = take(g.listing, time.Now(), list)
 	g.core.board.SetTargets(list)
 	g.core.mu.Unlock()
+	g.known.setTargets(list, rows)
 	g.setAddresses(list)
 }
 
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -21,6 +21,8 @@
 	boot   uint64
 	number uint64
 	heard  bool
+	age    time.Duration // of what it knows from the store
+	reader bool          // it reads the store
 }
 
 // contacts are the other hosts of the fleet.
@@ -64,6 +66,7 @@
 	}
 	first = !row.heard
 	row.met, row.boot, row.number, row.heard = now, m.Boot, m.Number, true
+	row.age, row.reader = time.Duration(m.Age)*time.Millisecond, m.Reader
 	return true, first
 }
 
@@ -85,22 +88,34 @@
 	return list
 }
 
-// turn returns the host that is to be asked next among those that are heard of.
-func (c *contacts) turn() (netip.AddrPort, bool) {
+// sightings returns the hosts that are heard of.
+func (c *contacts) sightings() []sighting {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var heard []netip.AddrPort
+	var list []sighting
 	for address, row := range c.rows {
 		if row.heard {
-			heard = append(heard, address)
+			list = append(list, sighting{address: address, fresh: row.age < staleAge, reader: row.reader})
 		}
 	}
+	return list
+}
+
+// turn returns the host that is to be asked next: one of those that read the store,
+// or any that is heard of if the knowledge of all is old.
+func (c *contacts) turn() (netip.AddrPort, bool) {
+	heard := c.sightings()
 	if len(heard) == 0 {
 		return netip.AddrPort{}, false
 	}
-	slices.SortFunc(heard, netip.AddrPort.Compare)
+	if slices.ContainsFunc(heard, sighting.current) {
+		heard = slices.DeleteFunc(heard, func(s sighting) bool { return !s.current() })
+	}
+	slices.SortFunc(heard, func(a, b sighting) int { return a.address.Compare(b.address) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.asked++
-	return heard[c.asked%len(heard)], true
+	return heard[c.asked%len(heard)].address, true
 }
 
 // list returns all hosts.
@@ -129,7 +144,8 @@
 	g.number++
 	news := g.core.newsOut(time.Now())
 	news.Boot, news.Number, news.Place = g.boot, g.number, g.settings.Place
-	news.Leaving = g.stopping()
+	news.Leaving, news.Reader = g.stopping(), g.duty() == reader
+	news.Age = uint32(max(g.core.age(), g.known.targetsAge()).Milliseconds())
 	if table := g.core.view.Load(); table != nil {
 		news.Revision = table.Version
 	}
--- /dev/null
+++ b/gateway/reader.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	mostReaders = 8                       // hosts that read the store for the others
+	staleAge    = 1500 * time.Millisecond // of what a host knows, from which it counts as cut off from the store
+)
+
+// duty says how a host learns what the store tells.
+type duty uint8
+
+// The duties.
+const (
+	reader   duty = iota // reads the store
+	asker                // asks a reader
+	cutAsker             // asks others and, seldom, the store, since what it knows is old
+)
+
+// sighting is what is known of another host that was heard of.
+type sighting struct {
+	address netip.AddrPort
+	fresh   bool // what it knows from the store is new
+	reader  bool // it reads the store
+}
+
+// current returns whether a host reads the store with success.
+func (s sighting) current() bool { return s.fresh && s.reader }
+
+// dutyOf decides how a host learns what the store tells. It answers fleets so large
+// that the store would be called by each host: a few read, and the hosts agree on
+// which without a message, by rank among those whose knowledge is new. A host whose
+// own knowledge is old compares with all, as nobody may have any that is new.
+func dutyOf(self netip.AddrPort, age time.Duration, others []sighting) duty {
+	cut := age >= staleAge
+	before := 0
+	rank := rankOf(self)
+	for _, o := range others {
+		if (o.fresh || cut) && rankOf(o.address) < rank {
+			before++
+		}
+	}
+	switch {
+	case before < mostReaders:
+		return reader
+	case cut:
+		return cutAsker
+	default:
+		return asker
+	}
+}
+
+// rankOf orders the hosts in a way that mixes the data centres.
+func rankOf(address netip.AddrPort) uint64 { return xxhash.Sum64String(address.String()) }
+
+// duty returns how this host learns what the store tells.
+func (g *Gateway) duty() duty {
+	return dutyOf(g.settings.Peer, max(g.core.age(), g.known.targetsAge()), g.peers.sightings())
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -12,11 +12,15 @@
 )
 
 const (
-	feedWait     = time.Second // longest time that a feed of the configuration waits
+	feedWait     = time.Second            // longest time that a feed of the configuration waits
+	sharedWait   = 500 * time.Millisecond // the same where other hosts rely on this one
 	targetsEvery = 700 * time.Millisecond
 	hostsEvery   = 10 * time.Second
 	hostsFirst   = time.Second // between reads until another host is known
+	hostsSeldom  = time.Minute // where others read the store
 	storeRetry   = 200 * time.Millisecond
+	seldomRetry  = time.Second            // of a host that does not read for others
+	dutyEvery    = 100 * time.Millisecond // looks whether a host reads the store
 	storeTimeout = time.Second
 )
 
@@ -50,6 +54,10 @@
 
 // config reads the configuration, or waits for a change of it.
 func (w *watcher) config() time.Duration {
+	d := w.gateway.duty()
+	if d == asker {
+		return dutyEvery
+	}
 	asked := awake()
 	page, err := w.page()
 	if err != nil {
@@ -57,7 +65,7 @@
 			w.version = 0
 		}
 		w.gateway.record.store("configuration", err)
-		return storeRetry
+		return retryOf(d)
 	}
 	w.gateway.record.store("configuration", nil)
 	for _, row := range page.Rows {
@@ -78,17 +86,25 @@
 	if w.version == 0 {
 		return w.client.Scan(platform.TableOperator)
 	}
-	return w.client.Feed(platform.TableOperator, w.version, feedWait)
+	wait := feedWait
+	if w.gateway.peers.count() >= mostReaders {
+		wait = sharedWait
+	}
+	return w.client.Feed(platform.TableOperator, w.version, wait)
 }
 
 // targets reads the list of targets.
 func (w *watcher) targets() time.Duration {
+	d := w.gateway.duty()
+	if d == asker {
+		return dutyEvery
+	}
 	asked := awake()
 	page, err := w.client.Scan(platform.TableTargets)
 	w.gateway.record.store("targets", err)
 	if err != nil {
 		w.gateway.failTargets()
-		return storeRetry
+		return retryOf(d)
 	}
 	rows := make([]wire.TargetRow, 0, len(page.Rows))
 	for _, row := range page.Rows {
@@ -116,8 +132,19 @@
 	for _, h := range list {
 		w.gateway.peers.meet(h.Address, time.Now())
 	}
-	if w.gateway.peers.count() == 0 {
+	switch {
+	case w.gateway.peers.count() == 0:
 		return hostsFirst
+	case w.gateway.duty() == reader:
+		return hostsEvery
+	}
+	return hostsSeldom
+}
+
+// retryOf returns the time until a read of the store that failed is tried again.
+func retryOf(d duty) time.Duration {
+	if d == reader {
+		return storeRetry
 	}
-	return hostsEvery
+	return seldomRetry
 }
--- a/intake/table.go
+++ b/intake/table.go
@@ -124,6 +124,9 @@
 		if r != nil && r.state == Waiting && r.shard == m.Shard {
 			r.owner, r.retry = netip.AddrPort{}, now.Add(resendDelay)
 		}
+		if stale {
+			t.correct(now, from, m.Shard)
+		}
 		return
 	}
 	r.state, r.owner, r.granted = Granted, from, now
@@ -133,6 +136,15 @@
 	t.starts = append(t.starts, Start{ID: r.id, Target: m.Target, Grant: r.grants})
 }
 
+// correct tells the owner of a shard that its incarnation is too low. Two hosts may
+// own a shard in the same second, and what was told before the second one took it
+// is lost. A host that is not the owner learns nothing, so that it stays shut out.
+func (t *Table) correct(now time.Time, from netip.AddrPort, shard wire.Shard) {
+	if owner, ok := t.seams.Owner(shard); ok && owner == from {
+		t.Resync(now, shard, from)
+	}
+}
+
 // Begin is called right before the first byte goes to the target. It returns
 // false if the grant is no longer good; the request then waits again.
 func (t *Table) Begin(now time.Time, id, grant uint64) bool {
