--- a/integration/failure_test.go
+++ b/integration/failure_test.go
@@ -16,7 +16,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/entry"
-	"github.com/cassiachute/cassiachute/knownred"
 	"github.com/cassiachute/cassiachute/standin/faults"
 	standin "github.com/cassiachute/cassiachute/standin/platform"
 )
@@ -41,7 +40,6 @@
 // hosts that are ready, as a balancer would. Nothing is cut or refused, and the
 // totals of the team go on.
 func TestRollingReplacement(t *testing.T) {
-	knownred.Skip(t)
 	f := start(t, smallPlan())
 	var mu sync.Mutex
 	ready := append([]*host(nil), f.hosts...)
