Metrics by team, between events, of repeats, connections and peers; dropped lines by event

Besides, news that once could not be sent were logged once and never again, and a batch of log lines that could not be written counted as one dropped line of no event. Change: a collector reads state when it is asked; counters by team are bounded to 64 names; dropped lines are counted by event, in the log and the metrics. A golden file holds events and fields: each line that a test of the gateway logs is checked against it, and the page of operations must name each event, field, reason and metric (it lacked five).

--- a/cassiachute.go
+++ b/cassiachute.go
@@ -15,7 +15,7 @@
 // config is what the options set.
 type config struct {
 	log     zerolog.Logger
-	dropped func() uint64
+	dropped func() map[string]uint64
 }
 
 // Option changes a part that New… returns.
@@ -26,10 +26,12 @@
 
 // WithDropped sets where a gateway reads the number of log lines that were dropped,
 // for its metrics. Without it, none are counted.
-func WithDropped(dropped func() uint64) Option { return func(c *config) { c.dropped = dropped } }
+func WithDropped(dropped func() map[string]uint64) Option {
+	return func(c *config) { c.dropped = dropped }
+}
 
 func newConfig(options []Option) config {
-	c := config{log: zerolog.Nop(), dropped: func() uint64 { return 0 }}
+	c := config{log: zerolog.Nop(), dropped: func() map[string]uint64 { return nil }}
 	for _, option := range options {
 		option(&c)
 	}
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -133,6 +133,17 @@
 	return c.allowance(service).Spend(time.Now(), c.hosts)
 }
 
+// left returns the repeats that are allowed now, by service.
+func (c *core) left() map[string]float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	left := make(map[string]float64, len(c.allowances))
+	for service, a := range c.allowances {
+		left[service] = a.Left(time.Now(), c.hosts)
+	}
+	return left
+}
+
 // first takes the first event of a request.
 func (c *core) first(x *exchange, choice placement.Choice, took time.Duration) placement.Load {
 	c.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,7 +51,7 @@
 	taking   sync.Mutex     // held while a list of targets is taken
 	listing  *route.Listing // guarded by the lock of the core
 	answers  *mesh.Responder
-	dropped  func() uint64 // log lines that were dropped
+	dropped  func() map[string]uint64 // log lines that were dropped, by event
 	boot     uint64
 	number   uint64 // of the last news
 
@@ -71,7 +71,9 @@
 func WithLog(log zerolog.Logger) Option { return func(g *Gateway) { g.log = log } }
 
 // WithDropped sets where the number of log lines that were dropped is read.
-func WithDropped(dropped func() uint64) Option { return func(g *Gateway) { g.dropped = dropped } }
+func WithDropped(dropped func() map[string]uint64) Option {
+	return func(g *Gateway) { g.dropped = dropped }
+}
 
 // New returns a Gateway that listens at its addresses and serves once Run is
 // called. The error is marked settings.ErrInvalid if the settings are at fault.
@@ -80,7 +82,7 @@
 		return nil, err
 	}
 	g := &Gateway{
-		settings: s, log: zerolog.Nop(), core: newCore(s), dropped: func() uint64 { return 0 },
+		settings: s, log: zerolog.Nop(), core: newCore(s), dropped: func() map[string]uint64 { return nil },
 		pool:    target.NewPool(nil, target.WithDialTimeout(dialTimeout)),
 		client:  platform.NewClient(s.Store, platform.WithTimeout(storeTimeout)),
 		peers:   newContacts(s.Peer),
@@ -96,10 +98,11 @@
 	g.record = newRecorder(g.log, newMetrics())
 	g.limits.Store(newLimits(&s))
 	g.addresses.Store(&map[string]netip.AddrPort{})
+	g.server = g.newServer()
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
-	g.watchValues()
+	g.record.metrics.registry.MustRegister(newState(g))
 	return g, nil
 }
 
@@ -137,19 +140,6 @@
 	return idleTimeout
 }
 
-func (g *Gateway) watchValues() {
-	m := g.record.metrics
-	m.watch("in_flight_requests", "Requests that are not answered yet.", func() float64 { return float64(g.inFlight.Load()) })
-	m.watch("configuration_age_seconds", "Age of the newest sign that the configuration is current.",
-		func() float64 { return g.core.age().Seconds() })
-	m.watch("log_lines_dropped", "Log lines that were dropped.", func() float64 { return float64(g.dropped()) })
-	m.watch("peers", "Other hosts that are known.", func() float64 { return float64(g.peers.count()) })
-	m.watch("store_calls", "Calls to the store.", func() float64 {
-		reads, writes := g.client.Calls()
-		return float64(reads + writes)
-	})
-}
-
 // Run serves until the context ends, then stops as planned.
 func (g *Gateway) Run(ctx context.Context) error {
 	inner, cancel := context.WithCancel(context.Background())
@@ -181,14 +171,18 @@
 	return err
 }
 
-// serve starts the servers.
-func (g *Gateway) serve(served chan<- error) {
-	g.server = &fasthttp.Server{
+// newServer returns the server of callers.
+func (g *Gateway) newServer() *fasthttp.Server {
+	return &fasthttp.Server{
 		Handler: g.handle, ErrorHandler: g.malformed,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Logger: quiet{},
 		ReadBufferSize: maxHeadBytes, MaxRequestBodySize: maxBodyBytes,
 	}
+}
+
+// serve starts the servers.
+func (g *Gateway) serve(served chan<- error) {
 	handlers := []fasthttp.RequestHandler{g.handle, g.ready, g.status()}
 	for i, l := range g.listeners {
 		server := g.server
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -101,6 +101,17 @@
 	return list
 }
 
+// ages returns the time since each host was heard of, by address.
+func (c *contacts) ages(now time.Time) map[netip.AddrPort]time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ages := make(map[netip.AddrPort]time.Duration, len(c.rows))
+	for address, row := range c.rows {
+		ages[address] = now.Sub(row.met)
+	}
+	return ages
+}
+
 // turn returns the host that is to be asked next: one of those that read the store,
 // or any that is heard of if the knowledge of all is old.
 func (c *contacts) turn() (netip.AddrPort, bool) {
@@ -151,6 +162,8 @@
 	}
 	if err := g.mesh.Send(news, hosts); err != nil {
 		g.record.peerFailed(err)
+	} else {
+		g.record.peersReached()
 	}
 	return placement.NewsPeriod(len(hosts) + 1)
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -2,9 +2,11 @@
 
 import (
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
 )
 
 const namespace = "cassia_gateway"
@@ -13,11 +15,14 @@
 type metrics struct {
 	registry   *prometheus.Registry
 	requests   *prometheus.CounterVec
+	teams      *prometheus.CounterVec
+	named      names
 	refusals   *prometheus.CounterVec
 	attempts   *prometheus.CounterVec
 	store      *prometheus.CounterVec
 	took       *prometheus.HistogramVec
 	first      *prometheus.HistogramVec
+	gap        *prometheus.HistogramVec
 	waited     *prometheus.HistogramVec
 	revision   prometheus.Gauge
 	peerErrors prometheus.Counter
@@ -27,24 +32,22 @@
 	m := &metrics{
 		registry:   prometheus.NewRegistry(),
 		requests:   counters("requests_total", "Requests that had a route.", "service", "kind", "status", "reason"),
+		teams:      counters("team_requests_total", "Requests by team; teams beyond a number count as one.", "team", "outcome"),
+		named:      names{known: map[string]bool{}},
 		refusals:   counters("refusals_total", "Requests refused before they had a route.", "reason"),
 		attempts:   counters("attempts_failed_total", "Sends to targets that failed.", "service"),
 		store:      counters("store_reads_total", "Reads of the store.", "part", "result"),
 		took:       histograms("request_seconds", "Time to the end of an answer.", "service"),
 		first:      histograms("first_event_seconds", "Time to the first event of a stream.", "service"),
+		gap:        histograms("event_gap_seconds", "Pause between two events of a stream as they are passed on.", "service"),
 		waited:     histograms("wait_seconds", "Time that requests waited for a target.", "service"),
 		revision:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "configuration_revision", Help: "Version in force."}),
 		peerErrors: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "peer_errors_total", Help: "News that could not be sent."}),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.store, m.took, m.first, m.waited, m.revision, m.peerErrors)
+	m.registry.MustRegister(m.requests, m.teams, m.refusals, m.attempts, m.store, m.took, m.first, m.gap, m.waited, m.revision, m.peerErrors)
 	return m
 }
 
-// watch publishes values that are read when they are asked for.
-func (m *metrics) watch(name, help string, value func() float64) {
-	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
-}
-
 func counters(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
@@ -58,6 +61,53 @@
 // observe counts a request that is over.
 func (m *metrics) observe(x *exchange, status int, reason string, took time.Duration) {
 	m.requests.WithLabelValues(x.service, x.route.Kind.String(), strconv.Itoa(status), reason).Inc()
+	m.teams.WithLabelValues(m.named.bounded(x.team), outcomeOf(status, reason)).Inc()
 	m.took.WithLabelValues(x.service).Observe(took.Seconds())
 	m.waited.WithLabelValues(x.service).Observe(x.waited.Seconds())
 }
+
+// Outcomes of requests in the metrics by team.
+const (
+	outcomeServed  = "served"
+	outcomeRefused = "refused" // not run
+	outcomeFailed  = "failed"
+	outcomeLeft    = "left" // the caller left
+)
+
+func outcomeOf(status int, reason string) string {
+	switch {
+	case reason == "":
+		return outcomeServed
+	case reason == reasonCallerGone:
+		return outcomeLeft
+	case status == fasthttp.StatusServiceUnavailable:
+		return outcomeRefused
+	default:
+		return outcomeFailed
+	}
+}
+
+const (
+	mostNames  = 64 // teams that are counted apart
+	otherNames = "other"
+)
+
+// names bounds the values of a label.
+type names struct {
+	mu    sync.Mutex
+	known map[string]bool
+}
+
+// bounded returns a name, or a common one for names beyond a number.
+func (n *names) bounded(name string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.known[name] {
+		return name
+	}
+	if len(n.known) >= mostNames {
+		return otherNames
+	}
+	n.known[name] = true
+	return name
+}
--- /dev/null
+++ b/gateway/operations_test.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const operationsPage = "../docs/OPERATIONS.md"
+
+// sources parses the files of the package without its tests.
+func sources(t *testing.T) []*ast.File {
+	t.Helper()
+	paths, err := filepath.Glob("*.go")
+	require.NoError(t, err)
+	var files []*ast.File
+	for _, path := range paths {
+		if strings.HasSuffix(path, "_test.go") {
+			continue
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		require.NoError(t, err)
+		files = append(files, file)
+	}
+	return files
+}
+
+// constants returns the values of the text constants whose names begin so.
+func constants(t *testing.T, prefix string) []string {
+	t.Helper()
+	var values []string
+	for _, file := range sources(t) {
+		ast.Inspect(file, func(n ast.Node) bool {
+			spec, ok := n.(*ast.ValueSpec)
+			if ok && len(spec.Values) == 1 && strings.HasPrefix(spec.Names[0].Name, prefix) {
+				values = append(values, literal(spec.Values[0])...)
+			}
+			return true
+		})
+	}
+	return values
+}
+
+// metricNames returns the names of all metrics: the first argument of the
+// functions that make them, and the fields Name.
+func metricNames(t *testing.T) []string {
+	t.Helper()
+	makers := map[string]bool{"counters": true, "histograms": true, "value": true}
+	var names []string
+	for _, file := range sources(t) {
+		ast.Inspect(file, func(n ast.Node) bool {
+			switch x := n.(type) {
+			case *ast.CallExpr:
+				if f, ok := x.Fun.(*ast.Ident); ok && makers[f.Name] {
+					names = append(names, literal(x.Args[0])...)
+				}
+			case *ast.KeyValueExpr:
+				if k, ok := x.Key.(*ast.Ident); ok && k.Name == "Name" {
+					names = append(names, literal(x.Value)...)
+				}
+			}
+			return true
+		})
+	}
+	return names
+}
+
+// literal returns the text of a literal.
+func literal(e ast.Expr) []string {
+	lit, ok := e.(*ast.BasicLit)
+	if !ok || lit.Kind != token.STRING {
+		return nil
+	}
+	text, err := strconv.Unquote(lit.Value)
+	if err != nil {
+		return nil
+	}
+	return []string{text}
+}
+
+// golden returns the events of the golden file and their fields.
+func golden(t *testing.T) map[string][]string {
+	t.Helper()
+	body, err := os.ReadFile("testdata/events.golden")
+	require.NoError(t, err)
+	events := map[string][]string{}
+	for line := range strings.Lines(string(body)) {
+		event, fields, ok := strings.Cut(strings.TrimSpace(line), ":")
+		require.True(t, ok, line)
+		events[event] = strings.Fields(fields)
+	}
+	return events
+}
+
+// TestOperationsPageNamesAll compares the events, their fields, the reasons and the
+// metrics with the page that explains them.
+func TestOperationsPageNamesAll(t *testing.T) {
+	body, err := os.ReadFile(operationsPage)
+	require.NoError(t, err)
+	page := string(body)
+	events := golden(t)
+	for _, event := range constants(t, "event") {
+		require.Contains(t, events, event, "the golden file names each event")
+	}
+	for event, fields := range events {
+		requireNamed(t, page, event, "event")
+		for _, field := range fields {
+			requireNamed(t, page, field, "field of "+event)
+		}
+	}
+	for _, reason := range constants(t, "reason") {
+		requireNamed(t, page, reason, "reason")
+	}
+	names := metricNames(t)
+	require.Greater(t, len(names), 20)
+	for _, name := range names {
+		requireNamed(t, page, name, "metric")
+	}
+}
+
+func requireNamed(t *testing.T, page, name, kind string) {
+	t.Helper()
+	require.True(t, strings.Contains(page, "`"+name+"`"), "the page does not name the %s %q", kind, name)
+}
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -55,3 +55,10 @@
 	}
 	return notRun(reasonOverloaded, overloadRetry)
 }
+
+// mean returns the mean lateness of ticks.
+func (l *lagged) mean() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lag.Mean()
+}
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -18,7 +18,6 @@
 	reasonStale      = "stale-configuration"
 	reasonNoRoute    = "no-route"
 	reasonNoKey      = "no-key"
-	reasonNoService  = "no-service"
 	reasonPoison     = "poison"
 	reasonTimeout    = "timeout"
 	reasonTarget     = "target-failed"
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -26,6 +26,7 @@
 	eventPeerUp     = "peer-regained"
 	eventPeerDown   = "peer-lost"
 	eventPeerFailed = "peer-unreached"
+	eventPeerSent   = "peer-reached"
 	eventAsked      = "peer-asked"
 	eventAnswered   = "answered"
 	eventRefused    = "refused"
@@ -143,12 +144,9 @@
 		result = "failed"
 	}
 	r.metrics.store.WithLabelValues(part, result).Inc()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.down[part] == (err != nil) {
+	if !r.changed(part, err != nil) {
 		return
 	}
-	r.down[part] = err != nil
 	if err != nil {
 		r.log.Warn().Str("event", eventStoreDown).Str("part", part).Err(err).Send()
 		return
@@ -171,14 +169,9 @@
 // asked notes whether another host answered what it knows from the store. Only
 // changes are logged.
 func (r *recorder) asked(peer netip.AddrPort, err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	name := "peer " + peer.String()
-	if r.down[name] == (err != nil) {
-		return
+	if r.changed("peer "+peer.String(), err != nil) {
+		r.log.Info().Str("event", eventAsked).Stringer("peer", peer).Err(err).Send()
 	}
-	r.down[name] = err != nil
-	r.log.Info().Str("event", eventAsked).Stringer("peer", peer).Err(err).Send()
 }
 
 // badTarget notes an entry of a target that can't be used, once.
@@ -209,16 +202,34 @@
 	event.Str("event", name).Stringer("peer", address).Str("place", place).Send()
 }
 
-// peerFailed notes that news could not be sent.
+// peerFailed notes that news could not be sent or understood. Only changes are
+// logged.
 func (r *recorder) peerFailed(err error) {
 	r.metrics.peerErrors.Inc()
+	if r.changed(peersPart, true) {
+		r.log.Warn().Str("event", eventPeerFailed).Err(err).Send()
+	}
+}
+
+// peersReached notes that news could be sent to all hosts.
+func (r *recorder) peersReached() {
+	if r.changed(peersPart, false) {
+		r.log.Info().Str("event", eventPeerSent).Send()
+	}
+}
+
+// peersPart names the news between hosts among what may be down.
+const peersPart = "peers"
+
+// changed notes whether something is down. It returns false if that is known.
+func (r *recorder) changed(part string, down bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.down["peers"] {
-		return
+	if r.down[part] == down {
+		return false
 	}
-	r.down["peers"] = true
-	r.log.Warn().Str("event", eventPeerFailed).Err(err).Send()
+	r.down[part] = down
+	return true
 }
 
 // overload notes whether this host is short of processor time.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/placement"
@@ -34,11 +35,14 @@
 	head     time.Duration // time to the first event
 	count    int           // flushes
 	passed   time.Time     // when the last event was passed on
+	gaps     prometheus.Observer
 }
 
 // stream answers a request with a series of events.
 func (g *Gateway) stream(ctx *fasthttp.RequestCtx, x *exchange) {
-	f := &flow{exchange: x, buf: make([]byte, streamBytes)}
+	f := &flow{
+		exchange: x, buf: make([]byte, streamBytes), gaps: g.record.metrics.gap.WithLabelValues(x.service),
+	}
 	if p := f.begin(); p != nil {
 		g.problem(ctx, x, p)
 		g.end(x)
@@ -195,6 +199,7 @@
 	now := time.Now()
 	if f.count > 1 {
 		x.gateway.core.gap(x.target, now.Sub(f.passed))
+		f.gaps.Observe(now.Sub(f.passed).Seconds())
 	}
 	f.passed = now
 	if err != nil || x.left() {
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -91,6 +93,7 @@
 	t.Cleanup(func() {
 		stop()
 		cancel()
+		w.checkLog()
 	})
 	w.until(func() bool {
 		status, _ := w.get(w.ready, platform.PathReady)
@@ -102,6 +105,28 @@
 	return w
 }
 
+// checkLog compares the fields of all lines of the log with the golden file.
+func (w *world) checkLog() {
+	body, err := os.ReadFile("testdata/events.golden")
+	require.NoError(w.t, err)
+	events := map[string]string{}
+	for line := range strings.Lines(string(body)) {
+		event, fields, _ := strings.Cut(strings.TrimSpace(line), ":")
+		events[event] = fields + " "
+	}
+	for line := range strings.Lines(w.logs.String()) {
+		var fields map[string]any
+		require.NoError(w.t, json.Unmarshal([]byte(line), &fields))
+		event, _ := fields["event"].(string)
+		require.Contains(w.t, events, event)
+		for field := range fields {
+			if field != "event" && field != "level" && field != "host" {
+				require.Contains(w.t, events[event], " "+field+" ", "field of %s", event)
+			}
+		}
+	}
+}
+
 // settings returns settings of a gateway that reads a store.
 func (w *world) settings(name string, store netip.AddrPort) gateway.Settings {
 	s := gateway.NewSettings()
--- a/logbook/logbook_test.go
+++ b/logbook/logbook_test.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -29,10 +32,11 @@
 	done := book.Run(ctx)
 	log := zerolog.New(book)
 	for range 10000 {
-		log.Info().Str("text", strings.Repeat("x", 100)).Send()
+		log.Info().Str("event", "answered").Str("text", strings.Repeat("x", 100)).Send()
 	}
 	dropped := book.Dropped()
-	require.NotZero(t, dropped)
+	require.NotZero(t, dropped["answered"])
+	require.Len(t, dropped, 1)
 	log.Warn().Msg("failed")
 	require.Equal(t, dropped, book.Dropped(), "a line about a failure still has room")
 	close(out.release)
@@ -44,7 +48,7 @@
 func TestDroppedLinesAreTold(t *testing.T) {
 	var out bytes.Buffer
 	book := logbook.NewBook(&out)
-	line := []byte(strings.Repeat("x", 1023) + "\n")
+	line := []byte(`{"event":"answered","text":"` + strings.Repeat("x", 1000) + "\"}\n")
 	for range 300 {
 		_, err := book.Write(line)
 		require.NoError(t, err)
@@ -52,7 +56,38 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	require.NoError(t, <-book.Run(ctx))
-	kept := strings.Count(out.String(), "x\n")
-	require.Equal(t, uint64(300-kept), book.Dropped())
-	require.Contains(t, out.String(), `"event":"lines-dropped"`)
+	kept := strings.Count(out.String(), "x\"}\n")
+	require.Equal(t, map[string]uint64{"answered": uint64(300 - kept)}, book.Dropped())
+	require.Contains(t, out.String(), fmt.Sprintf(`"event":"lines-dropped","count":%d,"total":{"answered":%d}`, 300-kept, 300-kept))
+}
+
+// broken is an output that can't be written to.
+type broken struct{ writes int }
+
+func (b *broken) Write([]byte) (int, error) {
+	b.writes++
+	return 0, io.ErrClosedPipe
+}
+
+// A batch that can't be written is counted, and a line about it is kept.
+func TestLostBatchIsCounted(t *testing.T) {
+	book := logbook.NewBook(&broken{})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := book.Run(ctx)
+	_, err := book.Write([]byte("{}\n"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return book.Dropped()["lines-lost"] > 0 }, 10*time.Second, time.Millisecond)
+	cancel()
+	require.ErrorIs(t, <-done, io.ErrClosedPipe)
+}
+
+// Events beyond a number are counted together, so that the counts stay bounded.
+func TestCountsAreBounded(t *testing.T) {
+	book := logbook.NewBook(io.Discard)
+	for n := range 2000 {
+		_, err := fmt.Fprintf(book, `{"event":"event%d","text":%q}`, n, strings.Repeat("x", 1000))
+		require.NoError(t, err)
+	}
+	require.Len(t, book.Dropped(), 65)
+	require.NotZero(t, book.Dropped()["other"])
 }
--- a/retry/fleet.go
+++ b/retry/fleet.go
@@ -43,19 +43,25 @@
 // Earn takes a new request.
 func (a *Allowance) Earn(now time.Time) { a.requests[a.advance(now)]++ }
 
-// Spend returns whether a repeat is allowed in a fleet of so many hosts, and
-// takes it.
-func (a *Allowance) Spend(now time.Time, hosts int) bool {
-	at := a.advance(now)
+// Left returns the number of repeats that are allowed now in a fleet of so many
+// hosts.
+func (a *Allowance) Left(now time.Time, hosts int) float64 {
+	a.advance(now)
 	requests, repeats := 0, 0
 	for i := range slices {
 		requests += a.requests[i]
 		repeats += a.repeats[i]
 	}
 	allowed := safety * (a.ratio*float64(requests) + a.fixed/float64(max(1, hosts)))
-	if float64(repeats+1) > allowed {
+	return max(0, allowed-float64(repeats))
+}
+
+// Spend returns whether a repeat is allowed in a fleet of so many hosts, and
+// takes it.
+func (a *Allowance) Spend(now time.Time, hosts int) bool {
+	if a.Left(now, hosts) < 1 {
 		return false
 	}
-	a.repeats[at]++
+	a.repeats[a.advance(now)]++
 	return true
 }
--- a/target/line.go
+++ b/target/line.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -189,6 +190,8 @@
 
 // Pool keeps idle connections by target address.
 type Pool struct {
+	opened atomic.Uint64
+
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*Line
 	routes map[netip.AddrPort]netip.AddrPort
@@ -226,11 +229,26 @@
 	if err != nil {
 		return nil, fault.Mark(errors.Wrapf(err, "dial %s", address), ErrUnreached)
 	}
+	p.opened.Add(1)
 	l := &Line{conn: conn, wait: p.dial, keep: maxIdleAge}
 	l.rd = bufio.NewReaderSize(lineReader{line: l}, readBufferBytes)
 	return l, nil
 }
 
+// Opened returns the number of connections that were opened so far.
+func (p *Pool) Opened() uint64 { return p.opened.Load() }
+
+// Idle returns the number of idle connections.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for _, lines := range p.idle {
+		count += len(lines)
+	}
+	return count
+}
+
 // take returns an idle connection that is still usable, or nil.
 func (p *Pool) take(address netip.AddrPort) *Line {
 	p.mu.Lock()
