--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -149,7 +149,6 @@
 
 // settle accounts for the error of a send.
 func (a *attempt) settle(err error) error {
-	x := a.exchange
 	if err == nil {
 		return nil
 	}
@@ -164,8 +163,15 @@
 		a.finish(placement.Rejected)
 		return err
 	}
+	a.fail(err)
+	return err
+}
+
+// fail ends an attempt that reached its target, by what its error says of the
+// target.
+func (a *attempt) fail(err error) {
 	switch {
-	case x.left():
+	case a.exchange.left():
 		a.finish(placement.Withdrawn)
 	case errors.Is(err, errFailed):
 		a.finish(placement.Failed)
@@ -175,7 +181,6 @@
 		a.crashed()
 		a.finish(placement.Failed)
 	}
-	return err
 }
 
 // crashed blames the request if the target that broke off can't be reached any
@@ -260,10 +265,7 @@
 		if err == nil {
 			return a, nil
 		}
-		x.history.Take(resultOf(err))
-		x.gateway.record.attempt(x, a, err)
-		x.ask.Excluded = append(x.ask.Excluded, choice.Target)
-		if p := x.again(err); p != nil {
+		if p := x.lost(a, err); p != nil {
 			if errors.Is(err, errFailed) {
 				return a, nil
 			}
@@ -272,6 +274,15 @@
 	}
 }
 
+// lost takes an attempt that failed. It returns the problem if the request may not be
+// sent once more.
+func (x *exchange) lost(a *attempt, err error) *problem {
+	x.gateway.record.attempt(x, a, err)
+	x.ask.Excluded = append(x.ask.Excluded, a.choice.Target)
+	x.history.Take(resultOf(err))
+	return x.again(err)
+}
+
 // resultOf returns the result of a send that brought no answer.
 func resultOf(err error) retry.Result {
 	switch {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -139,14 +139,8 @@
 			x.gateway.core.clear(x.digest)
 			return a, nil
 		}
-		if !x.left() {
-			a.crashed()
-		}
-		a.finish(placement.Failed)
-		x.gateway.record.attempt(x, a, err)
-		x.ask.Excluded = append(x.ask.Excluded, a.choice.Target)
-		x.history.Take(resultOf(err))
-		if p := x.again(err); p != nil {
+		a.fail(err)
+		if p := x.lost(a, err); p != nil {
 			return nil, p
 		}
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -91,21 +91,9 @@
 // broke takes the error of a stream. It returns a problem if the request may not
 // be sent once more.
 func (f *flow) broke(err error) *problem {
-	x, a := f.exchange, f.attempt
 	f.events.rest = nil // a part of an event belongs to no other attempt
-	switch {
-	case x.left():
-		a.finish(placement.Withdrawn)
-	case errors.Is(err, target.ErrSilent):
-		a.finish(placement.Silent)
-	default:
-		a.crashed()
-		a.finish(placement.Failed)
-	}
-	x.gateway.record.attempt(x, a, err)
-	x.ask.Excluded = append(x.ask.Excluded, a.choice.Target)
-	x.history.Take(resultOf(err))
-	return x.again(err)
+	f.attempt.fail(err)
+	return f.exchange.lost(f.attempt, err)
 }
 
 // read reads until whole events have come or the stream has ended. The error is
