--- a/gateway/front.go
+++ b/gateway/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -145,22 +144,3 @@
 		}
 	}
 }
-
-// outlasts returns whether a request might not be over when this process ends. Soon
-// after the signal to stop, a stream is taken if most streams of its route would be
-// over; later, only what its own time limits.
-func (g *Gateway) outlasts(r *route.Route, call *platform.Call) bool {
-	since := g.stopSince()
-	if since == 0 {
-		return false
-	}
-	grace := g.limits.Load().grace
-	left := grace - stopMargin - since
-	if r.Kind == route.Stream && since < grace/4 {
-		return g.lengths.expect(r.Name) > left
-	}
-	return r.Wait(call.Deadline) > left
-}
-
-// stopMargin is the time before the end of the grace in which nothing is begun.
-const stopMargin = 500 * time.Millisecond
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,7 +18,6 @@
 	"github.com/cassiachute/cassiachute/platform"
 	"github.com/cassiachute/cassiachute/route"
 	"github.com/cassiachute/cassiachute/target"
-	"github.com/cassiachute/cassiachute/wire"
 )
 
 const (
@@ -29,9 +28,6 @@
 	tickEvery     = 10 * time.Millisecond
 	idleTickEvery = 50 * time.Millisecond
 	sweepEvery    = 150 * time.Millisecond
-	stopPoll      = 20 * time.Millisecond
-	leastStop     = 3 * time.Second // for the balancer to notice a planned stop
-	settleTime    = 50 * time.Millisecond
 	pathMetrics   = "/metrics"
 )
 
@@ -227,69 +223,6 @@
 	g.record.config(table)
 }
 
-// listingRead is how a listing takes targets: read here, or by another host.
-type listingRead func(l *route.Listing, now time.Time, targets []route.Target) []route.Target
-
-// failTargets takes a read of the list of targets that failed.
-func (g *Gateway) failTargets() {
-	g.core.mu.Lock()
-	defer g.core.mu.Unlock()
-	g.listing.Fail()
-}
-
-// takeTargets takes the list of targets as of an awake time, in the way that the
-// listing takes it. Entries that can't be used are left out.
-func (g *Gateway) takeTargets(rows []wire.TargetRow, asOf time.Duration, take listingRead) {
-	g.taking.Lock()
-	defer g.taking.Unlock()
-	if !g.known.offer(asOf) {
-		return
-	}
-	list := make([]route.Target, 0, len(rows))
-	for _, row := range rows {
-		t, err := platform.DecodeTarget(platform.Row{Key: row.Key, Value: row.Value})
-		if err != nil {
-			g.record.badTarget(row.Key, err)
-			continue
-		}
-		list = append(list, t)
-	}
-	g.core.mu.Lock()
-	list = take(g.listing, time.Now(), list)
-	g.core.board.SetTargets(list)
-	g.core.mu.Unlock()
-	g.known.setTargets(list, rows)
-	g.setAddresses(list)
-}
-
-// setAddresses takes the addresses of the targets and closes the connections to
-// those that are gone.
-func (g *Gateway) setAddresses(list []route.Target) {
-	addresses := map[string]netip.AddrPort{}
-	leaving := 0
-	for _, t := range list {
-		addresses[t.ID] = t.Address
-		if t.Leaving {
-			leaving++
-		}
-	}
-	before := *g.addresses.Swap(&addresses)
-	if len(before) != len(addresses) || leaving > 0 {
-		g.record.targets(len(list)-leaving, leaving)
-	}
-	for id, address := range before {
-		if _, ok := addresses[id]; !ok {
-			g.pool.Forget(address)
-		}
-	}
-}
-
-// address returns the address of a target.
-func (g *Gateway) address(id string) (netip.AddrPort, bool) {
-	a, ok := (*g.addresses.Load())[id]
-	return a, ok
-}
-
 // tick runs what depends on time alone.
 func (g *Gateway) tick() time.Duration {
 	now := time.Now()
@@ -315,54 +248,6 @@
 	return sweepEvery
 }
 
-func (g *Gateway) stopping() bool { return g.stopFrom.Load() != 0 }
-
-// stopSince returns the time since the signal to stop, 0 before it.
-func (g *Gateway) stopSince() time.Duration {
-	from := g.stopFrom.Load()
-	if from == 0 {
-		return 0
-	}
-	return max(1, time.Since(time.Unix(0, from)))
-}
-
-// stop is the planned stop: the host is not ready any more and serves on until the
-// balancer has noticed and all answers are out.
-func (g *Gateway) stop() {
-	began := time.Now()
-	g.stopFrom.Store(began.UnixNano())
-	g.record.process(eventStopping, &g.settings)
-	end := began.Add(g.limits.Load().grace - stopMargin)
-	pause(time.Until(began.Add(min(leastStop, g.limits.Load().grace/2))))
-	g.idleUntil(end)
-	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
-	defer cancel()
-	err := g.server.ShutdownWithContext(ctx)
-	g.idleUntil(end) // requests that kept connections brought meanwhile
-	if left := g.inFlight.Load(); left > 0 {
-		g.log.Warn().Str("event", eventStopping).Int64("inflight", left).Err(err).Send()
-	}
-}
-
-// pause waits for a time.
-func pause(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	<-timer.C
-}
-
-// idleUntil waits until no request was in flight for a short time, or until a time.
-func (g *Gateway) idleUntil(end time.Time) {
-	idle := time.Duration(0)
-	for idle < settleTime && time.Now().Before(end) {
-		pause(stopPoll)
-		idle += stopPoll
-		if g.inFlight.Load() > 0 {
-			idle = 0
-		}
-	}
-}
-
 // quiet drops what the server says of connections that callers broke off.
 type quiet struct{}
 
--- /dev/null
+++ b/gateway/targets.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/route"
+	"github.com/cassiachute/cassiachute/wire"
+)
+
+// listingRead is how a listing takes targets: read here, or by another host.
+type listingRead func(l *route.Listing, now time.Time, targets []route.Target) []route.Target
+
+// failTargets takes a read of the list of targets that failed.
+func (g *Gateway) failTargets() {
+	g.core.mu.Lock()
+	defer g.core.mu.Unlock()
+	g.listing.Fail()
+}
+
+// takeTargets takes the list of targets as of an awake time, in the way that the
+// listing takes it. Entries that can't be used are left out.
+func (g *Gateway) takeTargets(rows []wire.TargetRow, asOf time.Duration, take listingRead) {
+	g.taking.Lock()
+	defer g.taking.Unlock()
+	if !g.known.offer(asOf) {
+		return
+	}
+	list := make([]route.Target, 0, len(rows))
+	for _, row := range rows {
+		t, err := platform.DecodeTarget(platform.Row{Key: row.Key, Value: row.Value})
+		if err != nil {
+			g.record.badTarget(row.Key, err)
+			continue
+		}
+		list = append(list, t)
+	}
+	g.core.mu.Lock()
+	list = take(g.listing, time.Now(), list)
+	g.core.board.SetTargets(list)
+	g.core.mu.Unlock()
+	g.known.setTargets(list, rows)
+	g.setAddresses(list)
+}
+
+// setAddresses takes the addresses of the targets and closes the connections to
+// those that are gone.
+func (g *Gateway) setAddresses(list []route.Target) {
+	addresses := map[string]netip.AddrPort{}
+	leaving := 0
+	for _, t := range list {
+		addresses[t.ID] = t.Address
+		if t.Leaving {
+			leaving++
+		}
+	}
+	before := *g.addresses.Swap(&addresses)
+	if len(before) != len(addresses) || leaving > 0 {
+		g.record.targets(len(list)-leaving, leaving)
+	}
+	for id, address := range before {
+		if _, ok := addresses[id]; !ok {
+			g.pool.Forget(address)
+		}
+	}
+}
+
+// address returns the address of a target.
+func (g *Gateway) address(id string) (netip.AddrPort, bool) {
+	a, ok := (*g.addresses.Load())[id]
+	return a, ok
+}
