Prompt parts remembered for all targets are bounded

Cause: 4096 parts were remembered for each target, some 45 MB at 112 targets on hosts of 184 MB. Change: 65536 parts over all targets, 256 to 4096 for each. Unchanged up to 16 targets.

--- a/placement/affinity.go
+++ b/placement/affinity.go
@@ -7,8 +7,19 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 )
 
-// chainsPerTarget bounds the prompt parts that are remembered for one target.
-const chainsPerTarget = 4096
+// Bounds of the prompt parts that are remembered, so that the memory they take does
+// not grow with the number of targets.
+const (
+	chainsOfAll  = 1 << 16
+	mostChains   = 4096 // of one target
+	fewestChains = 256
+)
+
+// chainsPerTarget returns the prompt parts that are remembered for one of so many
+// targets.
+func chainsPerTarget(targets int) int {
+	return min(mostChains, max(fewestChains, chainsOfAll/max(1, targets)))
+}
 
 // Part is one part of a prompt.
 type Part struct {
@@ -69,11 +80,14 @@
 	chains *lru.Cache[uint64, struct{}]
 }
 
-func newMemory() *memory {
-	chains, _ := lru.New[uint64, struct{}](chainsPerTarget) // fails only for a size of 0
+func newMemory(size int) *memory {
+	chains, _ := lru.New[uint64, struct{}](size) // fails only for a size of 0
 	return &memory{chains: chains}
 }
 
+// resize changes the number of parts that are remembered.
+func (m *memory) resize(size int) { m.chains.Resize(size) }
+
 // held returns the tokens of a prompt that the target has read before.
 func (m *memory) held(c Chain) int {
 	for i := len(c.Names) - 1; i >= 0; i-- {
--- a/placement/board.go
+++ b/placement/board.go
@@ -110,13 +110,15 @@
 // takes no new request.
 func (b *Board) SetTargets(targets []route.Target) {
 	present := map[string]bool{}
+	chains := chainsPerTarget(len(targets))
 	for _, t := range targets {
 		present[t.ID] = true
 		r := b.rows[t.ID]
 		if r == nil {
-			r = &row{key: xxhash.Sum64String(t.ID), health: newHealth(), memory: newMemory()}
+			r = &row{key: xxhash.Sum64String(t.ID), health: newHealth(), memory: newMemory(chains)}
 			b.rows[t.ID] = r
 		}
+		r.memory.resize(chains)
 		if !r.target.Born.Equal(t.Born) {
 			r.memory.forget()
 		}
