--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -126,6 +126,9 @@
 // checkSend returns a problem if the request may not go to a target now.
 func (x *exchange) checkSend() *problem {
 	g := x.gateway
+	if time.Since(x.arrived) > sweepEvery && target.Gone(x.caller) {
+		x.cancel()
+	}
 	switch {
 	case x.left():
 		return failure(statusGone, reasonCallerGone)
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -20,7 +21,7 @@
 	call := platform.DecodeCall(&ctx.Request.Header)
 	r, team, p := g.admit(ctx, &call)
 	if p == nil {
-		p = g.lag.check()
+		p = g.lag.check(time.Now())
 	}
 	if p != nil {
 		g.refuse(ctx, &call, p)
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -47,10 +47,11 @@
 }
 
 // check returns a refusal while this host is short of processor time.
-func (l *lagged) check() *problem {
+func (l *lagged) check(now time.Time) *problem {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.lag.Overloaded() {
+	stalled := !l.due.IsZero() && l.lag.Stalled(now.Sub(l.due))
+	if !stalled && !l.lag.Overloaded() {
 		return nil
 	}
 	return notRun(reasonOverloaded, overloadRetry)
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -109,13 +109,16 @@
 // attempt notes a send that failed.
 func (r *recorder) attempt(x *exchange, a *attempt, err error) {
 	r.metrics.attempts.WithLabelValues(x.service).Inc()
-	status := 0
+	status, took := 0, time.Duration(0)
 	if a.response != nil {
 		status = a.response.StatusCode()
 	}
+	if !a.sent.IsZero() {
+		took = time.Since(a.sent)
+	}
 	r.log.Warn().Str("event", eventAttempt).Str("request", x.call.ID).Str("route", x.route.Name).
 		Str("target", a.choice.Target).Int("sends", x.sends).Int("status", status).
-		Float64("took", milliseconds(time.Since(a.sent))).Float64("expected", milliseconds(a.choice.Expect)).
+		Float64("took", milliseconds(took)).Float64("expected", milliseconds(a.choice.Expect)).
 		Str("last", x.lastEvent).Err(err).Send()
 }
 
--- a/placement/lag.go
+++ b/placement/lag.go
@@ -8,6 +8,7 @@
 const (
 	lagMemory     = 200 * time.Millisecond // over which past ticks lose all but 1/e of their weight
 	lagReliefPart = 0.5                    // of the limit, below which a host takes requests again
+	overdueLimits = 2.5                    // limits by which a tick is overdue when a host takes no request
 )
 
 // Lag tells from how late its ticks come whether a host is short of processor time.
@@ -46,6 +47,12 @@
 // Overloaded returns whether the host is short of processor time.
 func (l *Lag) Overloaded() bool { return l.overloaded }
 
+// Stalled returns whether the host has just been without processor time, so that what
+// it reads now has waited for long: the next tick is overdue.
+func (l *Lag) Stalled(overdue time.Duration) bool {
+	return overdue > scale(l.limit, overdueLimits)
+}
+
 // Mean returns the mean lateness of ticks.
 func (l *Lag) Mean() time.Duration { return l.mean }
 
--- a/placement/lag_test.go
+++ b/placement/lag_test.go
@@ -55,3 +55,12 @@
 	}
 	require.True(t, l.Overloaded())
 }
+
+// Load pattern: a host had no processor time for seconds. What it reads first came
+// long ago, before any tick tells of it.
+func TestStalledHostIsSeenBeforeItsNextTick(t *testing.T) {
+	l := placement.NewLag(lagLimit)
+	require.False(t, l.Stalled(-lagTick))
+	require.False(t, l.Stalled(lagLimit))
+	require.True(t, l.Stalled(2*time.Second))
+}
