--- a/gateway/core.go
+++ b/gateway/core.go
@@ -133,6 +133,13 @@
 	return c.allowance(service).Spend(time.Now(), c.hosts)
 }
 
+// standing compares what a team received of late with its share.
+func (c *core) standing(now time.Time, service, team string) placement.Standing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.board.Standing(now, service, team)
+}
+
 // left returns the repeats that are allowed now, by service.
 func (c *core) left() map[string]float64 {
 	c.mu.Lock()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -60,7 +60,7 @@
 		grants: make(chan placement.Choice, 1), gone: make(chan struct{}), request: &fasthttp.Request{},
 		lastEvent: call.LastEvent,
 	}
-	x.service = r.Pick(xxhash.Sum64String(call.ID))
+	x.service = serviceOf(r, &call)
 	x.limit = x.arrived.Add(r.Wait(call.Deadline))
 	x.ask = placement.Ask{
 		Service: x.service, Team: team, Output: call.Output, Aim: r.Aim, Time: r.Wait(call.Deadline),
@@ -71,6 +71,11 @@
 	return x
 }
 
+// serviceOf returns the service that a request of a route goes to.
+func serviceOf(r *route.Route, call *platform.Call) string {
+	return r.Pick(xxhash.Sum64String(call.ID))
+}
+
 func parts(list []platform.Part) []placement.Part {
 	out := make([]placement.Part, 0, len(list))
 	for _, p := range list {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -21,7 +21,8 @@
 	call := platform.DecodeCall(&ctx.Request.Header)
 	r, team, p := g.admit(ctx, &call)
 	if p == nil {
-		p = g.lag.check(time.Now())
+		now := time.Now()
+		p = g.lag.check(now, func() placement.Standing { return g.core.standing(now, serviceOf(r, &call), team) })
 	}
 	if p != nil {
 		g.refuse(ctx, &call, p)
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -46,12 +46,20 @@
 	return period
 }
 
-// check returns a refusal while this host is short of processor time.
-func (l *lagged) check(now time.Time) *problem {
+// check returns a refusal of a request while this host is short of processor time.
+// The standing of its team is asked for only then.
+func (l *lagged) check(now time.Time, standing func() placement.Standing) *problem {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	stalled := !l.due.IsZero() && l.lag.Stalled(now.Sub(l.due))
-	if !stalled && !l.lag.Overloaded() {
+	overdue := time.Duration(0)
+	if !l.due.IsZero() {
+		overdue = now.Sub(l.due)
+	}
+	team := placement.Entitled
+	if l.lag.Overloaded() {
+		team = standing()
+	}
+	if !l.lag.Refuses(overdue, team) {
 		return nil
 	}
 	return notRun(reasonOverloaded, overloadRetry)
--- a/placement/lag.go
+++ b/placement/lag.go
@@ -9,6 +9,7 @@
 	lagMemory     = 200 * time.Millisecond // over which past ticks lose all but 1/e of their weight
 	lagReliefPart = 0.5                    // of the limit, below which a host takes requests again
 	overdueLimits = 2.5                    // limits by which a tick is overdue when a host takes no request
+	sparedLimits  = 2                      // limits up to which teams within their share are spared
 )
 
 // Lag tells from how late its ticks come whether a host is short of processor time.
@@ -47,10 +48,15 @@
 // Overloaded returns whether the host is short of processor time.
 func (l *Lag) Overloaded() bool { return l.overloaded }
 
-// Stalled returns whether the host has just been without processor time, so that what
-// it reads now has waited for long: the next tick is overdue.
-func (l *Lag) Stalled(overdue time.Duration) bool {
-	return overdue > scale(l.limit, overdueLimits)
+// Refuses returns whether a request of a team with a standing is refused while the
+// next tick is overdue by a time. Teams above their share are refused first. A long
+// overdue tick means that the host has just been without processor time, and that
+// what it reads now has waited for long.
+func (l *Lag) Refuses(overdue time.Duration, team Standing) bool {
+	if overdue > scale(l.limit, overdueLimits) {
+		return true
+	}
+	return l.overloaded && (team != Entitled || l.mean > scale(l.limit, sparedLimits))
 }
 
 // Mean returns the mean lateness of ticks.
--- a/placement/lag_test.go
+++ b/placement/lag_test.go
@@ -58,9 +58,24 @@
 
 // Load pattern: a host had no processor time for seconds. What it reads first came
 // long ago, before any tick tells of it.
-func TestStalledHostIsSeenBeforeItsNextTick(t *testing.T) {
+func TestStalledHostRefusesBeforeItsNextTick(t *testing.T) {
 	l := placement.NewLag(lagLimit)
-	require.False(t, l.Stalled(-lagTick))
-	require.False(t, l.Stalled(lagLimit))
-	require.True(t, l.Stalled(2*time.Second))
+	require.False(t, l.Refuses(-lagTick, placement.Beyond))
+	require.False(t, l.Refuses(lagLimit, placement.Beyond))
+	require.True(t, l.Refuses(2*time.Second, placement.Entitled))
+}
+
+// Load pattern: one team crowds on a host. Those within their share are spared until
+// it is far too much.
+func TestCrowdOnAHostHurtsItsOwnTeam(t *testing.T) {
+	l := placement.NewLag(lagLimit)
+	for range 20 {
+		l.Take(lagTick, 60*time.Millisecond)
+	}
+	require.True(t, l.Refuses(0, placement.Above))
+	require.False(t, l.Refuses(0, placement.Entitled))
+	for range 20 {
+		l.Take(lagTick, 120*time.Millisecond)
+	}
+	require.True(t, l.Refuses(0, placement.Entitled))
 }
--- a/placement/team.go
+++ b/placement/team.go
@@ -83,6 +83,16 @@
 	return list
 }
 
+// Standing compares what a team received of late with its share of a service. On a
+// plain service all teams are within theirs.
+func (b *Board) Standing(now time.Time, service, team string) Standing {
+	if b.pool(service).engine == nil {
+		return Entitled
+	}
+	s, _ := b.standing(now, service, team)
+	return s
+}
+
 // standing compares what a team received of late with its share. It also returns
 // the share over what the team received: the promised one for an entitled team, the
 // even one for others.
