--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -101,3 +101,24 @@
 		board.Choose(now.Add(time.Duration(n)*time.Microsecond*10), largeAsk(n))
 	}
 }
+
+// BenchmarkServe looks for engines for requests that wait while all are full.
+func BenchmarkServe(b *testing.B) {
+	now := time.Unix(1000, 0)
+	board, _ := largeBoard(now)
+	flood := placement.News{}
+	for n := range largeEngines {
+		flood.Loads = append(flood.Loads, placement.TargetLoad{
+			Target: fmt.Sprintf("engine-%04d", n), Load: placement.Load{Prompt: 1_000_000, Running: 400},
+		})
+	}
+	board.Learn(now, largeHosts, flood)
+	for n := range 60 {
+		board.Wait(now, uint64(n), largeAsk(n))
+	}
+	b.ReportAllocs()
+	for range b.N {
+		now = now.Add(10 * time.Millisecond)
+		board.Serve(now, "model")
+	}
+}
--- a/placement/board.go
+++ b/placement/board.go
@@ -55,10 +55,12 @@
 	pace    *Pace
 	typical time.Duration // time of an answer of a plain service
 	rows    []*row        // ordered by the identity of the target
+	epoch   uint64        // rises with each change of the rows
 	teams   map[string]*teamUse
 	tight   time.Duration // tightest aim of the routes to the service
 	need    time.Duration // pause between events that streams need to be over in time
 	queue   []ticket
+	served  time.Time // when it was last decided about the queue
 	shares  shares
 }
 
@@ -141,10 +143,12 @@
 func (b *Board) regroup() {
 	for _, p := range b.pools {
 		p.rows = p.rows[:0]
+		p.epoch++
 	}
 	for _, r := range b.rows {
 		p := b.pool(r.target.Service)
 		p.rows = append(p.rows, r)
+		p.epoch++
 	}
 	for _, p := range b.pools {
 		slices.SortFunc(p.rows, func(a, c *row) int { return cmp.Compare(a.target.ID, c.target.ID) })
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -40,6 +40,8 @@
 	Elapsed  time.Duration // since the request arrived
 	Excluded []string      // targets that failed it
 	Anywhere bool          // it has waited for the engines that keep its parts
+
+	homes homes
 }
 
 // Cost returns the cost units of the request.
@@ -124,8 +126,11 @@
 // no more prompts than it reads in time, so that what is admitted is in time.
 func (b *Board) chooseEngine(now time.Time, p *pool, a *Ask) Choice {
 	standing, ratio := b.standing(now, a.Service, a.Team)
-	s := search{board: b, pool: p, ask: a, standing: standing, ratio: ratio, shortest: -1}
-	s.first, s.second = p.rendezvous(a.Chain.Deepest())
+	s := search{
+		board: b, pool: p, ask: a, standing: standing, ratio: ratio, slope: p.pace.Slope(), start: seconds(p.pace.Start()),
+		shortest: -1,
+	}
+	s.first, s.second = p.homes(a)
 	for _, r := range p.rows {
 		if r.usable(now, a) {
 			s.found = true
@@ -152,44 +157,60 @@
 	pool          *pool
 	ask           *Ask
 	standing      Standing
-	ratio         float64 // of the team's share to what it received
-	first, second *row    // engines that keep the prompt's shared parts
-	found         bool    // an engine is usable
+	ratio         float64       // of the team's share to what it received
+	slope         float64       // seconds that one prompt token takes
+	start         time.Duration // to the first event of an empty prompt
+	first, second *row          // engines that keep the prompt's shared parts
+	found         bool          // an engine is usable
 	best          Choice
 	score         time.Duration // of the best; less is better
 	shortest      time.Duration // least excess of a queue over its limit, -1 without one
 }
 
-// weigh compares an engine with the best so far.
+// weigh compares an engine with the best so far. What needs no look at the parts that
+// the engine has read comes first, since in a flood most engines are full.
 func (s *search) weigh(r *row) {
 	p, a := s.pool, s.ask
 	load := r.load()
-	held := r.memory.held(a.Chain)
 	drag := r.health.drag()
-	wait := scale(p.pace.Wait(load.Prompt), drag)
-	own := p.pace.Wait(a.Chain.Total - held)
+	wait := scale(s.reading(load.Prompt), drag)
+	limit := p.limit(a, s.standing, s.ratio, r)
+	if wait > limit || load.Running >= p.engine.Slots {
+		s.miss(wait - limit)
+		return
+	}
+	held := r.memory.held(a.Chain)
+	own := s.reading(a.Chain.Total - held)
 	need := Load{Prompt: a.Chain.Total - held, Running: 1, Memory: a.Chain.Total + int(expectedOutput*float64(a.Output))}
-	limit, home := s.limit(r, held, own)
+	limit, home := s.narrow(limit, r, held, own)
 	if wait > limit || !home || !p.fits(load, need) {
-		if over := max(wait-limit, 0); s.shortest < 0 || over < s.shortest {
-			s.shortest = over
-		}
+		s.miss(wait - limit)
 		return
 	}
-	score := wait + scale(p.reread(a.Chain, held, r == s.first, r == s.second), rereadWeight*drag)
+	score := wait + scale(s.reread(held, r), rereadWeight*drag)
 	if r.target.Place != s.board.place {
 		score += farPenalty
 	}
 	if s.best.Target == "" || score < s.score {
 		s.score = score
-		s.best = Choice{Target: r.target.ID, Load: need, Waiting: wait, Expect: seconds(p.pace.Start()) + wait + own}
+		s.best = Choice{Target: r.target.ID, Load: need, Waiting: wait, Expect: s.start + wait + own}
 	}
 }
 
-// limit returns the longest queue that the request may join at an engine, and whether
-// it may go there at all.
-func (s *search) limit(r *row, held int, own time.Duration) (time.Duration, bool) {
-	limit := min(s.pool.limit(s.ask, s.standing, s.ratio, r), s.pool.slack(s.ask, own))
+// miss takes an engine that the request can't go to.
+func (s *search) miss(over time.Duration) {
+	if over = max(over, 0); s.shortest < 0 || over < s.shortest {
+		s.shortest = over
+	}
+}
+
+// reading returns the time that an engine takes to read prompt tokens.
+func (s *search) reading(tokens int) time.Duration { return seconds(s.slope * float64(tokens)) }
+
+// narrow returns the longest queue that the request may join at an engine, given that
+// of its team, and whether it may go there at all.
+func (s *search) narrow(limit time.Duration, r *row, held int, own time.Duration) (time.Duration, bool) {
+	limit = min(limit, s.slack(own))
 	chain := s.ask.Chain
 	if r == s.first || r == s.second && s.ask.Anywhere || chain.Shared()-held <= smallReread {
 		return limit, true
@@ -221,8 +242,9 @@
 
 // slack returns how long prompts may queue ahead of one that takes a time itself, so
 // that its first event is in time; a prompt too long for that takes a short queue.
-func (p *pool) slack(a *Ask, own time.Duration) time.Duration {
-	return max(scale(a.Aim, leastSlackPart), scale(a.Aim, slackPart)-seconds(p.pace.Start())-own-a.Elapsed)
+func (s *search) slack(own time.Duration) time.Duration {
+	a := s.ask
+	return max(scale(a.Aim, leastSlackPart), scale(a.Aim, slackPart)-s.start-own-a.Elapsed)
 }
 
 // queuePartOf returns the part of the queue for a team, by what it received compared with
@@ -254,14 +276,31 @@
 // reread returns the time for the prompt tokens that the target has to read. The
 // first targets by rendezvous count as having read the shared parts for other
 // hosts.
-func (p *pool) reread(c Chain, held int, first, second bool) time.Duration {
-	switch {
-	case first:
+func (s *search) reread(held int, r *row) time.Duration {
+	c := s.ask.Chain
+	switch r {
+	case s.first:
 		held = max(held, c.Shared())
-	case second:
+	case s.second:
 		held = max(held, c.Shared()/2)
 	}
-	return p.pace.Wait(c.Total - held)
+	return s.reading(c.Total - held)
+}
+
+// homes returns the engines that keep the shared parts of a request's prompt. They are
+// worked out once for a request as long as the targets stay the same.
+func (p *pool) homes(a *Ask) (first, second *row) {
+	if a.homes.epoch != p.epoch {
+		a.homes.first, a.homes.second = p.rendezvous(a.Chain.Deepest())
+		a.homes.epoch = p.epoch
+	}
+	return a.homes.first, a.homes.second
+}
+
+// homes are the engines that keep the shared parts of a prompt.
+type homes struct {
+	epoch         uint64 // of the list of targets
+	first, second *row
 }
 
 // rendezvous returns the two targets that all hosts prefer for a prompt part, so
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -11,6 +11,8 @@
 	plainPatience  = 0.6 // part of the aim that a request waits here for a plain target
 	maxWaiting     = 512 // requests that wait for one service
 	maxMisses      = 8   // requests that find no target before the others are left
+
+	servePausePerTarget = 50 * time.Microsecond // between two decisions about all that wait
 )
 
 // ticket is a request that waits for a target.
@@ -64,14 +66,15 @@
 }
 
 // Serve decides again about the requests that wait for a service, in the order in which
-// their first events are due, those of teams
-// above their share last. It gives up after some
-// that find no target, since the others ask for the same targets.
+// their first events are due, those of teams above their share last. It gives up after
+// some that find no target, since the others ask for the same targets. With many targets it
+// waits between two decisions, which take longer then.
 func (b *Board) Serve(now time.Time, service string) []Grant {
 	p := b.pool(service)
-	if len(p.queue) == 0 {
+	if len(p.queue) == 0 || now.Sub(p.served) < time.Duration(len(p.rows))*servePausePerTarget {
 		return nil
 	}
+	p.served = now
 	var grants []Grant
 	for standing := Entitled; standing <= Beyond; standing++ {
 		misses := 0
