--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,7 +43,7 @@
 	peers    *contacts
 	lengths  lengths
 	known    knowledge
-	lag      *lagged
+	lag      *lagMeter
 	taking   sync.Mutex     // held while a list of targets is taken
 	listing  *route.Listing // guarded by the lock of the core
 	answers  *mesh.Responder
@@ -83,7 +83,7 @@
 		client:  platform.NewClient(s.Store, platform.WithTimeout(storeTimeout)),
 		peers:   newContacts(s.Peer),
 		listing: route.NewListing(),
-		lag:     newLagged(s.Lag.Or(defaultLag)),
+		lag:     newLagMeter(s.Lag.Or(defaultLag)),
 		lengths: lengths{means: map[string]time.Duration{}},
 		boot:    uint64(time.Now().UnixMilli()),
 	}
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -10,24 +10,24 @@
 // overloadRetry is short, since a caller that comes again reaches another host.
 const overloadRetry = 50 * time.Millisecond
 
-// lagged watches how late the ticks of this host come.
-type lagged struct {
+// lagMeter measures how late the ticks of this host come.
+type lagMeter struct {
 	mu     sync.Mutex
 	lag    *placement.Lag
 	due    time.Time // of the next tick
 	period time.Duration
 }
 
-func newLagged(limit time.Duration) *lagged { return &lagged{lag: placement.NewLag(limit)} }
+func newLagMeter(limit time.Duration) *lagMeter { return &lagMeter{lag: placement.NewLag(limit)} }
 
-func (l *lagged) setLimit(limit time.Duration) {
+func (l *lagMeter) setLimit(limit time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lag.SetLimit(limit)
 }
 
 // tick takes a tick.
-func (l *lagged) tick(now time.Time, r *recorder) {
+func (l *lagMeter) tick(now time.Time, r *recorder) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.due.IsZero() {
@@ -39,7 +39,7 @@
 }
 
 // next takes the period until the next tick and returns it.
-func (l *lagged) next(now time.Time, period time.Duration) time.Duration {
+func (l *lagMeter) next(now time.Time, period time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.due, l.period = now.Add(period), period
@@ -48,7 +48,7 @@
 
 // check returns a refusal of a request while this host is short of processor time.
 // The standing of its team is asked for only then.
-func (l *lagged) check(now time.Time, standing func() placement.Standing) *problem {
+func (l *lagMeter) check(now time.Time, standing func() placement.Standing) *problem {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	overdue := time.Duration(0)
@@ -66,7 +66,7 @@
 }
 
 // mean returns the mean lateness of ticks.
-func (l *lagged) mean() time.Duration {
+func (l *lagMeter) mean() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.lag.Mean()
