Ages that do not fit a message stay old

Cause (read, not seen): the age of a list that a host never read is the time since the machine started; after 49.7 days it did not fit 32 bits of milliseconds and could look new, so a peer could take an empty list of targets for the newest one. Change: ages are cut at the largest value.

--- a/gateway/clock.go
+++ b/gateway/clock.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -16,3 +17,9 @@
 	}
 	return time.Duration(ts.Nano())
 }
+
+// ageField returns an age in milliseconds as messages carry it. The age of what was
+// never known is as long as the host runs, and must not look new when it is cut.
+func ageField(age time.Duration) uint32 {
+	return uint32(min(max(0, age.Milliseconds()), math.MaxUint32))
+}
--- /dev/null
+++ b/gateway/clock_test.go
@@ -0,0 +1,15 @@
+package gateway
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestOldAgesStayOldInMessages(t *testing.T) {
+	require.Equal(t, uint32(1500), ageField(1500*time.Millisecond))
+	require.Equal(t, uint32(math.MaxUint32), ageField(50*24*time.Hour))
+	require.Zero(t, ageField(-time.Second))
+}
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -70,7 +70,7 @@
 	return true, first
 }
 
-// silent returns the hosts that were heard of and are silent now.
+// silent returns the hosts that were heard of and are silent now, each once.
 func (c *contacts) silent(now time.Time) []netip.AddrPort {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -156,7 +156,7 @@
 	news := g.core.newsOut(time.Now())
 	news.Boot, news.Number, news.Place = g.boot, g.number, g.settings.Place
 	news.Leaving, news.Reader = g.stopping(), g.duty() == reader
-	news.Age = uint32(max(g.core.age(), g.known.targetsAge()).Milliseconds())
+	news.Age = ageField(max(g.core.age(), g.known.targetsAge()))
 	if table := g.core.view.Load(); table != nil {
 		news.Revision = table.Version
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -21,13 +21,13 @@
 	if table == nil {
 		return &wire.Reply{}
 	}
-	v := &wire.Reply{Revision: table.Version, Age: uint32(g.core.age().Milliseconds())}
+	v := &wire.Reply{Revision: table.Version, Age: ageField(g.core.age())}
 	g.known.mu.Lock()
 	defer g.known.mu.Unlock()
 	if table.Version > q.Revision {
 		v.Config = g.known.config
 	}
-	v.TargetsAge = uint32((awake() - g.known.targetsAsOf).Milliseconds())
+	v.TargetsAge = ageField(awake() - g.known.targetsAsOf)
 	v.Digest = g.known.digest
 	if v.Digest != q.Digest {
 		v.Targets = g.known.rows
--- a/wire/news.go
+++ b/wire/news.go
@@ -8,7 +8,7 @@
 	Boot     uint64 // start time of the sender's process in Unix milliseconds
 	Number   uint64 // rises with each news of the process
 	Revision uint64 // version of the configuration in force at the sender
-	Age      uint32 // milliseconds since the sender knew that it is the newest, and the list of targets
+	Age      uint32 // milliseconds since what the sender knows from the store was current, the older of configuration and targets
 	Reader   bool   // the sender reads the store
 	Leaving  bool   // the sender is shutting down
 	Place    string // data centre of the sender
