The configuration is new at every moment between two reads

Keys that are not known are refused with 401 only below 1.8 s, so callers whose keys had been taken away got 503 and a time to come back in calm seconds; a team all of whose keys were gone counted as waiting. Ruled out: late or lost reads (ages of 1.80 to 2.01 s on all hosts, no trouble), the shares (the team had no key). Change: feeds wait 0.7 s. Test of the constants, red before.

--- a/gateway/reader_test.go
+++ b/gateway/reader_test.go
@@ -69,3 +69,11 @@
 	require.Equal(t, mostReaders, duties[reader])
 	require.Equal(t, 81-mostReaders, duties[cutAsker])
 }
+
+// A host that reads the store, or asks one that does, knows at every moment that its
+// configuration is new: its age is the length of a read that waits, and of the next.
+func TestConfigurationIsNewBetweenReads(t *testing.T) {
+	require.Less(t, 2*feedWait, staleAge)
+	require.Less(t, 2*sharedWait+askEvery, staleAge)
+	require.Less(t, staleAge, deniableAge)
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	feedWait     = time.Second            // longest time that a feed of the configuration waits
+	feedWait     = 700 * time.Millisecond // longest time that a feed of the configuration waits; its age is twice that at most
 	sharedWait   = 500 * time.Millisecond // the same where other hosts rely on this one
 	targetsEvery = 700 * time.Millisecond
 	hostsEvery   = 10 * time.Second
