--- a/cmd/cassia-capacity/main.go
+++ b/cmd/cassia-capacity/main.go
@@ -13,8 +13,9 @@
 
 // options are the flags.
 type options struct {
-	Plot    string `long:"plot" value-name:"DIRECTORY" description:"also write a plot of the time of a grant"`
-	Version bool   `long:"version" description:"print the version and exit"`
+	program.Release
+
+	Plot string `long:"plot" value-name:"DIRECTORY" description:"also write a plot of the time of a grant"`
 }
 
 func main() {
@@ -22,10 +23,6 @@
 	if proceed, code := program.Parse(&o, os.Args[1:], os.Stdout); !proceed {
 		os.Exit(code)
 	}
-	if o.Version {
-		fmt.Println(program.Version())
-		return
-	}
 	fmt.Println("| what | points | fit | R2 |")
 	fmt.Println("|---|---|---|---|")
 	slopes := capacity.Measure()
--- a/cmd/cassia-load/main.go
+++ b/cmd/cassia-load/main.go
@@ -18,13 +18,14 @@
 
 // options are the flags.
 type options struct {
+	program.Release
+
 	Plan    string   `long:"plan" value-name:"FILE" description:"plan of the load (JSON)"`
 	Measure string   `long:"measure" choice:"latency" choice:"change" choice:"memory" description:"start a fleet in this process and measure the latency that it adds, the time until a change is in force, or the memory of open requests"`
 	Plot    string   `long:"plot" value-name:"DIRECTORY" description:"write plots of the runs in the files named by --run"`
 	Runs    []string `long:"run" value-name:"NAME=FILE" description:"result of a run (its last line is the measures as JSON) to plot"`
 	Check   bool     `long:"check" description:"check the plan and exit"`
 	JSON    bool     `long:"json" description:"print the measures as one line of JSON at the end"`
-	Version bool     `long:"version" description:"print the version and exit"`
 }
 
 func main() {
@@ -32,10 +33,6 @@
 	if proceed, code := program.Parse(&o, os.Args[1:], os.Stdout); !proceed {
 		os.Exit(code)
 	}
-	if o.Version {
-		fmt.Println(program.Version())
-		return
-	}
 	if o.Measure != "" || o.Plot != "" {
 		if err := other(o); err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -27,7 +27,8 @@
 	allowances map[string]*retry.Allowance
 	exchanges  map[uint64]*exchange
 	last       uint64 // number of the newest exchange
-	hosts      int    // most hosts of the fleet that were heard of at once
+	lag        *placement.Lag
+	hosts      int // most hosts of the fleet that were heard of at once
 }
 
 func newCore(s Settings) *core {
@@ -38,6 +39,7 @@
 		news:       map[uint64]uint8{},
 		allowances: map[string]*retry.Allowance{},
 		exchanges:  map[uint64]*exchange{},
+		lag:        placement.NewLag(s.Lag.Or(defaultLag)),
 		hosts:      1,
 	}
 }
@@ -49,6 +51,7 @@
 	if s.Ratio != c.settings.Ratio || s.Fixed != c.settings.Fixed || s.Window != c.settings.Window {
 		c.allowances = map[string]*retry.Allowance{}
 	}
+	c.lag.SetLimit(s.Lag.Or(defaultLag))
 	c.settings = s
 }
 
@@ -133,13 +136,6 @@
 	return c.allowance(service).Spend(time.Now(), c.hosts)
 }
 
-// standing compares what a team received of late with its share.
-func (c *core) standing(now time.Time, service, team string) placement.Standing {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.board.Standing(now, service, team)
-}
-
 // left returns the repeats that are allowed now, by service.
 func (c *core) left() map[string]float64 {
 	c.mu.Lock()
@@ -191,15 +187,19 @@
 	}
 }
 
-// tick runs what depends on time alone.
-func (c *core) tick(now time.Time) {
+// tick runs what depends on time alone, and again after a period. It returns whether
+// the host became or ceased to be short of processor time.
+func (c *core) tick(now time.Time, period time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	changed := c.lag.Tick(now)
+	c.lag.Next(now, period)
 	c.board.Tick(now)
 	for _, service := range c.board.Services() {
 		c.serve(now, service)
 	}
 	c.deliver(c.board.Expire(now))
+	return changed
 }
 
 // learn takes the news of another host. The next tick serves those who wait.
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -20,9 +20,8 @@
 	}
 	call := platform.DecodeCall(&ctx.Request.Header)
 	r, team, p := g.admit(ctx, &call)
-	if p == nil {
-		now := time.Now()
-		p = g.lag.check(now, func() placement.Standing { return g.core.standing(now, serviceOf(r, &call), team) })
+	if p == nil && g.core.overloaded(time.Now(), serviceOf(r, &call), team) {
+		p = notRun(reasonOverloaded, overloadRetry)
 	}
 	if p != nil {
 		g.refuse(ctx, &call, team, p)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,7 +43,6 @@
 	peers    *contacts
 	lengths  lengths
 	known    knowledge
-	lag      *lagMeter
 	taking   sync.Mutex     // held while a list of targets is taken
 	listing  *route.Listing // guarded by the lock of the core
 	answers  *mesh.Responder
@@ -53,7 +52,7 @@
 
 	ctx       context.Context
 	limits    atomic.Pointer[limits]
-	stopFrom  atomic.Int64 // Unix nanoseconds of the signal to stop, 0 before
+	stopFrom  atomic.Int64 // awake time of the signal to stop in ns, 0 before
 	inFlight  atomic.Int64
 	addresses atomic.Pointer[map[string]netip.AddrPort]
 	listeners []net.Listener
@@ -83,7 +82,6 @@
 		client:  platform.NewClient(s.Store, platform.WithTimeout(storeTimeout)),
 		peers:   newContacts(s.Peer),
 		listing: route.NewListing(s.Heartbeat.Or(defaultHeartbeat)),
-		lag:     newLagMeter(s.Lag.Or(defaultLag)),
 		lengths: lengths{means: map[string]time.Duration{}},
 		boot:    uint64(time.Now().UnixMilli()),
 	}
@@ -225,17 +223,17 @@
 
 // tick runs what depends on time alone.
 func (g *Gateway) tick() time.Duration {
-	now := time.Now()
-	g.lag.tick(now, g.record)
-	g.core.tick(now)
-	for _, address := range g.peers.silent(now) {
-		g.record.peer(address, "", false)
-	}
-	period := tickEvery
+	now, period := time.Now(), tickEvery
 	if g.inFlight.Load() == 0 {
 		period = idleTickEvery
 	}
-	return g.lag.next(time.Now(), period)
+	if g.core.tick(now, period) {
+		g.record.overload(g.core.late())
+	}
+	for _, address := range g.peers.silent(now) {
+		g.record.peer(address, "", false)
+	}
+	return period
 }
 
 // sweep ends the work for callers that left.
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -52,7 +52,8 @@
 }
 
 // hear takes the number of news. It returns false if newer ones came before, and
-// whether the host was silent until now.
+// whether the host was silent until now. After a silence any process counts, since
+// the time of day by which processes are told apart may have been set back.
 func (c *contacts) hear(address netip.AddrPort, m *wire.News, now time.Time) (fresh, first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -61,7 +62,8 @@
 		row = &contact{}
 		c.rows[address] = row
 	}
-	if m.Boot < row.boot || m.Boot == row.boot && m.Number <= row.number {
+	earlier := row.heard && m.Boot < row.boot
+	if earlier || m.Boot == row.boot && m.Number <= row.number {
 		return false, false
 	}
 	first = !row.heard
--- /dev/null
+++ b/gateway/gossip_test.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiachute/cassiachute/placement"
+	"github.com/cassiachute/cassiachute/wire"
+)
+
+// TestNewsOfEarlierProcessesAreLeft has news come late and twice. A process whose
+// host's time of day was set back starts with a lower number than the one before,
+// and is heard once that one is silent.
+func TestNewsOfEarlierProcessesAreLeft(t *testing.T) {
+	now := time.Unix(1000, 0)
+	host := netip.MustParseAddrPort("10.0.0.2:1")
+	c := newContacts(netip.MustParseAddrPort("10.0.0.1:1"))
+	hear := func(boot, number uint64) bool {
+		fresh, _ := c.hear(host, &wire.News{Boot: boot, Number: number}, now)
+		return fresh
+	}
+	require.True(t, hear(8000, 1))
+	require.True(t, hear(8000, 2))
+	require.False(t, hear(8000, 2), "twice")
+	require.False(t, hear(8000, 1), "late")
+	require.False(t, hear(5000, 9), "of an earlier process")
+	now = now.Add(placement.PeerLife(2) + time.Millisecond)
+	require.Equal(t, []netip.AddrPort{host}, c.silent(now))
+	require.True(t, hear(5000, 1))
+	require.False(t, hear(5000, 1))
+}
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -28,21 +28,18 @@
 	k.config = value
 }
 
-// offer takes the age of a list of targets that is as of an awake time. It returns
-// false if a newer one is known.
-func (k *knowledge) offer(asOf time.Duration) bool {
+// renew takes the news that the list of targets with a digest is as of an awake time.
+func (k *knowledge) renew(digest uint64, asOf time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if asOf < k.targetsAsOf {
-		return false
+	if k.digest == digest {
+		k.targetsAsOf = max(k.targetsAsOf, asOf)
 	}
-	k.targetsAsOf = asOf
-	return true
 }
 
-// setTargets takes the targets in use and the entries that were read. An entry that
-// is in use and was not read is kept as it was.
-func (k *knowledge) setTargets(list []route.Target, read []wire.TargetRow) {
+// setTargets takes the targets in use and the entries that were read, as of an awake
+// time. An entry that is in use and was not read is kept as it was.
+func (k *knowledge) setTargets(list []route.Target, read []wire.TargetRow, asOf time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	found := map[string]wire.TargetRow{}
@@ -55,13 +52,16 @@
 	for _, t := range list {
 		k.rows = append(k.rows, found[t.ID])
 	}
-	k.digest = digestOf(list)
+	k.digest, k.targetsAsOf = digestOf(list), asOf
 }
 
-func (k *knowledge) targetsAge() time.Duration {
+func (k *knowledge) targetsAge() time.Duration { return awake() - k.asOf() }
+
+// asOf returns the awake time of the list of targets.
+func (k *knowledge) asOf() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return awake() - k.targetsAsOf
+	return k.targetsAsOf
 }
 
 func (k *knowledge) targetsDigest() uint64 {
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -26,7 +26,6 @@
 		return err
 	}
 	g.limits.Store(newLimits(&s))
-	g.lag.setLimit(s.Lag.Or(defaultLag))
 	g.core.reload(s)
 	return nil
 }
--- a/gateway/operations_test.go
+++ b/gateway/operations_test.go
@@ -99,8 +99,8 @@
 	return events
 }
 
-// TestOperationsPageNamesAll compares the events, their fields, the reasons and the
-// metrics with the page that explains them.
+// TestOperationsPageNamesAll looks for the events, their fields, the reasons and the
+// metrics in docs/OPERATIONS.md.
 func TestOperationsPageNamesAll(t *testing.T) {
 	body, err := os.ReadFile(operationsPage)
 	require.NoError(t, err)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -73,7 +73,7 @@
 	}
 	asOf := sent - time.Duration(v.TargetsAge)*time.Millisecond
 	if v.Digest == q.Digest {
-		g.known.offer(asOf)
+		g.known.renew(v.Digest, asOf)
 		return true
 	}
 	g.takeTargets(v.Targets, asOf, (*route.Listing).Relay)
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -53,7 +53,8 @@
 	}
 	gauge(s.inFlight, float64(g.inFlight.Load()))
 	gauge(s.callers, float64(g.server.GetOpenConnectionsCount()))
-	gauge(s.lag, g.lag.mean().Seconds())
+	_, lag := g.core.late()
+	gauge(s.lag, lag.Seconds())
 	gauge(s.targetsIdle, float64(g.pool.Idle()))
 	counter(s.targetsOpened, float64(g.pool.Opened()))
 	gauge(s.configAge, g.core.age().Seconds())
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -23,17 +23,17 @@
 	if from == 0 {
 		return 0
 	}
-	return max(1, time.Since(time.Unix(0, from)))
+	return max(1, awake()-time.Duration(from))
 }
 
 // stop is the planned stop: the host is not ready any more and serves on until the
 // balancer has noticed and all answers are out.
 func (g *Gateway) stop() {
 	began := time.Now()
-	g.stopFrom.Store(began.UnixNano())
+	g.stopFrom.Store(int64(awake()))
 	g.record.process(eventStopping, &g.settings)
 	end := began.Add(g.limits.Load().grace - stopMargin)
-	pause(time.Until(began.Add(min(leastStop, g.limits.Load().grace/2))))
+	<-time.After(min(leastStop, g.limits.Load().grace/2))
 	g.idleUntil(end)
 	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
 	defer cancel()
@@ -44,18 +44,13 @@
 	}
 }
 
-// pause waits for a time.
-func pause(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	<-timer.C
-}
-
 // idleUntil waits until no request was in flight for a short time, or until a time.
 func (g *Gateway) idleUntil(end time.Time) {
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
 	idle := time.Duration(0)
 	for idle < settleTime && time.Now().Before(end) {
-		pause(stopPoll)
+		<-ticker.C
 		idle += stopPoll
 		if g.inFlight.Load() > 0 {
 			idle = 0
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -20,11 +20,12 @@
 }
 
 // takeTargets takes the list of targets as of an awake time, in the way that the
-// listing takes it. Entries that can't be used are left out.
+// listing takes it, unless a newer one is known. Entries that can't be used are left
+// out.
 func (g *Gateway) takeTargets(rows []wire.TargetRow, asOf time.Duration, take listingRead) {
 	g.taking.Lock()
 	defer g.taking.Unlock()
-	if !g.known.offer(asOf) {
+	if asOf < g.known.asOf() {
 		return
 	}
 	list := make([]route.Target, 0, len(rows))
@@ -40,7 +41,7 @@
 	list = take(g.listing, time.Now(), list)
 	g.core.board.SetTargets(list)
 	g.core.mu.Unlock()
-	g.known.setTargets(list, rows)
+	g.known.setTargets(list, rows, asOf)
 	g.setAddresses(list)
 }
 
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"github.com/tidwall/gjson"
 	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/gateway"
@@ -115,15 +116,15 @@
 		events[event] = fields + " "
 	}
 	for line := range strings.Lines(w.logs.String()) {
-		var fields map[string]any
-		require.NoError(w.t, json.Unmarshal([]byte(line), &fields))
-		event, _ := fields["event"].(string)
+		require.True(w.t, gjson.Valid(line), line)
+		event := gjson.Get(line, "event").String()
 		require.Contains(w.t, events, event)
-		for field := range fields {
-			if field != "event" && field != "level" && field != "host" {
-				require.Contains(w.t, events[event], " "+field+" ", "field of %s", event)
+		gjson.Parse(line).ForEach(func(field, _ gjson.Result) bool {
+			if name := field.String(); name != "event" && name != "level" && name != "host" {
+				require.Contains(w.t, events[event], " "+name+" ", "field of %s", event)
 			}
-		}
+			return true
+		})
 	}
 }
 
--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -54,9 +54,18 @@
 		}
 		h.signal(syscall.SIGQUIT)
 	}
-	time.Sleep(time.Second) // in which the stacks are written
+	for _, h := range f.hosts {
+		select {
+		case err := <-h.done: // the stacks are written
+			h.done <- err
+		case <-time.After(dumpLimit):
+		}
+	}
 }
 
+// dumpLimit is the longest wait for the stacks of one host.
+const dumpLimit = time.Second
+
 // spawn starts a program whose log goes to a file.
 func (f *fleet) spawn(name, program string, args ...string) *process {
 	f.t.Helper()
--- a/placement/lag.go
+++ b/placement/lag.go
@@ -20,6 +20,8 @@
 	limit      time.Duration // mean lateness from which a host takes no more requests
 	mean       time.Duration
 	overloaded bool
+	period     time.Duration // between the last tick and the next
+	due        time.Time     // of the next tick, zero before the first
 }
 
 // NewLag returns a Lag of a host that takes no more requests from a mean lateness of
@@ -29,38 +31,47 @@
 // SetLimit changes the mean lateness.
 func (l *Lag) SetLimit(limit time.Duration) { l.limit = limit }
 
-// Take takes the lateness of a tick that was due a period after the one before. It
-// returns whether the answer of Overloaded changed.
-func (l *Lag) Take(period, late time.Duration) bool {
-	late = max(0, late)
-	weight := 1 - math.Exp(-(period+late).Seconds()/lagMemory.Seconds())
+// Next takes the period until the next tick.
+func (l *Lag) Next(now time.Time, period time.Duration) { l.due, l.period = now.Add(period), period }
+
+// Tick takes a tick. It returns whether the host became or ceased to be overloaded.
+func (l *Lag) Tick(now time.Time) bool {
+	if l.due.IsZero() {
+		return false
+	}
+	late := l.overdue(now)
+	weight := 1 - math.Exp(-(l.period+late).Seconds()/lagMemory.Seconds())
 	l.mean += scale(late-l.mean, weight)
 	before := l.overloaded
 	switch {
 	case l.mean > l.limit:
 		l.overloaded = true
-	case l.mean < l.relief():
+	case l.mean < scale(l.limit, lagReliefPart):
 		l.overloaded = false
 	}
 	return l.overloaded != before
 }
 
+// overdue returns for how long the next tick should have come.
+func (l *Lag) overdue(now time.Time) time.Duration {
+	if l.due.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(l.due))
+}
+
 // Overloaded returns whether the host is short of processor time.
 func (l *Lag) Overloaded() bool { return l.overloaded }
 
-// Refuses returns whether a request of a team with a standing is refused while the
-// next tick is overdue by a time. Teams above their share are refused first. A long
-// overdue tick means that the host has just been without processor time, and that
-// what it reads now has waited for long.
-func (l *Lag) Refuses(overdue time.Duration, team Standing) bool {
-	if overdue > scale(l.limit, overdueLimits) {
+// Mean returns the mean lateness of ticks.
+func (l *Lag) Mean() time.Duration { return l.mean }
+
+// Refuses returns whether a request of a team with a standing is refused. Teams above
+// their share are refused first. A long overdue tick means that the host has just
+// been without processor time, and that what it reads now has waited for long.
+func (l *Lag) Refuses(now time.Time, team Standing) bool {
+	if l.overdue(now) > scale(l.limit, overdueLimits) {
 		return true
 	}
 	return l.overloaded && (team != Entitled || l.mean > scale(l.limit, sparedLimits))
 }
-
-// Mean returns the mean lateness of ticks.
-func (l *Lag) Mean() time.Duration { return l.mean }
-
-// relief returns the mean lateness below which a host takes requests again.
-func (l *Lag) relief() time.Duration { return scale(l.limit, lagReliefPart) }
--- a/program/program.go
+++ b/program/program.go
@@ -30,11 +30,20 @@
 	ExitDiffers  = 6
 )
 
+// Release is the flag that asks for the version. Parse answers it for programs that
+// embed it in their flags.
+type Release struct {
+	Version bool `long:"version" description:"print the version and exit"`
+}
+
+func (r Release) asked() bool { return r.Version }
+
 // Common are the flags of the programs that serve.
 type Common struct {
+	Release
+
 	Settings string `short:"s" long:"settings" env:"CASSIACHUTE_CONFIG" value-name:"FILE" description:"settings file (JSON)"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
-	Version  bool   `long:"version" description:"print the version and exit"`
 	Level    string `long:"level" value-name:"LEVEL" description:"least level of log lines, in place of the settings' own"`
 }
 
@@ -64,6 +73,10 @@
 		fmt.Fprintf(os.Stderr, "unexpected argument %q\n", rest[0])
 		return false, ExitUsage
 	}
+	if r, ok := options.(interface{ asked() bool }); ok && r.asked() {
+		fmt.Fprintln(out, Version())
+		return false, ExitOK
+	}
 	return true, ExitOK
 }
 
@@ -88,10 +101,6 @@
 
 // Run runs the program and returns its exit code.
 func (s Server) Run() int {
-	if s.Common.Version {
-		fmt.Println(Version())
-		return ExitOK
-	}
 	if s.Common.Settings != "" {
 		if err := settings.Load(s.Common.Settings, s.Load); err != nil {
 			fmt.Fprintln(os.Stderr, err)
