--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -1,6 +1,9 @@
 package gateway_test
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -8,20 +11,27 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/gateway"
+	"github.com/cassiachute/cassiachute/knownred"
 	"github.com/cassiachute/cassiachute/settings"
 )
 
+// shortStream answers a request with one event.
+func shortStream(a *arrival) bool {
+	a.begin()
+	a.events(1, 1)
+	a.end()
+	return true
+}
+
+// late makes any lateness of timers too much.
+func late(s *gateway.Settings) { s.Lag = settings.Span{Duration: time.Nanosecond} }
+
 // A host whose timers fire later than its settings allow refuses requests at once,
 // with a promise that they have not run; once the setting allows it, it takes them.
 func TestHostShortOfProcessorTimeRefuses(t *testing.T) {
-	engine := newScripted(t, "a", "model", func(a *arrival) bool {
-		a.begin()
-		a.events(1, 1)
-		a.end()
-		return true
-	})
+	engine := newScripted(t, "a", "model", shortStream)
 	w := newWorld(t, engine)
-	second, g, s := w.second(func(s *gateway.Settings) { s.Lag = settings.Span{Duration: time.Nanosecond} })
+	second, g, s := w.second(late)
 	var refused result
 	second.until(func() bool {
 		refused = second.do(call{path: "/stream/x", key: "key1", id: "r1"})
@@ -36,3 +46,25 @@
 		return second.do(call{path: "/stream/x", key: "key1", id: "r2"}).status == fasthttp.StatusOK
 	})
 }
+
+// FAIR on a host that a team's callers crowd on: a refusal costs less than a new
+// connection, so the connection of a refused caller stays open.
+func TestRefusedCallerKeepsItsConnection(t *testing.T) {
+	knownred.Skip(t)
+	w := newWorld(t, newScripted(t, "a", "model", shortStream))
+	second, _, _ := w.second(late)
+	second.until(func() bool {
+		return second.do(call{path: "/stream/x", key: "key1", id: "r1"}).body == "host-overloaded"
+	})
+	conn, err := net.DialTimeout("tcp", second.address.String(), time.Second)
+	require.NoError(t, err)
+	defer conn.Close()
+	rd := bufio.NewReader(conn)
+	for range 3 {
+		_, err = io.WriteString(conn, "POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r2\r\nX-Key: key1\r\nContent-Length: 0\r\n\r\n")
+		require.NoError(t, err)
+		var answer fasthttp.Response
+		require.NoError(t, answer.Read(rd))
+		require.False(t, answer.ConnectionClose())
+	}
+}
--- /dev/null
+++ b/placement/fair_test.go
@@ -0,0 +1,40 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiachute/cassiachute/knownred"
+	"github.com/cassiachute/cassiachute/placement"
+)
+
+// FAIR for a team whose requests don't reach their engines: what no engine began does
+// not count as received.
+func TestWorkThatNeverBeganIsNotReceived(t *testing.T) {
+	knownred.Skip(t)
+	for _, outcome := range []placement.Outcome{placement.Unreached, placement.Rejected, placement.Withdrawn, placement.Silent} {
+		w := newWorld(1, 4, 100_000)
+		b := w.boards[0]
+		for n := range 60 {
+			team := "other"
+			if n%2 == 0 {
+				team = "unlucky"
+			}
+			a := placement.Ask{
+				Service: "model", Team: team, Aim: tightAim, Output: 100,
+				Chain: placement.NewChain([]placement.Part{{ID: uint64(n), Tokens: 10_000}}, 10_000),
+			}
+			b.Asked(w.now, &a)
+			choice := placement.Choice{Target: "engine0", Load: placement.Load{Prompt: 10_000, Running: 1}}
+			b.Sent(w.now, &a, &choice)
+			if team == "unlucky" {
+				b.Ended(w.now, &a, "engine0", choice.Load, outcome, time.Second)
+			}
+		}
+		w.now = w.now.Add(100 * time.Millisecond)
+		require.Equal(t, placement.Entitled, b.Standing(w.now, "model", "unlucky"), outcome)
+		require.NotEqual(t, placement.Entitled, b.Standing(w.now, "model", "other"), outcome)
+	}
+}
