What no target began is not received by a team

Cause, one of several: a request counts as received when it is sent. One that was not sent after all, could not reach its target, was rejected or got no answer stayed counted, so the team was taken for above its share, and refused first. Ruled out: requests whose callers left stay charged, since engines read for them and a team of hasty callers would be entitled for ever (test). Change: an end without a first event takes the amount back.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -71,7 +71,7 @@
 	}
 	a.line = line
 	if !x.use(line) {
-		a.finish(placement.Withdrawn)
+		a.finish(placement.Returned)
 		return a, errUnsent
 	}
 	a.sent = time.Now()
@@ -259,7 +259,7 @@
 			return nil, p
 		}
 		if p := x.checkSend(); p != nil {
-			x.gateway.core.ended(x, choice.Target, choice.Load, placement.Withdrawn, 0)
+			x.gateway.core.ended(x, choice.Target, choice.Load, placement.Returned, 0)
 			return nil, p
 		}
 		a, err := x.send(choice)
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -127,7 +127,7 @@
 	}
 	select {
 	case choice := <-x.grants:
-		c.board.Ended(time.Now(), &x.ask, choice.Target, choice.Load, placement.Withdrawn, 0)
+		c.board.Ended(time.Now(), &x.ask, choice.Target, choice.Load, placement.Returned, 0)
 	default:
 	}
 }
--- a/placement/share.go
+++ b/placement/share.go
@@ -21,6 +21,12 @@
 	u.at = now
 }
 
+// take takes back an amount that was added of late.
+func (u *usage) take(now time.Time, amount float64) {
+	u.value = max(0, u.read(now)-amount)
+	u.at = now
+}
+
 func (u *usage) read(now time.Time) float64 {
 	if u.value == 0 {
 		return 0
--- a/placement/track.go
+++ b/placement/track.go
@@ -56,6 +56,7 @@
 	Silent                  // no answer in time
 	Unreached
 	Withdrawn // the caller left
+	Returned  // nothing was sent
 )
 
 // Ended takes the end of a request at its target.
@@ -65,6 +66,9 @@
 		return
 	}
 	r.own.sub(left)
+	if left.Prompt > 0 && o != Withdrawn {
+		b.pool(a.Service).team(a.Team).received.take(now, a.Cost())
+	}
 	if left.Prompt == 0 && left.Running > 0 {
 		r.flows = max(0, r.flows-1)
 	}
@@ -79,6 +83,6 @@
 		r.health.fail()
 	case Silent, Unreached:
 		r.health.suspend(now)
-	case Rejected, Withdrawn:
+	case Rejected, Withdrawn, Returned:
 	}
 }
