What waits to run is lateness, and own lateness is no failure of others

On the busy host 17 of 18 failed attempts of the first seconds are new connections to engines that were not made within .3 s, and 113 refusals are of a configuration that grew stale on a host that reaches everybody. Each failed connection suspends an engine for .5 s and closes the idle connections to it. The host did not know that it was short of processor time, and took its own lateness for failures of engines and hosts. Class of fault: a timeout that judges another process counts one's own delay. Looked for elsewhere: new connections, queries, the look whether a target crashed, the wait for an answer and for an event; all now add the host's lateness. Change: ticks take their turn in the run queue, so lateness is that of requests; core.allow adds three turns. Tests: TestWorkThatWaitsToRunIsLateness and TestOwnLatenessIsNoFailureOfOthers (neither compiled against the code before; the first fails without the yield).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -97,7 +97,7 @@
 	x := a.exchange
 	if x.route.Repeatable() && x.history.Sends+1 < x.route.Attempts {
 		patience := max(silenceAims*x.route.Aim, silenceExpect*a.choice.Expect, leastSilence)
-		err := a.line.Await(min(patience, x.remaining()))
+		err := a.line.Await(min(x.gateway.core.allow(patience), x.remaining()))
 		if !errors.Is(err, target.ErrSilent) || x.remaining() < leastLeft {
 			return err
 		}
@@ -192,7 +192,7 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(x.gateway.ctx, crashDial)
+	ctx, cancel := context.WithTimeout(x.gateway.ctx, x.gateway.core.allow(crashDial))
 	defer cancel()
 	line, err := x.gateway.pool.Get(ctx, address, true)
 	if err == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,13 +79,13 @@
 	}
 	g := &Gateway{
 		settings: s, log: zerolog.Nop(), core: newCore(s), dropped: func() map[string]uint64 { return nil },
-		pool:    target.NewPool(nil, target.WithDialTimeout(dialTimeout)),
 		client:  platform.NewClient(s.Store, platform.WithTimeout(storeTimeout)),
 		peers:   newContacts(s.Peer),
 		listing: route.NewListing(s.Heartbeat.Or(defaultHeartbeat)),
 		lengths: lengths{means: map[string]time.Duration{}},
 		boot:    uint64(time.Now().UnixMilli()),
 	}
+	g.pool = target.NewPool(nil, target.WithDialTimeout(func() time.Duration { return g.core.allow(dialTimeout) }))
 	for _, option := range options {
 		option(g)
 	}
@@ -226,7 +226,7 @@
 
 // tick runs what depends on time alone.
 func (g *Gateway) tick() time.Duration {
-	now, period := time.Now(), tickEvery
+	now, period := inTurn(), tickEvery
 	if g.inFlight.Load() == 0 {
 		period = idleTickEvery
 	}
--- /dev/null
+++ b/gateway/lateness.go
@@ -0,0 +1,26 @@
+package gateway
+
+import (
+	"runtime"
+	"time"
+)
+
+// turnsPerWait is the number of times that a wait for another process takes its turn at
+// the processor: to connect, to write and to read.
+const turnsPerWait = 3
+
+// inTurn returns the time once what was ready to run before has run. A timer wakes its
+// goroutine ahead of those, so its own lateness tells nothing of how long requests wait
+// for the processor.
+func inTurn() time.Time {
+	runtime.Gosched()
+	return time.Now()
+}
+
+// allow returns how long to wait for another process that answers within a limit. The
+// lateness of this host is not taken for a failure of the other side.
+func (c *core) allow(limit time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return limit + turnsPerWait*c.lag.Mean()
+}
--- /dev/null
+++ b/gateway/lateness_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"context"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiachute/cassiachute/settings"
+)
+
+// FAIR on a host whose timers fire in time while its requests queue for the processor:
+// what waits to run counts as lateness.
+func TestWorkThatWaitsToRunIsLateness(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	stop := make(chan struct{})
+	defer close(stop)
+	for range 50 {
+		go burn(stop)
+	}
+	ticks := 0
+	late := time.Duration(0)
+	due := time.Now()
+	ctx, cancel := context.WithCancel(context.Background())
+	<-every(ctx, func() time.Duration {
+		late += inTurn().Sub(due)
+		if ticks++; ticks == 5 {
+			cancel()
+		}
+		due = time.Now().Add(tickEvery)
+		return tickEvery
+	})
+	require.Greater(t, late/5, 40*time.Millisecond)
+}
+
+// burn uses the processor in short turns.
+func burn(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		for began := time.Now(); time.Since(began) < 2*time.Millisecond; {
+		}
+		runtime.Gosched()
+	}
+}
+
+// FAIR on a host short of processor time that took its own lateness for failures of
+// targets and hosts: what it waits for others grows with its lateness.
+func TestOwnLatenessIsNoFailureOfOthers(t *testing.T) {
+	c := newCore(Settings{Lag: settings.Span{Duration: time.Minute}})
+	require.Equal(t, dialTimeout, c.allow(dialTimeout))
+	now := time.Unix(1000, 0)
+	for range 50 {
+		c.lag.Next(now, tickEvery)
+		now = now.Add(tickEvery + 200*time.Millisecond)
+		c.lag.Tick(now)
+	}
+	require.Greater(t, c.allow(dialTimeout), dialTimeout+400*time.Millisecond)
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -60,7 +60,7 @@
 	if table := g.core.view.Load(); table != nil {
 		q.Revision = table.Version
 	}
-	v, err := mesh.Ask(g.ctx, peer, q)
+	v, err := mesh.Ask(g.ctx, peer, q, g.core.allow(mesh.QueryTimeout))
 	g.record.asked(peer, err)
 	if err != nil || v.Revision == 0 {
 		return false
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -140,7 +140,7 @@
 	if !x.route.Resumable || x.history.Sends+1 >= x.route.Attempts {
 		return left
 	}
-	return min(left, max(silencePauses*x.route.Pause, leastSilence))
+	return min(left, x.gateway.core.allow(max(silencePauses*x.route.Pause, leastSilence)))
 }
 
 // pipe passes the stream on. A stream that breaks and can't go on at another
--- a/mesh/query.go
+++ b/mesh/query.go
@@ -12,8 +12,9 @@
 	"github.com/cassiachute/cassiachute/wire"
 )
 
-// queryTimeout is the longest time that a query takes.
-const queryTimeout = 400 * time.Millisecond
+// QueryTimeout is the longest time that a query takes between hosts that have processor
+// time.
+const QueryTimeout = 400 * time.Millisecond
 
 // ErrAnswer means that a host gave no answer to a query that can be used.
 var ErrAnswer = errors.New("no usable answer of a peer")
@@ -55,7 +56,7 @@
 // serve answers one query. It ends by itself within the time of a query.
 func (r *Responder) serve(conn net.Conn) {
 	defer conn.Close()
-	if err := conn.SetDeadline(time.Now().Add(queryTimeout)); err != nil {
+	if err := conn.SetDeadline(time.Now().Add(QueryTimeout)); err != nil {
 		return
 	}
 	m, err := wire.ReadMessage(bufio.NewReader(conn))
@@ -67,9 +68,11 @@
 	}
 }
 
-// Ask sends a query to a host and returns its answer. The error is ErrAnswer.
-func Ask(ctx context.Context, host netip.AddrPort, q *wire.Query) (*wire.Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+// Ask sends a query to a host and returns its answer, which has to come within a time.
+// The error is ErrAnswer.
+func Ask(ctx context.Context, host netip.AddrPort, q *wire.Query, limit time.Duration) (*wire.Reply, error) {
+	end := time.Now().Add(limit)
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", host.String())
@@ -77,7 +80,7 @@
 		return nil, errors.Wrapf(ErrAnswer, "%s: %v", host, err)
 	}
 	defer conn.Close()
-	if err := conn.SetDeadline(time.Now().Add(queryTimeout)); err != nil {
+	if err := conn.SetDeadline(end); err != nil {
 		return nil, errors.Wrapf(ErrAnswer, "%s: %v", host, err)
 	}
 	if err := wire.WriteMessage(conn, q); err != nil {
--- a/target/line.go
+++ b/target/line.go
@@ -195,18 +195,19 @@
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*Line
 	routes map[netip.AddrPort]netip.AddrPort
-	dial   time.Duration // longest time that a new connection takes
+	dial   func() time.Duration // longest time that a new connection takes
 }
 
 // Option changes a Pool.
 type Option func(p *Pool)
 
-// WithDialTimeout sets the longest time that a new connection takes.
-func WithDialTimeout(limit time.Duration) Option { return func(p *Pool) { p.dial = limit } }
+// WithDialTimeout sets the longest time that a new connection takes, which is asked for
+// at each.
+func WithDialTimeout(limit func() time.Duration) Option { return func(p *Pool) { p.dial = limit } }
 
 // NewPool returns an empty Pool. Routes replace addresses to dial.
 func NewPool(routes map[netip.AddrPort]netip.AddrPort, options ...Option) *Pool {
-	p := &Pool{idle: map[netip.AddrPort][]*Line{}, routes: routes, dial: dialTimeout}
+	p := &Pool{idle: map[netip.AddrPort][]*Line{}, routes: routes, dial: func() time.Duration { return dialTimeout }}
 	for _, option := range options {
 		option(p)
 	}
@@ -224,13 +225,14 @@
 	if via, ok := p.routes[address]; ok {
 		address = via
 	}
-	dialer := net.Dialer{Timeout: p.dial}
+	limit := p.dial()
+	dialer := net.Dialer{Timeout: limit}
 	conn, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, fault.Mark(errors.Wrapf(err, "dial %s", address), ErrUnreached)
 	}
 	p.opened.Add(1)
-	l := &Line{conn: conn, wait: p.dial, keep: maxIdleAge}
+	l := &Line{conn: conn, wait: limit, keep: maxIdleAge}
 	l.rd = bufio.NewReaderSize(lineReader{line: l}, readBufferBytes)
 	return l, nil
 }
