--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -11,7 +11,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/gateway"
-	"github.com/cassiachute/cassiachute/knownred"
 	"github.com/cassiachute/cassiachute/settings"
 )
 
@@ -50,7 +49,6 @@
 // FAIR on a host that a team's callers crowd on: a refusal costs less than a new
 // connection, so the connection of a refused caller stays open.
 func TestRefusedCallerKeepsItsConnection(t *testing.T) {
-	knownred.Skip(t)
 	w := newWorld(t, newScripted(t, "a", "model", shortStream))
 	second, _, _ := w.second(late)
 	second.until(func() bool {
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -47,8 +47,7 @@
 // failure returns an answer to a request that may have run.
 func failure(status int, reason string) *problem { return &problem{status: status, reason: reason} }
 
-// write writes the problem as the answer. A caller that is refused comes again on
-// a new connection, so this one would stay idle.
+// write writes the problem as the answer.
 func (p *problem) write(ctx *fasthttp.RequestCtx, id string) {
 	ctx.Response.Reset()
 	ctx.SetStatusCode(p.status)
@@ -57,9 +56,6 @@
 		seconds := strconv.FormatFloat(p.retry.Seconds(), 'f', 3, 64)
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, seconds)
 	}
-	if p.status == fasthttp.StatusServiceUnavailable {
-		ctx.SetConnectionClose()
-	}
 	ctx.SetContentType("text/plain")
 	ctx.SetBodyString(p.reason)
 }
