Idle connections to targets are closed; no listener ends the gateway for want of descriptors

Cause: the pool gives out the newest idle connection and looked at the age of the others only when their turn came, which after a burst is never: up to 64 to each of 112 engines stay open. Once descriptors were out, the listeners of readiness and metrics returned the error, which ends the process. Class of fault: state that only the next use cleans up. The own interface shares the pool and has the same mend. Change: Pool.Run reaps each second; all listeners wait while there is no descriptor.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -219,6 +219,7 @@
 	defer cancel()
 	deciding := e.core.run(inner)
 	peering := e.hub.Run(inner)
+	reaping := e.pool.Run(inner)
 	served := make(chan error, 2)
 	go func() { served <- e.server.Serve(e.listeners.callers) }()
 	go func() { served <- e.status.Serve(e.listeners.status) }()
@@ -232,6 +233,7 @@
 	_ = e.status.Shutdown()
 	cancel()
 	<-peering
+	<-reaping
 	<-deciding
 	e.workers.StopAndWait()
 	e.log.Info().Msg("stopped")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,10 +111,7 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen at %s", address)
 		}
-		if address == g.settings.Listen {
-			l = callerListener{TCPListener: l.(*net.TCPListener), idle: g.idle}
-		}
-		g.listeners = append(g.listeners, l)
+		g.listeners = append(g.listeners, newPatientListener(l.(*net.TCPListener), g.idle))
 	}
 	socket, err := mesh.NewSocket(g.settings.Peer, mesh.Events{
 		Received: g.hear,
@@ -149,7 +146,7 @@
 	ends := []<-chan struct{}{
 		g.mesh.Run(inner), g.answers.Run(inner), every(inner, g.consult),
 		every(inner, w.config), every(inner, w.targets), every(inner, w.hosts),
-		every(inner, g.tell), every(inner, g.tick), every(inner, g.sweep), every(inner, g.usage),
+		every(inner, g.tell), every(inner, g.tick), every(inner, g.sweep), every(inner, g.usage), g.pool.Run(inner),
 	}
 	served := make(chan error, len(g.listeners))
 	g.serve(served)
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -12,16 +12,21 @@
 // process has no descriptor left.
 const acceptPause = 50 * time.Millisecond
 
-// callerListener accepts the connections of callers.
-type callerListener struct {
-	*net.TCPListener
-	idle func() time.Duration // longest time that a connection stays idle
+// patientListener accepts connections and outlives a time without descriptors.
+type patientListener struct {
+	net.Listener
+	accept func() (*net.TCPConn, error)
+	idle   func() time.Duration // longest time that a connection stays idle
+}
+
+func newPatientListener(l *net.TCPListener, idle func() time.Duration) patientListener {
+	return patientListener{Listener: l, accept: l.AcceptTCP, idle: idle}
 }
 
 // Accept implements net.Listener. It waits while there is no descriptor left.
-func (l callerListener) Accept() (net.Conn, error) {
+func (l patientListener) Accept() (net.Conn, error) {
 	for {
-		conn, err := l.AcceptTCP()
+		conn, err := l.accept()
 		if err == nil {
 			return &callerConn{TCPConn: conn, idle: l.idle}, nil
 		}
--- a/target/line.go
+++ b/target/line.go
@@ -24,6 +24,7 @@
 	writeTimeout    = 5 * time.Second
 	maxIdleAge      = 5 * time.Second // an older idle connection is not used again
 	maxIdlePerHost  = 64
+	reapEvery       = time.Second
 	lineBufferBytes = 4 << 10
 	readBufferBytes = 8 << 10 // also the most that the head of an answer may have
 )
@@ -251,6 +252,47 @@
 	return count
 }
 
+// Run reaps until the context ends and reports its end on the channel.
+func (p *Pool) Run(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ticker := time.NewTicker(reapEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case now := <-ticker.C:
+				p.Reap(now)
+			}
+		}
+	}()
+	return done
+}
+
+// Reap closes the connections that stayed idle for too long. The newest one is used first,
+// so the others would stay open.
+func (p *Pool) Reap(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, lines := range p.idle {
+		kept := lines[:0]
+		for _, l := range lines {
+			if now.Sub(l.since) < l.keep {
+				kept = append(kept, l)
+				continue
+			}
+			l.conn.Close()
+		}
+		clear(lines[len(kept):])
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
 // take returns an idle connection that is still usable, or nil.
 func (p *Pool) take(address netip.AddrPort) *Line {
 	p.mu.Lock()
--- /dev/null
+++ b/target/pool_test.go
@@ -0,0 +1,43 @@
+package target_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiachute/cassiachute/target"
+)
+
+// A burst leaves many idle connections to a target. Those that no request uses again are
+// closed, so that they do not fill the descriptors.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	address := netip.MustParseAddrPort(l.Addr().String())
+	pool := target.NewPool(nil)
+	const burst = 20
+	var lines []*target.Line
+	for range burst {
+		line, err := pool.Get(context.Background(), address, true)
+		require.NoError(t, err)
+		lines = append(lines, line)
+	}
+	for n, line := range lines {
+		line.Keep(time.Minute)
+		if n%2 == 0 {
+			line.Keep(time.Second)
+		}
+		pool.Put(address, line)
+	}
+	pool.Reap(time.Now())
+	require.Equal(t, burst, pool.Idle())
+	pool.Reap(time.Now().Add(2 * time.Second))
+	require.Equal(t, burst/2, pool.Idle())
+	pool.Reap(time.Now().Add(time.Hour))
+	require.Zero(t, pool.Idle())
+}
