A refused caller's connection is closed again

Conclusion: the price of a new connection falls on the caller as well, and slows it; over connections that stay, callers send on faster than a busy host reads.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -12,10 +12,6 @@
 	"github.com/cassiachute/cassiachute/route"
 )
 
-// callersPart is the part of the descriptors from which the connections of refused callers
-// are closed.
-const callersPart = 0.5
-
 // handle answers one request of a caller.
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
 	began := time.Now()
@@ -87,23 +83,9 @@
 	return failure(status, reason)
 }
 
-// spare closes the connection of a refused caller if descriptors are scarce. Otherwise it
-// stays open, since a new one costs more than the refusal.
-func (g *Gateway) spare(ctx *fasthttp.RequestCtx, p *problem) {
-	if p.status == fasthttp.StatusServiceUnavailable && g.crowded() {
-		ctx.SetConnectionClose()
-	}
-}
-
-// crowded returns whether callers hold most of the descriptors that the process may have.
-func (g *Gateway) crowded() bool {
-	return float64(g.server.GetOpenConnectionsCount()) > callersPart*g.settings.Descriptors.Or(defaultDescriptors)
-}
-
 // refuse answers a request that has no exchange.
 func (g *Gateway) refuse(ctx *fasthttp.RequestCtx, call *platform.Call, team string, p *problem) {
 	p.write(ctx, call.ID)
-	g.spare(ctx, p)
 	g.record.refused(ctx.RemoteAddr(), call, team, string(ctx.Request.Header.RequestURI()), p, g.core.age())
 }
 
@@ -137,7 +119,6 @@
 // problem answers an exchange with a problem.
 func (g *Gateway) problem(ctx *fasthttp.RequestCtx, x *exchange, p *problem) {
 	p.write(ctx, x.call.ID)
-	g.spare(ctx, p)
 	if p.status == statusGone {
 		ctx.SetStatusCode(fasthttp.StatusBadGateway)
 		ctx.SetConnectionClose()
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -46,9 +46,9 @@
 	})
 }
 
-// FAIR on a host that a team's callers crowd on: a refusal costs less than a new
-// connection, so the connection of a refused caller stays open.
-func TestRefusedCallerKeepsItsConnection(t *testing.T) {
+// FAIR on a host that a team's callers crowd on: the connection of a refused caller is
+// closed, since callers that keep theirs send on faster than the host reads.
+func TestRefusedCallersConnectionIsClosed(t *testing.T) {
 	w := newWorld(t, newScripted(t, "a", "model", shortStream))
 	second, _, _ := w.second(late)
 	second.until(func() bool {
@@ -58,11 +58,12 @@
 	require.NoError(t, err)
 	defer conn.Close()
 	rd := bufio.NewReader(conn)
-	for range 3 {
-		_, err = io.WriteString(conn, "POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r2\r\nX-Key: key1\r\nContent-Length: 0\r\n\r\n")
-		require.NoError(t, err)
-		var answer fasthttp.Response
-		require.NoError(t, answer.Read(rd))
-		require.False(t, answer.ConnectionClose())
-	}
+	_, err = io.WriteString(conn, "POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r2\r\nX-Key: key1\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	var answer fasthttp.Response
+	require.NoError(t, answer.Read(rd))
+	require.Equal(t, fasthttp.StatusServiceUnavailable, answer.StatusCode())
+	require.True(t, answer.ConnectionClose())
+	_, err = rd.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
 }
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -47,7 +47,8 @@
 // failure returns an answer to a request that may have run.
 func failure(status int, reason string) *problem { return &problem{status: status, reason: reason} }
 
-// write writes the problem as the answer.
+// write writes the problem as the answer. The connection of a caller that is refused is
+// closed: over one that stays, callers send on faster than a busy host reads.
 func (p *problem) write(ctx *fasthttp.RequestCtx, id string) {
 	ctx.Response.Reset()
 	ctx.SetStatusCode(p.status)
@@ -56,6 +57,9 @@
 		seconds := strconv.FormatFloat(p.retry.Seconds(), 'f', 3, 64)
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, seconds)
 	}
+	if p.status == fasthttp.StatusServiceUnavailable {
+		ctx.SetConnectionClose()
+	}
 	ctx.SetContentType("text/plain")
 	ctx.SetBodyString(p.reason)
 }
