Endless bytes that are no answer end like silence

Class of fault: progress measured in bytes instead of in what is awaited. Change: a line has one end for each wait; a head, an event, a whole body is one wait; only events with a number are passed on, and 1 MiB without one ends the stream; a rejection's body is read for .1 s; answers of the store and events of the own interface are bounded.

--- a/entry/model.go
+++ b/entry/model.go
@@ -144,7 +144,7 @@
 // receive reads the head of the answer.
 func (s *stream) receive() (*part, *problem) {
 	s.response = &fasthttp.Response{}
-	err := s.line.Receive(s.response, s.service.First.Duration, s.service.Idle.Duration)
+	err := s.line.Receive(s.response, s.service.First.Duration)
 	if err != nil {
 		return nil, s.lost(err)
 	}
@@ -161,6 +161,7 @@
 // refused takes an answer that is not a stream. Overload is tried elsewhere;
 // other answers go to the caller as they are.
 func (s *stream) refused(body *target.Body) (*part, *problem) {
+	s.line.SetWait(s.service.Idle.Duration)
 	text, err := io.ReadAll(io.LimitReader(body, maxEventBytes))
 	if err != nil {
 		return nil, s.lost(err)
@@ -216,8 +217,9 @@
 	return s.entry.prompts.estimate(s.service.Service.Number, len(s.body))
 }
 
-// read reads one event. It returns nil for what is not passed on.
+// read reads one event, which is one wait. It returns nil for what is not passed on.
 func (s *stream) read() (*part, error) {
+	s.line.SetWait(s.service.Idle.Duration)
 	data, err := s.readData()
 	if err != nil {
 		if errors.Is(err, io.EOF) {
@@ -232,24 +234,30 @@
 	return s.take(data), nil
 }
 
-// readData returns the data of the next event.
+// readData returns the data of the next event. What is no event counts towards the most bytes
+// of one.
 func (s *stream) readData() ([]byte, error) {
-	var data []byte
-	for {
-		text, err := s.rd.ReadBytes('\n')
+	var data, text []byte
+	for size := 0; ; {
+		piece, err := s.rd.ReadSlice('\n')
+		if size += len(piece); size > maxEventBytes {
+			return nil, fault.Mark(errTooLong, target.ErrBroken)
+		}
+		text = append(text, piece...)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
-		text = bytes.TrimRight(text, "\r\n")
-		if len(text) == 0 && data != nil {
+		line := bytes.TrimRight(text, "\r\n")
+		text = text[:0]
+		if len(line) == 0 && data != nil {
 			return data, nil
 		}
-		if rest, ok := bytes.CutPrefix(text, dataPrefix); ok {
+		if rest, ok := bytes.CutPrefix(line, dataPrefix); ok {
 			data = append(data, bytes.TrimSpace(rest)...)
 		}
-		if len(data) > maxEventBytes {
-			return nil, fault.Mark(errTooLong, target.ErrBroken)
-		}
 	}
 }
 
@@ -294,6 +302,7 @@
 // close ends a complete answer. What follows the last event is the end of the
 // body; a line that has more is not used again.
 func (s *stream) close() {
+	s.line.SetWait(s.service.Idle.Duration)
 	rest, err := io.Copy(io.Discard, io.LimitReader(s.rd, maxEventBytes))
 	end := s.end(s.promptTokens())
 	if s.usage.known && s.passed == s.attempt {
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -95,11 +95,12 @@
 func (g *passage) receive() error {
 	g.response = &fasthttp.Response{}
 	g.response.SkipBody = g.request.Header.IsHead()
-	if err := g.line.Receive(g.response, g.service.First.Duration, g.service.Idle.Duration); err != nil {
+	if err := g.line.Receive(g.response, g.service.First.Duration); err != nil {
 		return err
 	}
 	g.head = time.Since(g.begun)
 	g.body = target.NewBody(g.line, g.response)
+	g.body.SetIdle(g.service.Idle.Duration)
 	g.held, g.complete = nil, false
 	if g.response.SkipBody {
 		g.complete = true
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -113,7 +113,7 @@
 	if err := line.Send(request); err != nil {
 		return 0, err
 	}
-	if err := line.Receive(response, callTimeout, callTimeout); err != nil {
+	if err := line.Receive(response, callTimeout); err != nil {
 		return 0, err
 	}
 	if _, err := io.Copy(io.Discard, target.NewBody(line, response)); err != nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -17,13 +17,16 @@
 )
 
 const (
-	dialTimeout   = 300 * time.Millisecond
-	crashDial     = 150 * time.Millisecond
-	silenceAims   = 2 // aims after which an answer that has not begun counts as silent
-	silenceExpect = 4 // expected times, likewise
-	leastSilence  = 250 * time.Millisecond
-	maxHeldBytes  = 16 << 20    // of an answer that is passed on as a whole
-	keepMargin    = time.Second // before the end of the time that a target keeps a connection
+	dialTimeout     = 300 * time.Millisecond
+	crashDial       = 150 * time.Millisecond
+	silenceAims     = 2 // aims after which an answer that has not begun counts as silent
+	silenceExpect   = 4 // expected times, likewise
+	leastSilence    = 250 * time.Millisecond
+	mostHeadTime    = 500 * time.Millisecond
+	mostDrainTime   = 100 * time.Millisecond
+	maxHeldBytes    = 16 << 20    // of an answer that is passed on as a whole
+	maxDrainedBytes = 16 << 10    // of the body of a rejection
+	keepMargin      = time.Second // before the end of the time that a target keeps a connection
 )
 
 var (
@@ -113,7 +116,7 @@
 func (a *attempt) head() error {
 	a.response = &fasthttp.Response{}
 	a.response.SkipBody = a.exchange.request.Header.IsHead()
-	if err := a.line.Receive(a.response, max(leastLeft, a.exchange.remaining()), a.exchange.remaining()); err != nil {
+	if err := a.line.Receive(a.response, a.headTime()); err != nil {
 		return err
 	}
 	a.body = target.NewBody(a.line, a.response)
@@ -133,9 +136,22 @@
 	return nil
 }
 
-// read reads the whole body of the answer. It returns result, or the error of a
+// headTime returns how long the head of an answer that has begun may take. A request that
+// may be repeated does not wait for the end of one that comes a few bytes at a time.
+func (a *attempt) headTime() time.Duration {
+	x := a.exchange
+	left := max(leastLeft, x.remaining())
+	if x.route.Repeatable() && x.history.Sends+1 < x.route.Attempts {
+		return min(left, x.gateway.core.allow(mostHeadTime))
+	}
+	return left
+}
+
+// read reads the whole body of the answer, which has to come in the time that the caller
+// has left. It returns result, or the error of a
 // body that is broken or too large.
 func (a *attempt) read(result error) error {
+	a.line.SetWait(max(leastLeft, a.exchange.remaining()))
 	var buf bytes.Buffer
 	n, err := io.Copy(&buf, io.LimitReader(a.body, maxHeldBytes))
 	if err == nil && n == maxHeldBytes {
@@ -148,6 +164,15 @@
 	return result
 }
 
+// drain reads what belongs to a rejection, so that its connection can be used again, or
+// closes the connection if that does not end soon.
+func (a *attempt) drain() {
+	a.line.SetWait(mostDrainTime)
+	if _, err := io.Copy(io.Discard, io.LimitReader(a.body, maxDrainedBytes)); err != nil || !a.body.Complete() {
+		a.line.Close()
+	}
+}
+
 // settle accounts for the error of a send.
 func (a *attempt) settle(err error) error {
 	if err == nil {
@@ -158,9 +183,7 @@
 		a.finish(placement.Unreached)
 		return fault.Mark(err, errUnsent)
 	case errors.Is(err, errRejected):
-		if readErr := a.read(nil); readErr != nil {
-			a.line.Close()
-		}
+		a.drain()
 		a.finish(placement.Rejected)
 		return err
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -96,12 +96,13 @@
 	return f.exchange.lost(f.attempt, err)
 }
 
-// read reads until whole events have come or the stream has ended. The error is
-// target.ErrSilent, target.ErrBroken or errOrder.
+// read reads until whole events have come or the stream has ended. It is one wait: bytes
+// that are no event do not prolong it. The error is target.ErrSilent, target.ErrBroken or
+// errOrder.
 func (f *flow) read() error {
 	x, a := f.exchange, f.attempt
+	a.line.SetWait(f.patience())
 	for len(f.next) == 0 && !f.done {
-		a.line.SetWait(f.patience())
 		n, err := a.body.Read(f.buf)
 		whole, ok := f.events.take(f.buf[:n])
 		if !ok {
@@ -245,7 +246,7 @@
 	if err != nil {
 		return false
 	}
-	first, err := strconv.ParseUint(firstID(whole), 10, 64)
+	first, err := strconv.ParseUint(idOf(whole), 10, 64)
 	return err == nil && first == before+1
 }
 
--- a/integration/call_test.go
+++ b/integration/call_test.go
@@ -62,10 +62,11 @@
 	if err := line.Send(request); err != nil {
 		return result{err: err}
 	}
-	if err := line.Receive(response, patience, patience); err != nil {
+	if err := line.Receive(response, patience); err != nil {
 		return result{err: err}
 	}
 	r := result{status: response.StatusCode(), outcome: string(response.Header.Peek(entry.HeaderOutcome))}
+	line.SetWait(patience)
 	if r.status != fasthttp.StatusOK {
 		text, _ := io.ReadAll(target.NewBody(line, response))
 		r.code = gjson.GetBytes(text, "error.code").String()
--- a/integration/failure_test.go
+++ b/integration/failure_test.go
@@ -232,6 +232,32 @@
 	}
 }
 
+// TestEndlessBytesOfATargetAreNoAnswer has a target that answers with bytes that never
+// become an answer. The requests are answered by others.
+func TestEndlessBytesOfATargetAreNoAnswer(t *testing.T) {
+	p := smallPlan()
+	p.service = withShortTimeouts
+	f := start(t, p)
+	stream := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, mode := range map[string]faults.Mode{
+		"head":     {Head: "HTTP/1.1 200 OK\r\n", Endless: "X-A: b\r\n"},
+		"comments": {Head: stream, Endless: "6\r\n: zz\n\n\r\n"},
+		"no lines": {Head: stream, Endless: "2\r\nzz\r\n"},
+	} {
+		for _, target := range f.targets {
+			if target.name == "engine1-1" {
+				target.proxy.Break()
+				target.proxy.Set(mode)
+			}
+		}
+		for n := range 8 {
+			id := fmt.Sprint(name, "-", n)
+			prompt := promptOf(id, 20)
+			requireWhole(t, prompt, f.stream(f.hosts[n%len(f.hosts)], id, prompt, nil))
+		}
+	}
+}
+
 // TestCallerGoneFreesItsSlot has callers that hang up while they wait or stream.
 func TestCallerGoneFreesItsSlot(t *testing.T) {
 	p := smallPlan()
--- a/load/client.go
+++ b/load/client.go
@@ -45,7 +45,7 @@
 		return
 	}
 	patience := time.Hour
-	if err := line.Receive(response, patience, patience); err != nil {
+	if err := line.Receive(response, patience); err != nil {
 		record.Lost, record.Fault = true, err.Error()
 		line.Close()
 		return
--- a/standin/faults/proxy.go
+++ b/standin/faults/proxy.go
@@ -18,9 +18,14 @@
 	Backward bool          `json:"backward"` // drop bytes towards the caller
 	Delay    time.Duration `json:"delay"`    // delay of each part
 	Truncate int64         `json:"truncate"` // break each new connection after so many bytes towards the caller
+	Head     string        `json:"head"`     // with endless, what a new connection answers first
+	Endless  string        `json:"endless"`  // what a new connection answers again and again, until the caller closes it
 }
 
-const partBytes = 16 << 10
+const (
+	partBytes    = 16 << 10
+	endlessPause = 10 * time.Millisecond
+)
 
 // Proxy passes one address on to another.
 type Proxy struct {
@@ -130,6 +135,10 @@
 		reset(caller)
 		return
 	}
+	if mode.Endless != "" {
+		flood(caller, mode)
+		return
+	}
 	upstream, err := net.Dial("tcp", p.upstream.String())
 	if err != nil {
 		reset(caller)
@@ -149,6 +158,19 @@
 	p.mu.Unlock()
 }
 
+// flood answers without end, once the caller has written.
+func flood(caller net.Conn, mode Mode) {
+	defer caller.Close()
+	if _, err := caller.Read(make([]byte, partBytes)); err != nil {
+		return
+	}
+	_, err := caller.Write([]byte(mode.Head))
+	for err == nil {
+		time.Sleep(endlessPause)
+		_, err = caller.Write([]byte(mode.Endless))
+	}
+}
+
 // reset closes a connection at once.
 func reset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
--- a/target/line.go
+++ b/target/line.go
@@ -42,20 +42,20 @@
 type Line struct {
 	conn  net.Conn
 	rd    *bufio.Reader
-	wait  time.Duration // longest time that one read may take
+	until time.Time // end of the present wait, over all its reads
 	wrote bool
 	bad   bool
 	since time.Time     // when it became idle
 	keep  time.Duration // longest time that it may stay idle
 }
 
-// lineReader applies the line's timeout to each read.
+// lineReader applies the end of the present wait.
 type lineReader struct{ line *Line }
 
 // Read implements io.Reader.
 func (r lineReader) Read(p []byte) (int, error) {
 	l := r.line
-	if err := l.conn.SetReadDeadline(time.Now().Add(l.wait)); err != nil {
+	if err := l.conn.SetReadDeadline(l.until); err != nil {
 		return 0, err
 	}
 	return l.conn.Read(p)
@@ -91,17 +91,15 @@
 // Wrote returns whether a byte of the last request was handed to the target.
 func (l *Line) Wrote() bool { return l.wrote }
 
-// Receive reads the head of the answer. The body is read from the response's
-// body stream. first is the timeout for the head, idle the one between two
-// parts of the body.
-func (l *Line) Receive(response *fasthttp.Response, first, idle time.Duration) error {
-	l.wait = first
+// Receive reads the head of the answer, which has to be whole within a time. The body is
+// read from the response's body stream, each wait of it after SetWait.
+func (l *Line) Receive(response *fasthttp.Response, limit time.Duration) error {
+	l.SetWait(limit)
 	response.StreamBody = true
 	if err := response.ReadLimitBody(l.rd, 0); err != nil {
 		l.bad = true
 		return classify(err)
 	}
-	l.wait = idle
 	return nil
 }
 
@@ -109,7 +107,8 @@
 type Body struct {
 	line *Line
 	src  io.Reader
-	left int // bytes that the head announced, -1 if chunked, -2 if not framed
+	left int           // bytes that the head announced, -1 if chunked, -2 if not framed
+	idle time.Duration // longest time between two parts, 0 if the line's wait is for the whole
 
 	complete bool
 }
@@ -123,6 +122,10 @@
 	return b
 }
 
+// SetIdle makes each part of the body a wait of its own, for bodies whose parts are passed on
+// as they come.
+func (b *Body) SetIdle(limit time.Duration) { b.idle = limit }
+
 // Complete returns whether the body was read to its end.
 func (b *Body) Complete() bool { return b.complete }
 
@@ -142,6 +145,9 @@
 	if b.left == 0 {
 		return 0, io.EOF
 	}
+	if b.idle > 0 {
+		b.line.SetWait(b.idle)
+	}
 	n, err := b.src.Read(p)
 	if b.left > 0 {
 		b.left -= n
@@ -184,7 +190,7 @@
 // EndsWithin waits for the other side to close the connection, and returns false
 // if it did not within a time.
 func (l *Line) EndsWithin(limit time.Duration) bool {
-	l.wait = limit
+	l.SetWait(limit)
 	_, err := l.rd.Peek(1)
 	return err != nil && !errors.Is(classify(err), ErrSilent)
 }
@@ -233,7 +239,7 @@
 		return nil, fault.Mark(errors.Wrapf(err, "dial %s", address), ErrUnreached)
 	}
 	p.opened.Add(1)
-	l := &Line{conn: conn, wait: limit, keep: maxIdleAge}
+	l := &Line{conn: conn, keep: maxIdleAge}
 	l.rd = bufio.NewReaderSize(lineReader{line: l}, readBufferBytes)
 	return l, nil
 }
--- a/target/line_test.go
+++ b/target/line_test.go
@@ -41,7 +41,7 @@
 			conn := <-accepted
 			require.NotNil(t, conn)
 			defer conn.Close()
-			err = line.Receive(&fasthttp.Response{}, 50*time.Millisecond, time.Second)
+			err = line.Receive(&fasthttp.Response{}, 50*time.Millisecond)
 			require.ErrorIs(t, err, c.want)
 			require.NotErrorIs(t, err, c.not)
 		})
--- a/target/raw.go
+++ b/target/raw.go
@@ -22,14 +22,14 @@
 	return nil
 }
 
-// SetWait sets the longest time that the next reads take.
-func (l *Line) SetWait(limit time.Duration) { l.wait = limit }
+// SetWait begins a wait: all reads until the next one take no longer together.
+func (l *Line) SetWait(limit time.Duration) { l.until = time.Now().Add(limit) }
 
 // Await waits for the first byte of an answer. The error is marked ErrSilent if
 // none came in time, and the line may be awaited again; otherwise it is marked
 // ErrBroken.
 func (l *Line) Await(limit time.Duration) error {
-	l.wait = limit
+	l.SetWait(limit)
 	_, err := l.rd.Peek(1)
 	if err == nil {
 		return nil
