--- a/gateway/lateness_test.go
+++ b/gateway/lateness_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cassiachute/cassiachute/settings"
+	"github.com/cassiachute/cassiachute/standin/processor"
 )
 
 // FAIR on a host whose timers fire in time while its requests queue for the processor:
@@ -18,7 +19,7 @@
 	stop := make(chan struct{})
 	defer close(stop)
 	for range 50 {
-		go burn(stop)
+		go processor.Burn(stop)
 	}
 	ticks := 0
 	late := time.Duration(0)
@@ -35,20 +36,6 @@
 	require.Greater(t, late/5, 40*time.Millisecond)
 }
 
-// burn uses the processor in short turns.
-func burn(stop <-chan struct{}) {
-	for {
-		select {
-		case <-stop:
-			return
-		default:
-		}
-		for began := time.Now(); time.Since(began) < 2*time.Millisecond; {
-		}
-		runtime.Gosched()
-	}
-}
-
 // FAIR on a host short of processor time that took its own lateness for failures of
 // targets and hosts: what it waits for others grows with its lateness.
 func TestOwnLatenessIsNoFailureOfOthers(t *testing.T) {
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -6,7 +6,7 @@
 	"github.com/cassiachute/cassiachute/placement"
 )
 
-// overloadRetry is short, since a caller that comes again reaches another host.
+// overloadRetry is short, since a host sheds what came at once within some tenths of a second.
 const overloadRetry = 50 * time.Millisecond
 
 // overloaded returns whether this host is too short of processor time to take a
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
+	"runtime"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,6 +16,7 @@
 
 	"github.com/cassiachute/cassiachute/gateway"
 	"github.com/cassiachute/cassiachute/settings"
+	"github.com/cassiachute/cassiachute/standin/processor"
 )
 
 // shortStream answers a request with one event.
@@ -67,3 +72,23 @@
 	_, err = rd.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// FAIR on a host that is short of processor time: it took its own lateness for engines that
+// can't be reached, and left them.
+func TestBusyHostBlamesNoTarget(t *testing.T) {
+	w := newWorld(t, newScripted(t, "a", "model", shortStream), newScripted(t, "b", "model", shortStream))
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	stop := make(chan struct{})
+	var burning sync.WaitGroup
+	for range 180 {
+		burning.Go(func() { processor.Burn(stop) })
+	}
+	defer burning.Wait()
+	defer close(stop)
+	w.do(call{path: "/stream/x", key: "key1", id: "r0"}) // while it is served, the host learns how late it is
+	before := strings.Count(w.logs.String(), "attempt-failed")
+	for n := range 2 {
+		w.do(call{path: "/stream/x", key: "key1", id: fmt.Sprint("r", n+1)})
+	}
+	require.Equal(t, before, strings.Count(w.logs.String(), "attempt-failed"))
+}
