A late host loses no peers

Change: silence counts up to the host's own lateness before now, for the news that placement keeps and for the log. TestLateHostLosesNoPeers fails without it.

--- a/gateway/core.go
+++ b/gateway/core.go
@@ -192,18 +192,20 @@
 }
 
 // tick runs what depends on time alone, and again after a period. It returns whether
-// the host became or ceased to be short of processor time.
-func (c *core) tick(now time.Time, period time.Duration) bool {
+// the host became or ceased to be short of processor time, and the time by which hosts that
+// are not silent were heard of.
+func (c *core) tick(now time.Time, period time.Duration) (changed bool, heardBy time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changed := c.lag.Tick(now)
+	changed = c.lag.Tick(now)
 	c.lag.Next(now, period)
-	c.board.Tick(now)
+	heardBy = c.heardBy(now)
+	c.board.Tick(heardBy)
 	for _, service := range c.board.Services() {
 		c.serve(now, service)
 	}
 	c.deliver(c.board.Expire(now))
-	return changed
+	return changed, heardBy
 }
 
 // learn takes the news of another host. The next tick serves those who wait.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -228,10 +228,11 @@
 	if g.inFlight.Load() == 0 {
 		period = idleTickEvery
 	}
-	if g.core.tick(now, period) {
+	changed, heardBy := g.core.tick(now, period)
+	if changed {
 		g.record.overload(g.core.late())
 	}
-	for _, address := range g.peers.silent(now) {
+	for _, address := range g.peers.silent(heardBy) {
 		g.record.peer(address, "", false)
 	}
 	return period
--- a/gateway/lateness.go
+++ b/gateway/lateness.go
@@ -22,5 +22,13 @@
 func (c *core) allow(limit time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return limit + turnsPerWait*c.lag.Mean()
+	return limit + c.lateness()
 }
+
+// heardBy returns the time by which a host that is not silent was heard of at a time. What
+// it sent may wait to be read here. The caller holds the lock.
+func (c *core) heardBy(now time.Time) time.Time { return now.Add(-c.lateness()) }
+
+// lateness returns by how much a wait for another process is late here. The caller holds
+// the lock.
+func (c *core) lateness() time.Duration { return turnsPerWait * c.lag.Mean() }
--- a/gateway/lateness_test.go
+++ b/gateway/lateness_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cassiachute/cassiachute/placement"
 	"github.com/cassiachute/cassiachute/settings"
 	"github.com/cassiachute/cassiachute/standin/processor"
 )
@@ -49,3 +50,23 @@
 	}
 	require.Greater(t, c.allow(dialTimeout), dialTimeout+400*time.Millisecond)
 }
+
+// A host that had no processor time for seconds does not lose the others, whose news it has
+// not read yet.
+func TestLateHostLosesNoPeers(t *testing.T) {
+	c := newCore(Settings{Lag: settings.Span{Duration: time.Minute}})
+	now := time.Unix(1000, 0)
+	tick := func(late time.Duration) {
+		now = now.Add(tickEvery + late)
+		c.tick(now, tickEvery)
+	}
+	tick(0)
+	c.learn(now, 1, placement.News{})
+	tick(4 * time.Second)
+	tick(0)
+	require.Equal(t, 1, c.board.Peers(), "its news may wait to be read")
+	for range 200 {
+		tick(0)
+	}
+	require.Zero(t, c.board.Peers(), "a host that is silent is lost")
+}
