--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -27,7 +27,10 @@
 	standin "github.com/cassiachute/cassiachute/standin/platform"
 )
 
-const waitLimit = 10 * time.Second
+const (
+	waitLimit      = 10 * time.Second
+	worldAddresses = 16 // most addresses of a world and its second gateway
+)
 
 // world is a gateway between scripted targets and a stand-in of the store.
 type world struct {
@@ -72,6 +75,7 @@
 
 func newWorld(t testing.TB, targets ...*scripted) *world {
 	t.Helper()
+	loopback.Together(worldAddresses)
 	l, storeAddress := listen(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &world{
@@ -144,7 +148,7 @@
 func (w *world) second(change func(s *gateway.Settings)) (*world, *gateway.Gateway, gateway.Settings) {
 	w.t.Helper()
 	s := w.settings("host2", loopback.Address())
-	s.Peer = netip.AddrPortFrom(s.Peer.Addr(), w.peer.Port()) // seeds are asked at the own port
+	require.Equal(w.t, w.peer.Port(), s.Peer.Port(), "seeds are asked at the own port")
 	s.Seeds = []netip.AddrPort{w.peer}
 	if change != nil {
 		change(&s)
--- a/standin/loopback/loopback.go
+++ b/standin/loopback/loopback.go
@@ -25,3 +25,15 @@
 	host := netip.AddrFrom4([4]byte{network, byte(pid>>8) | notCommon, byte(pid), byte(n%hosts + 1)})
 	return netip.AddrPortFrom(host, firstPort+uint16(n/hosts))
 }
+
+// Together skips addresses so that the next ones, up to a number, share a port, unless others
+// are handed out meanwhile.
+func Together(count uint32) {
+	for {
+		n := given.Load()
+		left := hosts - n%hosts
+		if left >= count || given.CompareAndSwap(n, n+left) {
+			return
+		}
+	}
+}
--- a/standin/loopback/loopback_test.go
+++ b/standin/loopback/loopback_test.go
@@ -24,3 +24,13 @@
 		require.NoError(t, l.Close())
 	}
 }
+
+func TestAddressesTogetherShareAPort(t *testing.T) {
+	for range 100 {
+		loopback.Together(7)
+		first := loopback.Address()
+		for range 6 {
+			require.Equal(t, first.Port(), loopback.Address().Port())
+		}
+	}
+}
