--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -40,7 +40,7 @@
 	Window    settings.Span    `json:"window"`    // over which repeats are counted
 	Ratio     settings.Amount  `json:"ratio"`     // of repeats to requests
 	Fixed     settings.Amount  `json:"fixed"`     // repeats of the fleet in a window that are allowed without requests
-	Lag       settings.Span    `json:"lag"`       // mean lateness of timers from which a host short of processor time refuses requests
+	Lag       settings.Span    `json:"lag"`       // mean time that work waits for the processor from which a host refuses requests
 	Level     string           `json:"level"`     // least level of log lines
 }
 
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -23,7 +23,7 @@
 		gateway:       g,
 		inFlight:      value("in_flight_requests", "Requests that are not answered yet."),
 		callers:       value("caller_connections", "Open connections of callers."),
-		lag:           value("lag_seconds", "Mean lateness of timers."),
+		lag:           value("lag_seconds", "Mean time that work waits for the processor."),
 		targetsIdle:   value("target_connections_idle", "Connections to targets that are kept for the next request."),
 		targetsOpened: value("target_connections_opened_total", "Connections to targets that were opened."),
 		configAge:     value("configuration_age_seconds", "Age of the newest sign that the configuration is current."),
