--- a/placement/fair_test.go
+++ b/placement/fair_test.go
@@ -1,11 +1,13 @@
 package placement_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cassiachute/cassiachute/knownred"
 	"github.com/cassiachute/cassiachute/placement"
 )
 
@@ -51,3 +53,43 @@
 		require.NotEqual(t, placement.Entitled, b.Standing(w.now, "model", "other"), outcome)
 	}
 }
+
+// FAIR for a team whose callers all sit on one host of a large fleet, while the slots of the
+// engines are short and news are old: free slots are not only for hosts that have many.
+func TestTeamOnOneHostGetsItsShareOfSlots(t *testing.T) {
+	knownred.Skip(t)
+	for _, c := range []struct {
+		hosts, slots  int
+		spread, crowd float64 // requests a second
+		parts         int
+	}{
+		{hosts: 20, slots: 24, spread: 1500, crowd: 300, parts: 400},
+		{hosts: 20, slots: 24, spread: 1500, crowd: 150, parts: 400},
+		{hosts: 20, slots: 12, spread: 1500, crowd: 150, parts: 400},
+		{hosts: 40, slots: 24, spread: 3000, crowd: 200, parts: 400},
+		{hosts: 40, slots: 24, spread: 3000, crowd: 200, parts: 40},
+	} {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			const engines = 20
+			w := newWorldOfSlots(c.hosts, engines, 500_000, c.slots)
+			w.news = 260 * time.Millisecond
+			one := load{team: "spread", hosts: firstHosts(c.hosts), perS: c.spread, prompt: 500, parts: c.parts, shared: 2000, aim: tightAim}
+			crowd := one
+			crowd.team, crowd.hosts, crowd.perS = "crowd", []int{0}, c.crowd
+			w.run([]load{one, crowd}, 2*time.Second)
+			w.results = map[string]*outcome{}
+			w.run([]load{one, crowd}, 4*time.Second)
+			got, best := w.results["crowd"], w.results["spread"]
+			require.Greater(t, float64(got.served), 0.5*float64(min(got.asked, best.served)))
+		})
+	}
+}
+
+// firstHosts returns the numbers of so many hosts.
+func firstHosts(count int) []int {
+	hosts := make([]int, count)
+	for n := range hosts {
+		hosts[n] = n
+	}
+	return hosts
+}
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -15,10 +15,10 @@
 
 const (
 	tickStep    = 5 * time.Millisecond
-	newsStep    = 50 * time.Millisecond
 	readPerStep = 500 // prompt tokens that an engine reads in a step
 	streamSteps = 200 // steps that a stream runs after its first event
 	tightAim    = 600 * time.Millisecond
+	manySlots   = 500
 )
 
 // load is one kind of arrivals.
@@ -64,26 +64,34 @@
 	next    uint64
 	results map[string]*outcome
 	rng     *rand.Rand
-	forward *forwarder // decides in place of the boards, if set
-	idle    int        // steps in which an engine had nothing to read while a request waited
+	slots   int           // requests that an engine runs at once
+	news    time.Duration // between the news of a host
+	forward *forwarder    // decides in place of the boards, if set
+	idle    int           // steps in which an engine had nothing to read while a request waited
 }
 
 func newWorld(hosts, engines int, rate float64) *world {
+	return newWorldOfSlots(hosts, engines, rate, manySlots)
+}
+
+// newWorldOfSlots returns a world whose engines run so many requests at once.
+func newWorldOfSlots(hosts, engines int, rate float64, slots int) *world {
 	w := &world{
-		now: time.Unix(1000, 0), engines: map[string]*engine{}, results: map[string]*outcome{},
-		rng: rand.New(rand.NewPCG(1, 2)),
+		slots: slots,
+		now:   time.Unix(1000, 0), engines: map[string]*engine{}, results: map[string]*outcome{},
+		rng: rand.New(rand.NewPCG(1, 2)), news: placement.NewsPeriod(hosts),
 	}
 	table := route.NewTable(route.Table{
 		Version: 1, Rate: rate,
 		Routes:   []route.Route{{Aim: tightAim, Shares: []route.Share{{Service: "model", Weight: 1}}}},
-		Services: []route.Service{{Name: "model", Engine: &route.Engine{Slots: 500, Memory: 10_000_000}}},
+		Services: []route.Service{{Name: "model", Engine: &route.Engine{Slots: slots, Memory: 10_000_000}}},
 	})
 	var targets []route.Target
 	for n := range engines {
 		id := fmt.Sprintf("engine%d", n)
 		w.engines[id] = &engine{kept: map[uint64]bool{}}
 		targets = append(targets, route.Target{
-			ID: id, Service: "model", Slots: 500, Place: "place1",
+			ID: id, Service: "model", Slots: slots, Place: "place1",
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80),
 		})
 	}
@@ -114,8 +122,10 @@
 		for _, id := range w.names() {
 			w.step(id)
 		}
-		if step%int(newsStep/tickStep) == 0 {
-			w.tell()
+		for host := range w.boards {
+			if (step+host)%int(w.news/tickStep) == 0 {
+				w.tell(host)
+			}
 		}
 		for host := range w.boards {
 			w.tick(host)
@@ -211,7 +221,7 @@
 	if len(e.queue) == 0 && w.anyWaits() {
 		w.idle++
 	}
-	for budget := readPerStep; budget > 0 && len(e.queue) > 0; {
+	for budget := readPerStep; budget > 0 && len(e.queue) > 0 && len(e.runs) < w.slots; {
 		x := e.queue[0]
 		read := min(budget, x.unread)
 		x.unread -= read
@@ -280,13 +290,12 @@
 	}
 }
 
-func (w *world) tell() {
-	for from, b := range w.boards {
-		news := b.News(w.now)
-		for to, other := range w.boards {
-			if to != from {
-				other.Learn(w.now, uint64(from), news)
-			}
+// tell sends the news of a host to the others.
+func (w *world) tell(from int) {
+	news := w.boards[from].News(w.now)
+	for to, other := range w.boards {
+		if to != from {
+			other.Learn(w.now, uint64(from), news)
 		}
 	}
 }
