All that waits on a host is looked at, at the engines that keep its parts

Cause: when a host looks for room it gave up after 8 requests that found none, since the others ask for the same engines. That holds for a dozen engines; with 60 or 112 each request waits for the engine that keeps its parts, and a crowd behind the first 8 was not looked at until its time was over. Class of fault: a bound on work that does not grow with what it bounds. Ruled out: raising the bound, which costs a search of all engines for each request.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -150,6 +150,19 @@
 	return c
 }
 
+// hasRoomAtHome returns whether the engine that keeps a prompt's shared parts takes it now.
+func (b *Board) hasRoomAtHome(now time.Time, p *pool, a *Ask) bool {
+	if p.engine == nil {
+		return false
+	}
+	s := b.newSearch(now, p, a)
+	if s.rationed || s.first == nil || !s.first.usable(now, a) {
+		return false
+	}
+	s.weigh(s.first)
+	return s.best.Target != ""
+}
+
 // search looks for the engine of one request.
 type search struct {
 	board         *Board
--- a/placement/fair_test.go
+++ b/placement/fair_test.go
@@ -91,3 +91,16 @@
 	}
 	return hosts
 }
+
+// FAIR for a team whose callers all sit on one host: many requests wait there for many
+// engines, and those behind the first few are served as well.
+func TestCrowdOnOneHostIsServedAtAllItsEngines(t *testing.T) {
+	const hosts, engines = 20, 40
+	w := newWorld(hosts, engines, 2_000_000)
+	w.news, w.phase = 260*time.Millisecond, 1
+	spread := load{team: "spread", hosts: firstHosts(hosts), perS: 8000, prompt: 1000, parts: 2000, shared: 5000, aim: tightAim}
+	crowd := spread
+	crowd.team, crowd.hosts, crowd.perS = "crowd", []int{0}, 1500
+	w.run([]load{spread, crowd}, 4*time.Second)
+	require.Greater(t, float64(w.results["crowd"].served), 0.7*float64(w.results["spread"].served))
+}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -10,7 +10,7 @@
 	loosePatience  = 0.6 // part of what its aim is looser that it waits besides
 	plainPatience  = 0.6 // part of the aim that a request waits here for a plain target
 	maxWaiting     = 512 // requests that wait for one service
-	maxMisses      = 8   // requests that find no target before the others are left
+	maxMisses      = 8   // requests that find no target before the others are looked at less closely
 
 	servePausePerTarget = 50 * time.Microsecond // between two decisions about all that wait
 )
@@ -66,9 +66,10 @@
 }
 
 // Serve decides again about the requests that wait for a service, in the order in which
-// their first events are due, those of teams above their share last. It gives up after
-// some that find no target, since the others ask for the same targets. With many targets it
-// waits between two decisions, which take longer then.
+// their first events are due, those of teams above their share last. After some that find no
+// target, only the engines that keep the parts of the others are looked at: a crowd on one
+// host waits for many engines. With many targets it waits between two decisions, which take
+// longer then.
 func (b *Board) Serve(now time.Time, service string) []Grant {
 	p := b.pool(service)
 	if len(p.queue) == 0 || now.Sub(p.served) < time.Duration(len(p.rows))*servePausePerTarget {
@@ -81,7 +82,7 @@
 		kept := p.queue[:0]
 		for _, t := range p.queue {
 			own, _ := b.standing(now, service, t.ask.Team)
-			if own == standing && misses < maxMisses {
+			if own == standing && (misses < maxMisses || b.hasRoomAtHome(now, p, t.ask)) {
 				if g, ok := b.grant(now, t); ok {
 					grants = append(grants, g)
 					continue
