A starved team counts as entitled

Cause: where all teams hold more than what is promised, one that received half of an even part stood above its share like those that received all of it, with two thirds of the queue, half of that for loose aims, less at congested engines. Change: it counts as entitled, in the queue, in the order of those that wait, and when a busy host refuses. Test: TestStarvedTeamCountsAsEntitled failed before.

--- a/placement/fair_test.go
+++ b/placement/fair_test.go
@@ -104,3 +104,19 @@
 	w.run([]load{spread, crowd}, 4*time.Second)
 	require.Greater(t, float64(w.results["crowd"].served), 0.7*float64(w.results["spread"].served))
 }
+
+// FAIR where all teams hold more than what is promised: a team that received far less than
+// an even part, and asks for more, counts as entitled.
+func TestStarvedTeamCountsAsEntitled(t *testing.T) {
+	w := newWorld(1, 4, 1000)
+	b := w.boards[0]
+	demand := func(team string, received, asked float64) placement.ServiceDemand {
+		return placement.ServiceDemand{Service: "model", Demand: placement.Demand{Team: team, Received: received, Asked: asked}}
+	}
+	b.Learn(w.now, 7, placement.News{Demands: []placement.ServiceDemand{
+		demand("large", 900_000, 2_000_000), demand("starved", 100_000, 2_000_000), demand("content", 100_000, 100_000),
+	}})
+	require.Equal(t, placement.Entitled, b.Standing(w.now, "model", "starved"))
+	require.Equal(t, placement.Above, b.Standing(w.now, "model", "content"))
+	require.Equal(t, placement.Beyond, b.Standing(w.now, "model", "large"))
+}
--- a/placement/starved.go
+++ b/placement/starved.go
@@ -8,6 +8,7 @@
 const (
 	starvedPart  = 0.8    // of its even part or of what it asked for, below which a team is starved
 	leastStarved = 5000.0 // cost units that a team asked for of late, below which it is not starved
+	starvedRatio = 2.0    // of share to received service that a starved team counts with
 	shortPart    = 0.85   // of the slots of a service, from which they are short
 	idlePart     = 0.7    // of them, up to which no team is kept from them
 )
--- a/placement/team.go
+++ b/placement/team.go
@@ -109,12 +109,15 @@
 
 // standing compares what a team received of late with its share. It also returns
 // the share over what the team received: the promised one for an entitled team, the
-// even one for others.
+// even one for others. A team that is starved counts as entitled.
 func (b *Board) standing(now time.Time, service, team string) (Standing, float64) {
 	s := b.shares(now, service, b.pool(service))
 	received := s.received[team]
-	if received <= s.entitled {
+	switch {
+	case received <= s.entitled:
 		return Entitled, s.entitled / max(1, received)
+	case s.starved[team]:
+		return Entitled, starvedRatio
 	}
 	ratio := s.even / received
 	if ratio >= 1 {
