A team counts as starved by its part, not by a number of tokens

Read again: the floor below which a team is not starved was 5,000 cost units, which fits requests of some sizes only. It is now a twentieth of an even part.

--- a/placement/starved.go
+++ b/placement/starved.go
@@ -6,22 +6,22 @@
 )
 
 const (
-	starvedPart  = 0.8    // of its even part or of what it asked for, below which a team is starved
-	leastStarved = 5000.0 // cost units that a team asked for of late, below which it is not starved
-	starvedRatio = 2.0    // of share to received service that a starved team counts with
-	shortPart    = 0.85   // of the slots of a service, from which they are short
-	idlePart     = 0.7    // of them, up to which no team is kept from them
+	starvedPart  = 0.8  // of its even part or of what it asked for, below which a team is starved
+	smallPart    = 0.05 // of an even part, up to which a team that asks for no more is not starved
+	starvedRatio = 2.0  // of share to received service that a starved team counts with
+	shortPart    = 0.85 // of the slots of a service, from which they are short
+	idlePart     = 0.7  // of them, up to which no team is kept from them
 )
 
 // starved returns the teams that received far less than both what they asked for and an even
-// part of what was handed out.
+// part of what was handed out, which is infinite if all got what they asked for.
 func starved(demands []Demand, even float64) map[string]bool {
 	if math.IsInf(even, 1) {
 		return nil
 	}
 	var teams map[string]bool
 	for _, d := range demands {
-		if d.Asked > leastStarved && d.Received < starvedPart*min(d.Asked, even) {
+		if d.Asked > smallPart*even && d.Received < starvedPart*min(d.Asked, even) {
 			if teams == nil {
 				teams = map[string]bool{}
 			}
@@ -52,7 +52,7 @@
 // that it has of what the team asks for. No team is kept from slots that are idle.
 func (b *Board) rations(now time.Time, p *pool, a *Ask, standing Standing) bool {
 	s := &p.shares
-	if standing == Entitled || len(s.starved) == 0 || s.starved[a.Team] {
+	if standing == Entitled || len(s.starved) == 0 {
 		return false
 	}
 	idle := (shortPart - s.taken) / (shortPart - idlePart)
