--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -148,8 +148,7 @@
 }
 
 // read reads the whole body of the answer, which has to come in the time that the caller
-// has left. It returns result, or the error of a
-// body that is broken or too large.
+// has left. It returns result, or the error of a body that is broken or too large.
 func (a *attempt) read(result error) error {
 	a.line.SetWait(max(leastLeft, a.exchange.remaining()))
 	var buf bytes.Buffer
--- a/gateway/busy.go
+++ b/gateway/busy.go
@@ -33,8 +33,11 @@
 	spent [activities]atomic.Int64 // ns
 }
 
+// add counts time spent on an activity.
+func (b *busy) add(a activity, spent time.Duration) { b.spent[a].Add(int64(spent)) }
+
 // since counts the time since an activity began.
-func (b *busy) since(a activity, began time.Time) { b.spent[a].Add(int64(time.Since(began))) }
+func (b *busy) since(a activity, began time.Time) { b.add(a, time.Since(began)) }
 
 // read returns the time that was spent on an activity.
 func (b *busy) read(a activity) time.Duration { return time.Duration(b.spent[a].Load()) }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,8 +91,7 @@
 		option(g)
 	}
 	g.log = g.log.With().Str("host", s.Name).Logger()
-	g.record = newRecorder(g.log, newMetrics())
-	g.core.busy = g.record.busy
+	g.record = newRecorder(g.log, newMetrics(), g.core.busy)
 	g.limits.Store(newLimits(&s))
 	g.addresses.Store(&map[string]netip.AddrPort{})
 	g.server = g.newServer()
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -51,8 +51,8 @@
 	bad  map[string]bool // entries of targets that were reported
 }
 
-func newRecorder(log zerolog.Logger, m *metrics) *recorder {
-	return &recorder{log: log, metrics: m, busy: &busy{}, down: map[string]bool{}, bad: map[string]bool{}}
+func newRecorder(log zerolog.Logger, m *metrics, b *busy) *recorder {
+	return &recorder{log: log, metrics: m, busy: b, down: map[string]bool{}, bad: map[string]bool{}}
 }
 
 func milliseconds(d time.Duration) float64 {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -187,7 +187,7 @@
 	f.next = nil
 	f.count++
 	now := time.Now()
-	x.gateway.record.busy.spent[activityPass].Add(int64(now.Sub(began)))
+	x.gateway.record.busy.add(activityPass, now.Sub(began))
 	if f.count > 1 {
 		x.gateway.core.gap(x.target, now.Sub(f.passed))
 		f.gaps.Observe(now.Sub(f.passed).Seconds())
--- a/placement/fair_test.go
+++ b/placement/fair_test.go
@@ -120,3 +120,23 @@
 	require.Equal(t, placement.Above, b.Standing(w.now, "model", "content"))
 	require.Equal(t, placement.Beyond, b.Standing(w.now, "model", "large"))
 }
+
+// A team whose requests still run is not forgotten, however long ago it asked: what it holds
+// counts against its part of the slots.
+func TestTeamWithRunningRequestsIsKept(t *testing.T) {
+	w := newWorld(1, 4, 1000)
+	b := w.boards[0]
+	a := placement.Ask{Service: "model", Team: "slow", Aim: tightAim, Chain: placement.NewChain(nil, 100)}
+	b.Asked(w.now, &a)
+	choice := placement.Choice{Target: "engine0", Load: placement.Load{Prompt: 100, Running: 1}}
+	b.Sent(w.now, &a, &choice)
+	left := b.First(w.now, &a, choice, time.Second)
+	later := w.now.Add(time.Minute)
+	b.News(later)
+	held := b.TopShares(later)
+	require.Len(t, held, 1)
+	require.Equal(t, 1, held[0].Running)
+	b.Ended(later, &a, "engine0", left, placement.Done, time.Minute)
+	b.News(later)
+	require.Empty(t, b.TopShares(later))
+}
--- a/placement/peer.go
+++ b/placement/peer.go
@@ -57,7 +57,9 @@
 		for name, u := range p.teams {
 			d := Demand{Team: name, Received: u.received.read(now), Asked: u.asked.read(now)}
 			if d.Asked < leastDemand {
-				delete(p.teams, name)
+				if u.running == 0 {
+					delete(p.teams, name)
+				}
 				continue
 			}
 			n.Demands = append(n.Demands, ServiceDemand{Service: service, Demand: d})
--- a/placement/team.go
+++ b/placement/team.go
@@ -152,16 +152,12 @@
 			continue
 		}
 		s := b.shares(now, service, p)
-		for _, d := range b.demands(now, service, p) {
-			u := p.teams[d.Team]
-			if u == nil {
-				continue
-			}
-			standing, _ := b.standing(now, service, d.Team)
+		for name, u := range p.teams {
+			standing, _ := b.standing(now, service, name)
 			list = append(list, TeamShare{
-				Service: service, Team: d.Team, Here: u.asked.read(now), Asked: d.Asked, Received: d.Received,
+				Service: service, Team: name, Here: u.asked.read(now), Asked: s.asked[name], Received: s.received[name],
 				Entitled: s.entitled, Even: s.even, Standing: standing,
-				Running: u.running, Starved: s.starved[d.Team], Taken: s.taken,
+				Running: u.running, Starved: s.starved[name], Taken: s.taken,
 			})
 		}
 	}
