Each engine has an owner that decides who gets its slots

Cause: every host decided alone for all engines, from what it had sent itself and from news 4 ms x hosts old. An owner by rendezvous decides about an engine, with an exact view of its slots, prompts and kept parts; the host of the caller asks it (Enquiry, Verdict, Progress, Leases, Kept) and decides alone where it is silent for 50 ms. A crash of a target counts once against its health.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -201,30 +201,32 @@
 	case errors.Is(err, target.ErrSilent):
 		a.finish(placement.Silent)
 	default:
-		a.crashed()
+		if a.crashed() {
+			a.finish(placement.Unreached)
+			return
+		}
 		a.finish(placement.Failed)
 	}
 }
 
-// crashed blames the request if the target that broke off can't be reached any
-// more.
-func (a *attempt) crashed() {
+// crashed returns whether the target that broke off can't be reached any more, and blames
+// the request for that.
+func (a *attempt) crashed() bool {
 	x := a.exchange
 	address, ok := x.gateway.address(a.choice.Target)
 	if !ok {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(x.gateway.ctx, x.gateway.core.allow(crashDial))
 	defer cancel()
 	line, err := x.gateway.pool.Get(ctx, address, true)
 	if err == nil {
 		x.gateway.pool.Put(address, line)
-		return
+		return false
 	}
 	x.gateway.pool.Forget(address)
-	count := x.gateway.core.blame(x.digest)
-	x.gateway.core.ended(x, a.choice.Target, placement.Load{}, placement.Unreached, 0)
-	x.gateway.record.crash(x, count)
+	x.gateway.record.crash(x, x.gateway.core.blame(x.digest))
+	return true
 }
 
 // finish ends the attempt. Unless the answer is complete, the connection is
@@ -246,7 +248,7 @@
 			a.line.Close()
 		}
 	}
-	x.gateway.core.ended(x, a.choice.Target, a.left, o, time.Since(a.sent))
+	x.gateway.core.ended(x, a.choice, a.left, o, time.Since(a.sent))
 }
 
 // complete returns whether the answer was read to its end and the connection may
@@ -264,6 +266,7 @@
 // first takes the first event or the whole answer.
 func (a *attempt) first() time.Duration {
 	took := time.Since(a.sent)
+	a.exchange.pauses, a.exchange.paused = 0, 0
 	a.left = a.exchange.gateway.core.first(a.exchange, a.choice, took)
 	return took
 }
@@ -281,7 +284,7 @@
 			return nil, p
 		}
 		if p := x.checkSend(); p != nil {
-			x.gateway.core.ended(x, choice.Target, choice.Load, placement.Returned, 0)
+			x.gateway.core.ended(x, choice, choice.Load, placement.Returned, 0)
 			return nil, p
 		}
 		a, err := x.send(choice)
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -8,6 +8,7 @@
 	"github.com/cassiachute/cassiachute/placement"
 	"github.com/cassiachute/cassiachute/retry"
 	"github.com/cassiachute/cassiachute/route"
+	"github.com/cassiachute/cassiachute/wire"
 )
 
 // poisonous is the number of crashes after which a request is refused.
@@ -30,6 +31,16 @@
 	lag        *placement.Lag
 	busy       *busy
 	hosts      int // most hosts of the fleet that were heard of at once
+
+	self    uint64 // number of this host
+	post    func(to uint64, m wire.Message)
+	outbox  []letter
+	leases  map[uint64]*lease    // asked of or held at other hosts, by number
+	guests  map[guestKey]*guest  // requests of other hosts
+	tickets map[uint64]guestKey  // guests that wait here, by their number in the queue
+	mute    map[uint64]time.Time // hosts that are not asked until then
+	owners  []placement.Host     // other hosts that own engines
+	elected time.Time            // when they were taken
 }
 
 func newCore(s Settings) *core {
@@ -43,6 +54,11 @@
 		lag:        placement.NewLag(s.Lag.Or(defaultLag)),
 		busy:       &busy{},
 		hosts:      1,
+		post:       func(uint64, wire.Message) {},
+		leases:     map[uint64]*lease{},
+		guests:     map[guestKey]*guest{},
+		tickets:    map[uint64]guestKey{},
+		mute:       map[uint64]time.Time{},
 	}
 }
 
@@ -84,21 +100,6 @@
 	return a
 }
 
-// enter registers an exchange and decides about it. It returns false if there is
-// no target and the exchange does not wait.
-func (c *core) enter(x *exchange) (placement.Choice, bool) {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	defer c.busy.since(activityChoose, now)
-	choice := c.board.Choose(now, &x.ask)
-	if choice.Target != "" {
-		c.board.Sent(now, &x.ask, &choice)
-		return choice, true
-	}
-	return choice, choice.Reason == placement.ReasonFull && c.board.Wait(now, x.id, &x.ask)
-}
-
 // register adds a new exchange.
 func (c *core) register(x *exchange) {
 	c.mu.Lock()
@@ -153,8 +154,11 @@
 // first takes the first event of a request.
 func (c *core) first(x *exchange, choice placement.Choice, took time.Duration) placement.Load {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	defer c.unlock()
 	now := time.Now()
+	if choice.Lease != 0 {
+		return c.begun(now, x, choice, took)
+	}
 	left := c.board.First(now, &x.ask, choice, took)
 	c.serve(now, x.service)
 	return left
@@ -168,11 +172,15 @@
 }
 
 // ended takes the end of a request at its target.
-func (c *core) ended(x *exchange, target string, left placement.Load, o placement.Outcome, took time.Duration) {
+func (c *core) ended(x *exchange, choice placement.Choice, left placement.Load, o placement.Outcome, took time.Duration) {
 	now := time.Now()
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.board.Ended(now, &x.ask, target, left, o, took)
+	defer c.unlock()
+	if choice.Lease != 0 {
+		c.returned(now, x, choice, left, o, took)
+		return
+	}
+	c.board.Ended(now, &x.ask, choice.Target, left, o, took)
 	c.serve(now, x.service)
 }
 
@@ -187,7 +195,9 @@
 	for _, g := range grants {
 		if x := c.exchanges[g.ID]; x != nil {
 			x.grants <- g.Choice
+			continue
 		}
+		c.settle(g)
 	}
 }
 
@@ -196,11 +206,12 @@
 // are not silent were heard of.
 func (c *core) tick(now time.Time, period time.Duration) (changed bool, heardBy time.Time) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	defer c.unlock()
 	changed = c.lag.Tick(now)
 	c.lag.Next(now, period)
 	heardBy = c.heardBy(now)
 	c.board.Tick(heardBy)
+	c.expireGuests(now, heardBy)
 	for _, service := range c.board.Services() {
 		c.serve(now, service)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -46,7 +46,9 @@
 	waited    time.Duration // here, for a target
 	target    string        // last target
 	choice    placement.Choice
-	lastEvent string // last event that was passed on
+	lastEvent string        // last event that was passed on
+	pauses    int           // between the events of the present send
+	paused    time.Duration // their sum
 
 	passed atomic.Int64  // when the caller last took an event, in ns since it arrived, 0 before
 	gone   chan struct{} // closed when the caller left
@@ -175,28 +177,74 @@
 // place gets a target for the request. It waits for one if that may help in time.
 func (x *exchange) place() (placement.Choice, *problem) {
 	began := time.Now()
-	x.ask.Elapsed = began.Sub(x.arrived)
-	choice, ok := x.gateway.core.enter(x)
-	if choice.Target != "" {
-		return choice, nil
+	defer func() { x.waited += time.Since(began) }()
+	x.ask.Restart()
+	var last placement.Choice
+	for {
+		x.ask.Elapsed = time.Since(x.arrived)
+		s := x.gateway.core.next(x)
+		if s.over {
+			return last, x.refuse(notRun(string(last.Reason), last.After))
+		}
+		choice, p := x.follow(s)
+		if p != nil || choice.Target != "" {
+			return choice, p
+		}
+		x.ask.Ahead = max(x.ask.Ahead, choice.Waiting)
+		if last = choice; s.last {
+			return last, x.refuse(notRun(string(last.Reason), last.After))
+		}
 	}
-	if !ok {
-		return choice, x.refuse(notRun(string(choice.Reason), choice.After))
+}
+
+// follow waits for the outcome of a step.
+func (x *exchange) follow(s step) (placement.Choice, *problem) {
+	if s.lease != nil {
+		return x.await(s.lease)
+	}
+	if s.choice.Target != "" || !s.waits {
+		return s.choice, nil
 	}
-	defer func() { x.waited += time.Since(began) }()
 	timer := time.NewTimer(x.remaining())
 	defer timer.Stop()
 	select {
-	case choice = <-x.grants:
+	case choice := <-x.grants:
+		return choice, nil
 	case <-x.gone:
 		x.gateway.core.withdraw(x)
-		return choice, failure(statusGone, reasonCallerGone)
+		return s.choice, failure(statusGone, reasonCallerGone)
 	case <-timer.C:
 		x.gateway.core.withdraw(x)
-		return choice, x.timeout()
+		return s.choice, x.timeout()
 	}
-	if choice.Target == "" {
-		return choice, x.refuse(notRun(string(choice.Reason), choice.After))
+}
+
+// await waits for the answer of an owner. An answer that comes after the time that it may
+// take counts for nothing, also if this host stood still meanwhile.
+func (x *exchange) await(l *lease) (placement.Choice, *problem) {
+	core := x.gateway.core
+	limit := core.allow(ownerTimeout)
+	until := awake() + limit
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		select {
+		case a := <-l.answers:
+			switch {
+			case awake() > until:
+				return x.follow(core.silent(x, l))
+			case !a.queued:
+				x.ask.Hint = a.hint
+				return a.choice, nil
+			}
+			limit += core.patience(x)
+			until = awake() + limit
+			timer.Reset(limit)
+		case <-x.gone:
+			core.abandon(l)
+			return placement.Choice{}, failure(statusGone, reasonCallerGone)
+		case <-timer.C:
+			return x.follow(core.silent(x, l))
+		}
 	}
-	return choice, nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"github.com/cassiachute/cassiachute/mesh"
+	"github.com/cassiachute/cassiachute/placement"
 	"github.com/cassiachute/cassiachute/platform"
 	"github.com/cassiachute/cassiachute/route"
 	"github.com/cassiachute/cassiachute/target"
@@ -115,6 +116,7 @@
 	}
 	socket, err := mesh.NewSocket(g.settings.Peer, mesh.Events{
 		Received: g.hear,
+		Message:  g.take,
 		Took:     func(began time.Time) { g.record.busy.since(activityNews, began) },
 		Rejected: func(_ netip.AddrPort, err error) { g.record.peerFailed(err) },
 	})
@@ -122,6 +124,8 @@
 		return err
 	}
 	g.mesh = socket
+	g.core.self, g.core.post = peerNumber(g.settings.Peer), g.post
+	g.core.board.SetHosts(placement.Host{ID: g.core.self, Place: g.settings.Place}, nil)
 	g.answers, err = mesh.NewResponder(g.settings.Peer, g.reply)
 	return err
 }
@@ -146,7 +150,7 @@
 	ends := []<-chan struct{}{
 		g.mesh.Run(inner), g.answers.Run(inner), every(inner, g.consult),
 		every(inner, w.config), every(inner, w.targets), every(inner, w.hosts),
-		every(inner, g.tell), every(inner, g.tick), every(inner, g.sweep), every(inner, g.usage), g.pool.Run(inner),
+		every(inner, g.tell), every(inner, g.renew), every(inner, g.tick), every(inner, g.sweep), every(inner, g.usage), g.pool.Run(inner),
 	}
 	served := make(chan error, len(g.listeners))
 	g.serve(served)
@@ -227,6 +231,7 @@
 	if g.inFlight.Load() == 0 {
 		period = idleTickEvery
 	}
+	g.core.elect(now, g.peers.owners())
 	changed, heardBy := g.core.tick(now, period)
 	if changed {
 		g.record.overload(g.core.late())
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"sync"
@@ -23,6 +24,8 @@
 	heard  bool
 	age    time.Duration // of what it knows from the store
 	reader bool          // it reads the store
+	place  string        // data centre
+	owner  bool          // it decides about targets: it is not shutting down
 }
 
 // contacts are the other hosts of the fleet.
@@ -69,6 +72,7 @@
 	first = !row.heard
 	row.met, row.boot, row.number, row.heard = now, m.Boot, m.Number, true
 	row.age, row.reader = time.Duration(m.Age)*time.Millisecond, m.Reader
+	row.place, row.owner = m.Place, !m.Leaving
 	return true, first
 }
 
@@ -103,6 +107,20 @@
 	return list
 }
 
+// owners returns the hosts that decide about targets, in the order of their numbers.
+func (c *contacts) owners() []placement.Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []placement.Host
+	for address, row := range c.rows {
+		if row.heard && row.owner {
+			list = append(list, placement.Host{ID: peerNumber(address), Place: row.place})
+		}
+	}
+	slices.SortFunc(list, func(a, b placement.Host) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
 // ages returns the time since each host was heard of, by address.
 func (c *contacts) ages(now time.Time) map[netip.AddrPort]time.Duration {
 	c.mu.Lock()
@@ -222,12 +240,3 @@
 	}
 	g.core.learn(now, peerNumber(from), n)
 }
-
-// peerNumber returns a number for an address.
-func peerNumber(address netip.AddrPort) uint64 {
-	number := uint64(address.Port())
-	for _, b := range address.Addr().As4() {
-		number = number<<8 | uint64(b)
-	}
-	return number
-}
--- /dev/null
+++ b/gateway/lease.go
@@ -0,0 +1,257 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/cassiachute/cassiachute/placement"
+	"github.com/cassiachute/cassiachute/wire"
+)
+
+const (
+	ownerTimeout = 50 * time.Millisecond  // in which an owner answers
+	muteTime     = 500 * time.Millisecond // for which an owner that did not answer is not asked
+	leasesEvery  = 500 * time.Millisecond // between two lists of the slots that a host holds
+)
+
+// lease is a request that another host is asked for a slot for, or has one from.
+type lease struct {
+	number  uint64
+	host    uint64
+	ask     *placement.Ask
+	begun   bool            // the first event came
+	granted bool            // it has a slot
+	answers chan answerItem // what the owner says
+}
+
+// answerItem is what an owner says about a request.
+type answerItem struct {
+	choice placement.Choice
+	queued bool   // it waits there
+	hint   string // engine to ask for instead
+}
+
+// step is how far a request came on its way to a target.
+type step struct {
+	choice placement.Choice
+	lease  *lease // the owner that is asked, nil if this host decides
+	waits  bool   // it waits here
+	over   bool   // nobody is left to ask
+	last   bool   // there is none after it
+}
+
+// next takes the next step of a request that has no target yet.
+func (c *core) next(x *exchange) step {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.unlock()
+	defer c.busy.since(activityChoose, now)
+	if !c.board.Owned(x.service) {
+		return c.decideAlone(now, x, true)
+	}
+	stop, ok := c.board.Next(now, &x.ask)
+	switch {
+	case !ok && x.ask.Stops() == 0:
+		return c.decideAlone(now, x, true)
+	case !ok:
+		return step{over: true}
+	}
+	x.ask.Anywhere, x.ask.Wanted, x.ask.Held = stop.Anywhere, stop.Target, 0
+	switch {
+	case stop.Host == c.self:
+		return c.decide(now, x, stop.Wait)
+	case now.Before(c.mute[stop.Host]):
+		return c.decideAlone(now, x, stop.Wait)
+	}
+	c.last++
+	l := &lease{number: c.last, host: stop.Host, ask: &x.ask, answers: make(chan answerItem, 2)}
+	c.leases[l.number] = l
+	c.write(l.host, enquiryOf(x, l.number, &stop))
+	return step{lease: l}
+}
+
+// decide decides here about a request. The caller holds the lock.
+func (c *core) decide(now time.Time, x *exchange, wait bool) step {
+	s := step{choice: c.board.Choose(now, &x.ask)}
+	switch {
+	case s.choice.Target != "":
+		c.board.Sent(now, &x.ask, &s.choice)
+	case wait && s.choice.Reason == placement.ReasonFull:
+		s.waits = c.board.Wait(now, x.id, &x.ask)
+	}
+	return s
+}
+
+// decideAlone decides about a request for which an owner does not answer, by what is known
+// of all engines here. The caller holds the lock.
+func (c *core) decideAlone(now time.Time, x *exchange, wait bool) step {
+	x.ask.Wanted = ""
+	s := c.decide(now, x, wait)
+	s.last = true
+	return s
+}
+
+// silent takes that an owner did not answer, and decides about the request in its place.
+func (c *core) silent(x *exchange, l *lease) step {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.unlock()
+	c.mute[l.host] = now.Add(muteTime)
+	c.giveUp(l)
+	return c.decideAlone(now, x, true)
+}
+
+// abandon ends a lease whose request ended before it had an answer.
+func (c *core) abandon(l *lease) {
+	c.mu.Lock()
+	defer c.unlock()
+	c.giveUp(l)
+}
+
+// giveUp returns a lease to its owner. The caller holds the lock.
+func (c *core) giveUp(l *lease) {
+	delete(c.leases, l.number)
+	c.write(l.host, &wire.Progress{Number: l.number, Ended: true, Outcome: uint8(placement.Returned)})
+}
+
+// patience returns how long a request may wait for a target.
+func (c *core) patience(x *exchange) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.board.Patience(&x.ask)
+}
+
+// enquiryOf returns the message that asks an owner about a request.
+func enquiryOf(x *exchange, number uint64, stop *placement.Stop) *wire.Enquiry {
+	a := &x.ask
+	return &wire.Enquiry{
+		Number: number, Service: a.Service, Team: a.Team, Target: stop.Target, Prompt: promptOf(a.Chain),
+		Held: uint32(stop.Held), Output: uint32(a.Output),
+		Aim: toMillis(a.Aim), Time: toMillis(a.Time), Elapsed: toMillis(a.Elapsed),
+		Wait: stop.Wait, Anywhere: stop.Anywhere, Excluded: a.Excluded,
+	}
+}
+
+// promptOf returns the message that names the shared parts of a prompt.
+func promptOf(c placement.Chain) wire.Prompt {
+	p := wire.Prompt{Names: c.Names, Total: uint32(c.Total)}
+	for _, tokens := range c.Tokens {
+		p.Tokens = append(p.Tokens, uint32(tokens))
+	}
+	return p
+}
+
+// chainOf returns the shared parts that a message names. It returns false if the message is
+// not consistent.
+func chainOf(p wire.Prompt) (placement.Chain, bool) {
+	c := placement.Chain{Names: p.Names, Total: int(p.Total)}
+	for _, tokens := range p.Tokens {
+		c.Tokens = append(c.Tokens, int(tokens))
+	}
+	return c, len(c.Names) == len(c.Tokens)
+}
+
+// verdict takes the answer of an owner. A slot that nobody waits for any more is returned.
+func (c *core) verdict(from uint64, m *wire.Verdict) {
+	c.mu.Lock()
+	defer c.unlock()
+	l := c.leases[m.Number]
+	if l == nil || l.host != from || l.granted {
+		if m.Target != "" && l == nil {
+			c.write(from, &wire.Progress{Number: m.Number, Ended: true, Outcome: uint8(placement.Returned)})
+		}
+		return
+	}
+	a := answerItem{choice: choiceOf(m), queued: m.Queued, hint: m.Hint}
+	switch {
+	case m.Target != "":
+		l.granted = true
+		c.board.Kept(m.Target, l.ask.Chain)
+		c.tellHome(l, m.Target)
+	case !m.Queued:
+		delete(c.leases, m.Number)
+	}
+	select {
+	case l.answers <- a:
+	default: // an owner says no more than two things
+	}
+}
+
+// tellHome tells the owner of the home of a prompt's shared parts that another engine got it.
+// The caller holds the lock.
+func (c *core) tellHome(l *lease, target string) {
+	home := c.board.Home(l.ask)
+	if home.Target == "" || home.Target == target || l.ask.Hint == target {
+		return
+	}
+	if home.Host == c.self || home.Host == l.host {
+		return
+	}
+	c.write(home.Host, &wire.Kept{Target: target, Prompt: promptOf(l.ask.Chain)})
+}
+
+// choiceOf returns the choice of a verdict.
+func choiceOf(m *wire.Verdict) placement.Choice {
+	c := placement.Choice{
+		Target: m.Target, Queue: int(m.Queue), Expect: fromMillis(m.Expect), After: fromMillis(m.After),
+		Reason: placement.Reason(m.Reason), Team: placement.Standing(m.Standing),
+		Limit: fromMillis(m.Limit), Waiting: fromMillis(m.Ahead),
+	}
+	if m.Target != "" {
+		c.Lease = m.Number
+		c.Load = placement.Load{Prompt: int(m.Prompt), Running: 1, Memory: int(m.Memory)}
+	}
+	return c
+}
+
+// begun takes the first event of a request that another host gave a slot. The caller holds
+// the lock.
+func (c *core) begun(now time.Time, x *exchange, choice placement.Choice, took time.Duration) placement.Load {
+	left := choice.Load
+	left.Prompt = 0
+	c.board.FirstElsewhere(now, &x.ask, choice, took)
+	if l := c.leases[choice.Lease]; l != nil {
+		l.begun = true
+		c.write(l.host, &wire.Progress{Number: l.number, Begun: true, Took: uint32(took.Microseconds())})
+	}
+	return left
+}
+
+// returned takes the end of a request that another host gave a slot. The caller holds the
+// lock.
+func (c *core) returned(now time.Time, x *exchange, choice placement.Choice, left placement.Load, o placement.Outcome, took time.Duration) {
+	c.board.EndedElsewhere(now, choice.Target, left, o)
+	l := c.leases[choice.Lease]
+	if l == nil {
+		return
+	}
+	delete(c.leases, l.number)
+	m := &wire.Progress{Number: l.number, Ended: true, Outcome: uint8(o), Took: uint32(took.Microseconds()), Pauses: uint32(x.pauses)}
+	if x.pauses > 0 {
+		m.Pause = uint32((x.paused / time.Duration(x.pauses)).Microseconds())
+	}
+	c.write(l.host, m)
+}
+
+// renew tells each owner which of its slots this host holds.
+func (g *Gateway) renew() time.Duration {
+	c := g.core
+	c.mu.Lock()
+	defer c.unlock()
+	lists := map[uint64]*wire.Leases{}
+	for number, l := range c.leases {
+		list := lists[l.host]
+		if list == nil {
+			list = &wire.Leases{}
+			lists[l.host] = list
+		}
+		if l.begun {
+			list.Running = append(list.Running, number)
+		} else {
+			list.Waiting = append(list.Waiting, number)
+		}
+	}
+	for host, list := range lists {
+		c.write(host, list)
+	}
+	return leasesEvery
+}
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/binary"
 	"net"
 	"net/netip"
 	"sync"
@@ -81,7 +82,8 @@
 	}
 	return event.Str("event", eventAnswered).Str("request", x.call.ID).Stringer("caller", x.caller.RemoteAddr()).Str("team", x.team).
 		Str("route", x.route.Name).Str("service", x.service).Str("target", x.target).
-		Int("sends", x.sends).Int("prompt", x.ask.Chain.Total).
+		Int("sends", x.sends).Int("owners", x.ask.Stops()).Int("prompt", x.ask.Chain.Total).
+		Hex("part", binary.BigEndian.AppendUint64(nil, x.ask.Chain.Deepest())).Int("shared", x.ask.Chain.Shared()).
 		Int("unread", x.choice.Load.Prompt).Int("queue", x.choice.Queue).Float64("expected", milliseconds(x.choice.Expect)).
 		Float64("limit", milliseconds(x.choice.Limit)).Float64("ahead", milliseconds(x.choice.Waiting)).
 		Stringer("standing", x.choice.Team).Float64("waited", milliseconds(x.waited)).
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -190,6 +190,8 @@
 	x.gateway.record.busy.add(activityPass, now.Sub(began))
 	if f.count > 1 {
 		x.gateway.core.gap(x.target, now.Sub(f.passed))
+		x.pauses++
+		x.paused += now.Sub(f.passed)
 		f.gaps.Observe(now.Sub(f.passed).Seconds())
 	}
 	f.passed = now
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -26,6 +26,8 @@
 type Events struct {
 	// Received hands over news of a host.
 	Received func(from netip.AddrPort, news *wire.News)
+	// Message hands over a message of a host that is not news. It may be nil.
+	Message func(from netip.AddrPort, m wire.Message)
 	// Rejected tells of a datagram that is not well-formed.
 	Rejected func(from netip.AddrPort, err error)
 	// Took tells when the work for a datagram began, once it is over. It may be nil.
@@ -88,12 +90,28 @@
 		return
 	}
 	for _, m := range messages {
-		if news, ok := m.(*wire.News); ok {
+		switch news, ok := m.(*wire.News); {
+		case ok:
 			s.events.Received(from, news)
+		case s.events.Message != nil:
+			s.events.Message(from, m)
 		}
 	}
 }
 
+// Post sends a message to one host. It may be lost on the way.
+func (s *Socket) Post(to netip.AddrPort, m wire.Message) error {
+	body, err := wire.Encode([]wire.Message{m})
+	if err != nil {
+		return err
+	}
+	if len(body) > maxDatagramBytes {
+		return ErrTooLarge
+	}
+	_, err = s.conn.WriteToUDPAddrPort(body, to)
+	return err
+}
+
 // Send sends news to hosts. A host that can't be reached is left out; the first
 // error is returned.
 func (s *Socket) Send(news *wire.News, hosts []netip.AddrPort) error {
--- a/placement/board.go
+++ b/placement/board.go
@@ -10,7 +10,7 @@
 	"github.com/cassiachute/cassiachute/route"
 )
 
-// Load is the work that one host has at a target.
+// Load is the work at a target that one host decided about.
 type Load struct {
 	Prompt  int // prompt tokens whose first event has not come
 	Running int // requests
@@ -33,6 +33,7 @@
 type row struct {
 	target route.Target
 	key    uint64 // hash of the identity
+	owner  uint64 // host that decides about it
 	own    Load
 	peers  Load
 	health health
@@ -55,6 +56,7 @@
 	pace    *Pace
 	typical time.Duration // time of an answer of a plain service
 	rows    []*row        // ordered by the identity of the target
+	owned   []*row        // those that this host decides about
 	epoch   uint64        // rises with each change of the rows
 	teams   map[string]*teamUse
 	tight   time.Duration // tightest aim of the routes to the service
@@ -70,6 +72,8 @@
 	pools map[string]*pool
 	rows  map[string]*row
 	peers map[uint64]*peer
+	self  uint64 // this host
+	hosts []Host // that decide, this one included
 
 	promised float64 // cost units a second that the engines produce together, 0 if unknown
 }
@@ -136,6 +140,7 @@
 		}
 	}
 	b.regroup()
+	b.assign()
 	b.sum()
 }
 
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -23,6 +23,7 @@
 	spillPart       = 0.15 // of the queue, for a prompt that the engine has to read whole
 	smallReread     = 200  // tokens that any engine may read again
 	farPenalty      = 5 * time.Millisecond
+	scatterPenalty  = 5 * time.Millisecond // most that the order of rendezvous counts among engines that are alike
 	leastRetryAfter = 200 * time.Millisecond
 	maxRetryAfter   = 3 * time.Second
 	outputCost      = 2 // cost units of a generated token; a prompt token read costs 1
@@ -40,8 +41,18 @@
 	Elapsed  time.Duration // since the request arrived
 	Excluded []string      // targets that failed it
 	Anywhere bool          // it has waited for the engines that keep its parts
+	Wanted   string        // engine that this host is asked for as its owner; all engines count if it is empty
+	Guest    bool          // the caller is at another host, which sees the events
+	Ahead    time.Duration // queue at the engine that keeps its parts, as its owner told
+	Hint     string        // engine that an owner named in place of its own
+	Held     int           // tokens that the host of the caller knows the wanted engine to have read
 
-	homes homes
+	homes  homes
+	stops  []asking // owners that were asked
+	waited bool     // at one of them
+	spills int      // engines with room that were asked for
+
+	scatter bool // hosts that know the same choose different engines for different prompts
 }
 
 // Cost returns the cost units of the request.
@@ -61,6 +72,7 @@
 	Limit   time.Duration // longest queue that the team may join
 	Waiting time.Duration // queue at the target; without one, the shortest that is over the limit
 	Queue   int           // prompt tokens queued at the target, with those of the request
+	Lease   uint64        // names the slot at the host that decided, 0 if this one did
 }
 
 // Reason tells why a request has no target.
@@ -126,7 +138,7 @@
 // no more prompts than it reads in time, so that what is admitted is in time.
 func (b *Board) chooseEngine(now time.Time, p *pool, a *Ask) Choice {
 	s := b.newSearch(now, p, a)
-	for _, r := range p.rows {
+	for _, r := range b.candidates(p, a) {
 		if !r.usable(now, a) {
 			continue
 		}
@@ -156,7 +168,7 @@
 		return false
 	}
 	s := b.newSearch(now, p, a)
-	if s.rationed || s.first == nil || !s.first.usable(now, a) {
+	if s.rationed || s.first == nil || !s.first.usable(now, a) || a.Wanted != "" && s.first.owner != b.self {
 		return false
 	}
 	s.weigh(s.first)
@@ -204,7 +216,7 @@
 		s.miss(wait - limit)
 		return
 	}
-	held := r.memory.held(a.Chain)
+	held := s.held(r)
 	own := s.reading(a.Chain.Total - held)
 	need := Load{Prompt: a.Chain.Total - held, Running: 1, Memory: a.Chain.Total + int(expectedOutput*float64(a.Output))}
 	limit, home := s.narrow(limit, r, held, own)
@@ -216,12 +228,24 @@
 	if r.target.Place != s.board.place {
 		score += farPenalty
 	}
+	if a.scatter {
+		score += scale(scatterPenalty, fraction(mix(a.Chain.Deepest(), r.key)))
+	}
 	if s.best.Target == "" || score < s.score {
 		s.score = score
 		s.best = Choice{Target: r.target.ID, Load: need, Waiting: wait, Expect: s.start + wait + own}
 	}
 }
 
+// held returns the tokens of the prompt that an engine is known to have read.
+func (s *search) held(r *row) int {
+	held := r.memory.held(s.ask.Chain)
+	if r.target.ID == s.ask.Wanted {
+		held = max(held, s.ask.Held)
+	}
+	return held
+}
+
 // miss takes an engine that the request can't go to.
 func (s *search) miss(over time.Duration) {
 	if over = max(over, 0); s.shortest < 0 || over < s.shortest {
@@ -354,6 +378,9 @@
 	return first, second
 }
 
+// fraction maps a hash to 0 to 1.
+func fraction(hash uint64) float64 { return float64(hash) / math.MaxUint64 }
+
 func scale(d time.Duration, factor float64) time.Duration {
 	return time.Duration(float64(d) * factor)
 }
--- a/placement/congestion.go
+++ b/placement/congestion.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	gapWeight          = 0.02  // of the newest pause between events in the mean of a target
@@ -45,6 +48,13 @@
 	}
 }
 
+// Gaps takes so many pauses between the events of a stream that this host did not see.
+func (b *Board) Gaps(target string, count int, mean time.Duration) {
+	if r := b.rows[target]; r != nil && count > 0 {
+		r.gap += scale(mean-r.gap, 1-math.Pow(1-gapWeight, float64(count)))
+	}
+}
+
 // stalled returns whether all streams of a target fell silent at once. It answers
 // targets that are cut off or stand still: their streams show it before any timeout.
 // Later, new requests tell whether only old connections are silent.
--- /dev/null
+++ b/placement/owner_test.go
@@ -0,0 +1,100 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiachute/cassiachute/placement"
+	"github.com/cassiachute/cassiachute/route"
+)
+
+// FAIR for a team whose callers all sit on one host of a large fleet, with owners of engines.
+func TestTeamOnOneHostGetsItsShareOfOwnedSlots(t *testing.T) {
+	for _, c := range []struct {
+		hosts, engines, slots int
+		spread, crowd         float64 // requests a second
+		parts                 int
+	}{
+		{hosts: 64, engines: 20, slots: 24, spread: 1500, crowd: 300, parts: 400},
+		{hosts: 64, engines: 20, slots: 12, spread: 1500, crowd: 150, parts: 400},
+		{hosts: 64, engines: 20, slots: 24, spread: 3000, crowd: 200, parts: 40},
+		{hosts: 300, engines: 40, slots: 12, spread: 3000, crowd: 300, parts: 800},
+	} {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			w := newWorldOfSlots(c.hosts, c.engines, 500_000, c.slots).withOwners()
+			w.phase = 1
+			one := load{team: "spread", hosts: firstHosts(c.hosts), perS: c.spread, prompt: 500, parts: c.parts, shared: 2000, aim: tightAim}
+			crowd := one
+			crowd.team, crowd.hosts, crowd.perS = "crowd", []int{0}, c.crowd
+			w.run([]load{one, crowd}, 2*time.Second)
+			w.results = map[string]*outcome{}
+			w.run([]load{one, crowd}, 4*time.Second)
+			got, best := w.results["crowd"], w.results["spread"]
+			require.Greater(t, float64(got.served), 0.5*float64(min(got.asked, best.served)))
+		})
+	}
+}
+
+// Engines are sent no more than they have slots for, and parts that an engine keeps are read
+// again seldom, however many hosts there are.
+func TestOwnersKnowLoadsAndParts(t *testing.T) {
+	for _, hosts := range []int{6, 64, 300} {
+		t.Run(fmt.Sprintf("%d hosts", hosts), func(t *testing.T) {
+			w := newWorldOfSlots(hosts, 40, 500_000, 24).withOwners()
+			w.phase = 1
+			w.run([]load{{team: "one", hosts: firstHosts(hosts), perS: 400, prompt: 2000, parts: 200, shared: 8000, aim: tightAim}}, 8*time.Second)
+			r := w.results["one"]
+			require.Less(t, float64(w.over), float64(r.served)/200)
+			kept := r.tokens - r.reread
+			require.Greater(t, float64(kept), 3*float64(r.reread))
+		})
+	}
+}
+
+// All hosts name the same owner for an engine, one in its data centre if there is one, and
+// only the engines of a host that left get another.
+func TestOwnersAreAgreedOn(t *testing.T) {
+	table := route.NewTable(route.Table{
+		Version: 1, Routes: []route.Route{{Aim: tightAim, Shares: []route.Share{{Service: "model", Weight: 1}}}},
+		Services: []route.Service{{Name: "model", Engine: &route.Engine{Slots: 1, Memory: 1000}}},
+	})
+	var targets []route.Target
+	for n := range 60 {
+		targets = append(targets, route.Target{ID: fmt.Sprintf("engine%d", n), Service: "model", Slots: 1, Place: fmt.Sprintf("place%d", n%2)})
+	}
+	hosts := []placement.Host{{ID: 1, Place: "place0"}, {ID: 2, Place: "place1"}, {ID: 3, Place: "place0"}, {ID: 4, Place: "place1"}}
+	ownersSeenBy := func(self int, others ...int) map[string]uint64 {
+		b := placement.NewBoard(hosts[self].Place)
+		b.Configure(table)
+		b.SetTargets(targets)
+		var list []placement.Host
+		for _, n := range others {
+			list = append(list, hosts[n])
+		}
+		b.SetHosts(hosts[self], list)
+		owners := map[string]uint64{}
+		for n := range 60 {
+			a := placement.Ask{Service: "model", Chain: placement.NewChain([]placement.Part{{ID: uint64(n), Tokens: 10}, {}}, 20), Aim: tightAim}
+			stop, ok := b.Next(time.Unix(1000, 0), &a)
+			require.True(t, ok)
+			owners[stop.Target] = stop.Host
+		}
+		return owners
+	}
+	all := ownersSeenBy(0, 1, 2, 3)
+	require.Equal(t, all, ownersSeenBy(3, 0, 1, 2))
+	for target, host := range all {
+		number := 0
+		_, err := fmt.Sscanf(target, "engine%d", &number)
+		require.NoError(t, err)
+		require.Equal(t, number%2, int(host+1)%2, "owner in the data centre of the engine")
+	}
+	for target, host := range ownersSeenBy(0, 1, 3) {
+		if all[target] != 3 {
+			require.Equal(t, all[target], host)
+		}
+	}
+}
--- /dev/null
+++ b/placement/owner_world_test.go
@@ -0,0 +1,63 @@
+package placement_test
+
+import "github.com/cassiachute/cassiachute/placement"
+
+// withOwners gives each engine an owner.
+func (w *world) withOwners() *world {
+	w.owners = true
+	hosts := make([]placement.Host, len(w.boards))
+	for n := range hosts {
+		hosts[n] = placement.Host{ID: uint64(n + 1), Place: "place1"}
+	}
+	for n, b := range w.boards {
+		others := append(append([]placement.Host{}, hosts[:n]...), hosts[n+1:]...)
+		b.SetHosts(hosts[n], others)
+	}
+	return w
+}
+
+// walk asks owners about a request until one has a slot or lets it wait.
+func (w *world) walk(x *work) {
+	x.ask.Elapsed = w.now.Sub(x.arrived)
+	x.longer = w.rng.IntN(streamSteps) - streamSteps/2
+	for {
+		stop, ok := w.boards[x.host].Next(w.now, &x.ask)
+		if !ok {
+			w.result(x.load.team).refused++
+			return
+		}
+		w.stops++
+		if w.visit(x, stop) {
+			return
+		}
+	}
+}
+
+// visit asks one owner. It returns false if the owner has no slot and no place in its queue.
+func (w *world) visit(x *work, stop placement.Stop) bool {
+	x.decider = int(stop.Host) - 1
+	ask := x.ask
+	ask.Guest, ask.Wanted, ask.Anywhere, ask.Held = x.decider != x.host, stop.Target, stop.Anywhere, stop.Held
+	x.decided = &ask
+	b := w.boards[x.decider]
+	c := b.Choose(w.now, x.decided)
+	if c.Target != "" {
+		b.Sent(w.now, x.decided, &c)
+		w.boards[x.host].Kept(c.Target, x.ask.Chain)
+		w.send(x, c)
+		return true
+	}
+	x.ask.Ahead = max(x.ask.Ahead, c.Waiting)
+	if !stop.Anywhere {
+		x.ask.Hint = b.Elsewhere(w.now, x.decided)
+	}
+	if !stop.Wait {
+		return false
+	}
+	w.next++
+	if !b.Wait(w.now, w.next, x.decided) {
+		return false
+	}
+	w.waiting[x.decider][w.next] = x
+	return true
+}
--- a/placement/peer.go
+++ b/placement/peer.go
@@ -56,7 +56,7 @@
 	for service, p := range b.pools {
 		for name, u := range p.teams {
 			d := Demand{Team: name, Received: u.received.read(now), Asked: u.asked.read(now)}
-			if d.Asked < leastDemand {
+			if max(d.Asked, d.Received) < leastDemand {
 				if u.running == 0 {
 					delete(p.teams, name)
 				}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -13,6 +13,7 @@
 	maxMisses      = 8   // requests that find no target before the others are looked at less closely
 
 	servePausePerTarget = 50 * time.Microsecond // between two decisions about all that wait
+	mostUnpaced         = 16                    // targets of this host up to which nothing is waited for
 )
 
 // ticket is a request that waits for a target.
@@ -68,11 +69,11 @@
 // Serve decides again about the requests that wait for a service, in the order in which
 // their first events are due, those of teams above their share last. After some that find no
 // target, only the engines that keep the parts of the others are looked at: a crowd on one
-// host waits for many engines. With many targets it waits between two decisions, which take
-// longer then.
+// host waits for many engines. With many targets of its own it waits between two decisions,
+// which take longer then.
 func (b *Board) Serve(now time.Time, service string) []Grant {
 	p := b.pool(service)
-	if len(p.queue) == 0 || now.Sub(p.served) < time.Duration(len(p.rows))*servePausePerTarget {
+	if len(p.queue) == 0 || now.Sub(p.served) < b.servePause(p) {
 		return nil
 	}
 	p.served = now
@@ -96,6 +97,15 @@
 	return grants
 }
 
+// servePause returns the least time between two decisions about all that wait. A slot that is
+// free meanwhile goes to a request that has just come, so there is none for few targets.
+func (b *Board) servePause(p *pool) time.Duration {
+	if len(b.hosts) > 0 && len(p.owned) <= mostUnpaced {
+		return 0
+	}
+	return time.Duration(len(p.owned)) * servePausePerTarget
+}
+
 func (b *Board) grant(now time.Time, t ticket) (Grant, bool) {
 	c := b.Choose(now, t.ask)
 	if c.Target == "" {
--- a/placement/starved.go
+++ b/placement/starved.go
@@ -48,8 +48,9 @@
 // rations returns whether this host may have no more requests of a team at engines. It answers
 // teams that sit on few hosts while slots are short: a host sees the end of its own streams at
 // once and those of others late, so slots would stay with the teams that hold many. While a team
-// is starved, one above its share has its even part of the slots, and each host of it the part
-// that it has of what the team asks for. No team is kept from slots that are idle.
+// is starved, one above its share has its even part of the slots: those that this host decides
+// about, or, where owners don't answer, of all slots the part that the team asks for here. No
+// team is kept from slots that are idle.
 func (b *Board) rations(now time.Time, p *pool, a *Ask, standing Standing) bool {
 	s := &p.shares
 	if standing == Entitled || len(s.starved) == 0 {
@@ -60,8 +61,10 @@
 		return false
 	}
 	use := p.team(a.Team)
-	here := min(1, use.asked.read(now)/max(1, s.asked[a.Team]))
+	slots := float64(len(p.owned) * p.engine.Slots)
+	if a.Wanted == "" {
+		slots = float64(s.slots) * min(1, use.asked.read(now)/max(1, s.asked[a.Team]))
+	}
 	part := min(1, s.even/max(1, s.handed))
-	quota := here * part * float64(s.slots) / (1 - max(0, idle))
-	return float64(use.running) >= max(1, quota)
+	return float64(use.running) >= max(1, slots*part/(1-max(0, idle)))
 }
--- a/placement/track.go
+++ b/placement/track.go
@@ -27,19 +27,45 @@
 // returned.
 func (b *Board) First(now time.Time, a *Ask, c Choice, took time.Duration) Load {
 	r := b.rows[c.Target]
-	left := c.Load
-	left.Prompt = 0
+	left := b.Begun(c)
 	if r == nil {
 		return left
 	}
-	r.own.sub(Load{Prompt: c.Load.Prompt})
+	if !a.Guest {
+		r.begin(now)
+	}
+	b.pool(a.Service).learn(r, c.Queue, took)
+	return left
+}
+
+// FirstElsewhere takes the first event of a request that another host decided about.
+func (b *Board) FirstElsewhere(now time.Time, a *Ask, c Choice, took time.Duration) {
+	if r := b.rows[c.Target]; r != nil {
+		r.begin(now)
+		b.pool(a.Service).learn(r, c.Queue, took)
+	}
+}
+
+// begin takes the first event of a stream of this host.
+func (r *row) begin(now time.Time) {
 	r.flows++
 	r.heard = now
-	p := b.pool(a.Service)
-	expected := seconds(p.pace.Start()) + p.pace.Wait(c.Queue)
-	r.health.took(took, expected)
+}
+
+// learn compares the time to a first event with what is usual.
+func (p *pool) learn(r *row, queue int, took time.Duration) {
+	r.health.took(took, seconds(p.pace.Start())+p.pace.Wait(queue))
 	if r.health.drag() < usualDrag {
-		p.pace.Learn(c.Queue, took)
+		p.pace.Learn(queue, took)
+	}
+}
+
+// Begun takes that the first event of a request came, without the time that it took.
+func (b *Board) Begun(c Choice) Load {
+	left := c.Load
+	left.Prompt = 0
+	if r := b.rows[c.Target]; r != nil {
+		r.own.sub(Load{Prompt: c.Load.Prompt})
 	}
 	return left
 }
@@ -73,16 +99,35 @@
 	if left.Prompt > 0 && o != Withdrawn {
 		use.received.take(now, a.Cost())
 	}
+	if !a.Guest {
+		r.end(left)
+	}
+	if p := b.pool(a.Service); o == Done && p.engine == nil {
+		p.typical += scale(took-p.typical, typicalWeight)
+	}
+	r.judge(now, o)
+}
+
+// EndedElsewhere takes the end of a request that another host decided about.
+func (b *Board) EndedElsewhere(now time.Time, target string, left Load, o Outcome) {
+	if r := b.rows[target]; r != nil {
+		r.end(left)
+		r.judge(now, o)
+	}
+}
+
+// end takes the end of a request of this host that held a load at last.
+func (r *row) end(left Load) {
 	if left.Prompt == 0 && left.Running > 0 {
 		r.flows = max(0, r.flows-1)
 	}
+}
+
+// judge takes what the end of a request says of its target.
+func (r *row) judge(now time.Time, o Outcome) {
 	switch o {
 	case Done:
 		r.health.succeed()
-		p := b.pool(a.Service)
-		if p.engine == nil {
-			p.typical += scale(took-p.typical, typicalWeight)
-		}
 	case Failed:
 		r.health.fail()
 	case Silent, Unreached:
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -47,9 +47,12 @@
 	arrived time.Time
 	sent    time.Time
 	choice  placement.Choice
+	decider int            // host that decided
+	decided *placement.Ask // as that host sees the request
 	left    placement.Load
 	unread  int
 	steps   int
+	longer  int // steps that its stream runs beyond the usual ones, or less
 }
 
 // outcome sums up what became of the requests of a team.
@@ -68,6 +71,9 @@
 	slots   int           // requests that an engine runs at once
 	news    time.Duration // between the news of a host
 	forward *forwarder    // decides in place of the boards, if set
+	owners  bool          // engines have owners
+	stops   int           // owners that were asked
+	over    int           // requests sent to engines that have no slot
 	idle    int           // steps in which an engine had nothing to read while a request waited
 }
 
@@ -180,6 +186,11 @@
 	}
 	b := w.boards[x.host]
 	b.Asked(w.now, &x.ask)
+	x.decider, x.decided = x.host, &x.ask
+	if w.owners {
+		w.walk(x)
+		return
+	}
 	c := b.Choose(w.now, &x.ask)
 	if c.Target != "" {
 		b.Sent(w.now, &x.ask, &c)
@@ -199,6 +210,9 @@
 	e := w.engines[c.Target]
 	x.choice, x.sent, x.left = c, w.now, c.Load
 	x.unread = x.ask.Chain.Total
+	if len(e.queue)+len(e.runs) >= w.slots {
+		w.over++
+	}
 	part := x.ask.Chain.Deepest()
 	switch {
 	case part == 0:
@@ -237,12 +251,12 @@
 	running := e.runs[:0]
 	for _, x := range e.runs {
 		x.steps++
-		if x.steps < streamSteps {
+		if x.steps < streamSteps+x.longer {
 			running = append(running, x)
 			continue
 		}
 		if w.forward == nil {
-			w.boards[x.host].Ended(w.now, &x.ask, id, x.left, placement.Done, w.now.Sub(x.sent))
+			w.boards[x.decider].Ended(w.now, x.decided, id, x.left, placement.Done, w.now.Sub(x.sent))
 		}
 	}
 	e.runs = running
@@ -268,8 +282,11 @@
 		w.forward.first(x)
 		return
 	}
-	x.left = w.boards[x.host].First(w.now, &x.ask, x.choice, w.now.Sub(x.sent))
-	w.grant(x.host, w.boards[x.host].Serve(w.now, "model"))
+	if x.decider != x.host {
+		w.boards[x.host].FirstElsewhere(w.now, &x.ask, x.choice, w.now.Sub(x.sent))
+	}
+	x.left = w.boards[x.decider].First(w.now, x.decided, x.choice, w.now.Sub(x.sent))
+	w.grant(x.decider, w.boards[x.decider].Serve(w.now, "model"))
 }
 
 func (w *world) tick(host int) {
@@ -283,6 +300,11 @@
 	for _, g := range grants {
 		x := w.waiting[host][g.ID]
 		delete(w.waiting[host], g.ID)
+		if g.Choice.Target == "" && w.owners {
+			x.ask.Ahead = max(x.ask.Ahead, g.Choice.Waiting)
+			w.walk(x)
+			continue
+		}
 		if g.Choice.Target == "" {
 			w.result(x.load.team).refused++
 			continue
--- a/wire/message.go
+++ b/wire/message.go
@@ -33,8 +33,13 @@
 	KindNews     Kind = 18
 	KindQuery    Kind = 19
 	KindReply    Kind = 20
+	KindEnquiry  Kind = 21
+	KindVerdict  Kind = 22
+	KindProgress Kind = 23
+	KindLeases   Kind = 24
+	KindKept     Kind = 25
 
-	kindLimit = 21
+	kindLimit = 26
 )
 
 var kindNames = [kindLimit]string{
@@ -42,7 +47,8 @@
 	KindEnd: "end", KindMove: "move", KindPreempt: "preempt", KindTotals: "totals", KindPull: "pull",
 	KindResync: "resync", KindAsk: "ask", KindSnapshot: "snapshot", KindSteps: "steps",
 	KindSuspect: "suspect", KindClaim: "claim", KindClaimed: "claimed", KindNews: "news",
-	KindQuery: "query", KindReply: "reply",
+	KindQuery: "query", KindReply: "reply", KindEnquiry: "enquiry", KindVerdict: "verdict",
+	KindProgress: "progress", KindLeases: "leases", KindKept: "kept",
 }
 
 // String returns the name of the kind.
@@ -365,6 +371,11 @@
 	KindSuspect:  func() Message { return &Suspect{} },
 	KindClaim:    func() Message { return &Claim{} },
 	KindClaimed:  func() Message { return &Claimed{} },
+	KindEnquiry:  func() Message { return &Enquiry{} },
+	KindVerdict:  func() Message { return &Verdict{} },
+	KindProgress: func() Message { return &Progress{} },
+	KindLeases:   func() Message { return &Leases{} },
+	KindKept:     func() Message { return &Kept{} },
 }
 
 // blank returns an empty message of a kind, or nil if the kind is unknown.
