Other data centres get every third of the news

Ruled out: a period that is longer for all (loads within a data centre would be as old); shorter datagrams alone (a third). Change: one in three news goes to other data centres, at most 1.5 s apart; a host is silent after four of these.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -160,18 +160,35 @@
 	return list
 }
 
+// near returns the hosts of a data centre and those whose data centre is not known.
+func (c *contacts) near(place string) []netip.AddrPort {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []netip.AddrPort
+	for address, row := range c.rows {
+		if row.place == "" || row.place == place {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
 func (c *contacts) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.rows)
 }
 
-// tell sends the news of this host to all others.
+// tell sends the news of this host to the others, those of other data centres now and then.
 func (g *Gateway) tell() time.Duration {
 	hosts := g.peers.list()
 	if len(hosts) == 0 {
 		return placement.NewsPeriod(1)
 	}
+	period, farEvery := placement.NewsPeriod(len(hosts)+1), uint64(placement.FarNewsEvery(len(hosts)+1))
+	if g.number%farEvery != 0 {
+		hosts = g.peers.near(g.settings.Place)
+	}
 	defer g.record.busy.since(activityNews, time.Now())
 	g.number++
 	news := g.core.newsOut(time.Now())
@@ -186,7 +203,7 @@
 	} else {
 		g.record.peersReached()
 	}
-	return placement.NewsPeriod(len(hosts) + 1)
+	return period
 }
 
 // newsOut returns what the core tells.
--- a/gateway/gossip_test.go
+++ b/gateway/gossip_test.go
@@ -32,3 +32,15 @@
 	require.True(t, hear(5000, 1))
 	require.False(t, hear(5000, 1))
 }
+
+// Hosts of other data centres get fewer news, and one whose data centre is not known all.
+func TestNearHostsAreThoseOfTheDataCentre(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newContacts(netip.MustParseAddrPort("10.0.0.1:1"))
+	near, far, unknown := netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.3:1"), netip.MustParseAddrPort("10.0.0.4:1")
+	c.hear(near, &wire.News{Boot: 1, Number: 1, Place: "place1"}, now)
+	c.hear(far, &wire.News{Boot: 1, Number: 1, Place: "place2"}, now)
+	c.meet(unknown, now)
+	require.ElementsMatch(t, []netip.AddrPort{near, unknown}, c.near("place1"))
+	require.ElementsMatch(t, []netip.AddrPort{near, far, unknown}, c.list())
+}
--- a/placement/peer.go
+++ b/placement/peer.go
@@ -5,8 +5,11 @@
 const (
 	leastNewsPeriod   = 50 * time.Millisecond
 	newsPeriodPerHost = 4 * time.Millisecond
+	mostFarPeriod     = 1500 * time.Millisecond // between two news to a host of another data centre, unless all news are rarer
+	farNewsEvery      = 3                       // of all news, those that other data centres get
 	leastPeerLife     = 1500 * time.Millisecond
 	peerLifePeriods   = 5
+	farLifePeriods    = 4
 )
 
 // NewsPeriod returns the time between two news of each host of a fleet. It grows
@@ -15,9 +18,17 @@
 	return max(leastNewsPeriod, time.Duration(hosts)*newsPeriodPerHost)
 }
 
+// FarNewsEvery returns which of the news of each host go to other data centres: one in so
+// many. Bytes between data centres are dear, and no decision of an owner needs them.
+func FarNewsEvery(hosts int) int {
+	return max(1, min(farNewsEvery, int(mostFarPeriod/NewsPeriod(hosts))))
+}
+
 // PeerLife returns the time after which what a host of a fleet told counts no more.
 func PeerLife(hosts int) time.Duration {
-	return max(leastPeerLife, peerLifePeriods*NewsPeriod(hosts))
+	period := NewsPeriod(hosts)
+	far := time.Duration(FarNewsEvery(hosts)) * period
+	return max(leastPeerLife, peerLifePeriods*period, farLifePeriods*far)
 }
 
 // peer is what another host told last.
--- a/placement/peer_test.go
+++ b/placement/peer_test.go
@@ -60,5 +60,8 @@
 		perSecond := float64(hosts) / NewsPeriod(hosts).Seconds()
 		require.InDelta(t, 250, perSecond, 1)
 		require.GreaterOrEqual(t, PeerLife(hosts), peerLifePeriods*NewsPeriod(hosts))
+		far := time.Duration(FarNewsEvery(hosts)) * NewsPeriod(hosts)
+		require.LessOrEqual(t, far, max(mostFarPeriod, NewsPeriod(hosts)))
+		require.GreaterOrEqual(t, PeerLife(hosts), farLifePeriods*far)
 	}
 }
