One reader of the store for 40 hosts; changes of the list add up for .2 s

Cause: four readers would answer 74 hosts each at 295, four times a second; a feed that returns at each change is called 20 times a second while 93 targets register. Change: readers grow with the fleet, eight at 295; .2 s between two feeds of the list.

--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	smallFleet = 8                       // hosts up to which each reads the store
-	fewReaders = 4                       // hosts that read the store for the others of a larger fleet
-	staleAge   = 1500 * time.Millisecond // of what a host knows, from which it counts as cut off from the store
+	smallFleet     = 8                       // hosts up to which each reads the store
+	fewReaders     = 4                       // least hosts that read the store for the others of a larger fleet
+	hostsPerReader = 40                      // hosts that one reader answers, at most
+	staleAge       = 1500 * time.Millisecond // of what a host knows, from which it counts as cut off from the store
 )
 
 // duty says how a host learns what the store tells.
@@ -61,7 +62,7 @@
 	if hosts <= smallFleet {
 		return smallFleet
 	}
-	return fewReaders
+	return max(fewReaders, (hosts+hostsPerReader-1)/hostsPerReader)
 }
 
 // rankOf orders the hosts in a way that mixes the data centres.
--- a/gateway/reader_test.go
+++ b/gateway/reader_test.go
@@ -56,7 +56,7 @@
 			replaced++
 		}
 	}
-	require.Equal(t, fewReaders, replaced)
+	require.Equal(t, readersOf(len(fleet)), replaced)
 }
 
 // Failure: nobody reaches the store. A few try often, the others seldom.
@@ -66,8 +66,8 @@
 		fleet[n].fresh = false
 	}
 	duties := count(fleet, func(int) time.Duration { return staleAge })
-	require.Equal(t, fewReaders, duties[reader])
-	require.Equal(t, 81-fewReaders, duties[cutAsker])
+	require.Equal(t, readersOf(len(fleet)), duties[reader])
+	require.Equal(t, 81-readersOf(len(fleet)), duties[cutAsker])
 }
 
 // A host that reads the store, or asks one that does, knows at every moment that its
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -19,7 +19,7 @@
 	hostsSeldom    = time.Minute // where others read the store
 	storeRetry     = 200 * time.Millisecond
 	seldomRetry    = time.Second            // of a host that does not read for others
-	leastFeedPause = 50 * time.Millisecond  // between two feeds of the list of targets, in which changes add up
+	leastFeedPause = 200 * time.Millisecond // between two feeds of the list of targets, in which changes add up
 	dutyEvery      = 100 * time.Millisecond // looks whether a host reads the store
 	storeTimeout   = time.Second
 )
