Prompts that nobody keeps look for an idle engine before they wait

Cause: after the engine that an owner named had no room either, a request waited for its home, though its parts had to be read anyway; and a hint counted as kept before any engine had read the prompt, so later requests went where nothing was. Change: two engines with room after a hint that failed; kept parts are read elsewhere only if that takes half the queue; the home's owner hears of each engine that got a prompt, also of those that a host owns itself.

--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -75,6 +75,7 @@
 	switch {
 	case s.choice.Target != "":
 		c.board.Sent(now, &x.ask, &s.choice)
+		c.tellHome(&x.ask, c.self, s.choice.Target)
 	case wait && s.choice.Reason == placement.ReasonFull:
 		s.waits = c.board.Wait(now, x.id, &x.ask)
 	}
@@ -166,7 +167,7 @@
 	case m.Target != "":
 		l.granted = true
 		c.board.Kept(m.Target, l.ask.Chain)
-		c.tellHome(l, m.Target)
+		c.tellHome(l.ask, l.host, m.Target)
 	case !m.Queued:
 		delete(c.leases, m.Number)
 	}
@@ -178,15 +179,12 @@
 
 // tellHome tells the owner of the home of a prompt's shared parts that another engine got it.
 // The caller holds the lock.
-func (c *core) tellHome(l *lease, target string) {
-	home := c.board.Home(l.ask)
-	if home.Target == "" || home.Target == target || l.ask.Hint == target {
+func (c *core) tellHome(a *placement.Ask, decider uint64, target string) {
+	home := c.board.Home(a)
+	if home.Target == "" || home.Target == target || home.Host == c.self || home.Host == decider {
 		return
 	}
-	if home.Host == c.self || home.Host == l.host {
-		return
-	}
-	c.write(home.Host, &wire.Kept{Target: target, Prompt: promptOf(l.ask.Chain)})
+	c.write(home.Host, &wire.Kept{Target: target, Prompt: promptOf(a.Chain)})
 }
 
 // choiceOf returns the choice of a verdict.
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -78,6 +78,11 @@
 // maxStops bounds the owners that are asked about one request.
 const maxStops = 7
 
+const (
+	mostSpills   = 2 // engines with room that a request asks for before it waits
+	rereadFactor = 2 // times that reading shared parts again has to be shorter than a queue
+)
+
 // Next returns the next owner to ask about a request, in the order in which engines suit it:
 // the one that keeps its shared parts, the one that its owner names instead, one with room if
 // reading the shared parts again there takes less time than the queue at the first. Then the
@@ -96,7 +101,7 @@
 	if homely && !a.asked(first) {
 		return a.stop(first, false, false), true
 	}
-	if !homely || a.waited || a.spills == 0 && p.pace.Wait(a.Chain.Shared()) < a.Ahead {
+	if !homely || a.waited || p.spillsFirst(a) {
 		if r := b.idlest(now, a); r != nil {
 			a.spills++
 			return a.stop(r, !homely && !a.waited, true), true
@@ -108,6 +113,16 @@
 	return Stop{}, false
 }
 
+// spillsFirst returns whether a request looks for an engine with room before it waits for its
+// home: another engine is known to be as good, or reading the shared parts again takes much less
+// time than the queue there.
+func (p *pool) spillsFirst(a *Ask) bool {
+	if a.Hint != "" {
+		return a.spills < mostSpills
+	}
+	return a.spills == 0 && rereadFactor*p.pace.Wait(a.Chain.Shared()) < a.Ahead
+}
+
 // idlest returns the engine that suits a request best as far as this host knows, wherever its
 // shared parts are kept, among those whose owners were not asked yet.
 func (b *Board) idlest(now time.Time, a *Ask) *row {
@@ -156,7 +171,6 @@
 	if best == nil {
 		return ""
 	}
-	best.memory.keep(a.Chain)
 	return best.target.ID
 }
 
