Plain requests spread over targets where news are old

Cause: at 295 hosts news are 1.2 s old and answers take 15 ms; all hosts sent to the target that had been idle. Ruled out: owners for plain services (two messages for an answer of 15 ms; slots are rarely all taken). Change: where news are older than four answers take, a host goes by its own requests and spreads those by a hash.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -67,7 +67,7 @@
 	x.service = serviceOf(r, &call)
 	x.limit = x.arrived.Add(r.Wait(call.Deadline))
 	x.ask = placement.Ask{
-		Service: x.service, Team: team, Output: call.Output, Aim: r.Aim, Time: r.Wait(call.Deadline),
+		Service: x.service, Team: team, Output: call.Output, Seed: xxhash.Sum64String(call.ID), Aim: r.Aim, Time: r.Wait(call.Deadline),
 		Chain: placement.NewChain(parts(call.Parts), call.Prompt),
 	}
 	ctx.Request.CopyTo(x.request)
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -9,6 +9,7 @@
 const (
 	typicalAnswer   = 30 * time.Millisecond // of a plain service, until learnt
 	typicalWeight   = 0.05
+	staleAnswers    = 4    // times that an answer takes, from which news of loads are too old to go by
 	queuePart       = 0.55 // part of the tightest aim that prompts may queue at an engine
 	slackPart       = 0.9  // part of the aim in which the first event is expected
 	leastSlackPart  = 0.15 // part of the aim that may queue ahead of any prompt
@@ -36,6 +37,7 @@
 	Team     string
 	Chain    Chain
 	Output   int           // most tokens to be generated
+	Seed     uint64        // differs from request to request
 	Aim      time.Duration // time to the first event, or the answer, that the caller wants
 	Time     time.Duration // in which the whole answer is wanted
 	Elapsed  time.Duration // since the request arrived
@@ -101,22 +103,31 @@
 }
 
 // choosePlain takes the target with the most free slots. It answers bursts on
-// services of few slots: what does not fit waits here, not in the target's queue.
+// services of few slots: what does not fit waits here, not in the target's queue. Where news
+// are older than answers take, hosts that go by them would all send to the same target: each
+// host goes by its own requests then and spreads those.
 func (b *Board) choosePlain(now time.Time, p *pool, a *Ask) Choice {
 	var best *row
 	bestScore := 0.0
 	usable := 0
+	stale := NewsPeriod(len(b.peers)+1) > scale(p.typical, staleAnswers)
 	for _, r := range p.rows {
 		if !r.usable(now, a) {
 			continue
 		}
 		usable++
-		running := r.load().Running
-		if running >= r.target.Slots {
+		load := r.load()
+		if stale {
+			load = r.own
+		}
+		if load.Running >= r.target.Slots {
 			continue
 		}
-		score := float64(running)/float64(r.target.Slots) + r.health.failures
-		if r.target.Place != b.place {
+		score := float64(load.Running)/float64(r.target.Slots) + r.health.failures
+		switch {
+		case stale:
+			score += fraction(mix(a.Seed, r.key))
+		case r.target.Place != b.place:
 			score += 1 / float64(8*r.target.Slots)
 		}
 		if best == nil || score < bestScore {
