Enquiries are checked; numbers of a restarted host are new; logs tell the owner

Cause (found on reading the change again, none seen): a request whose home this host owns got no hint; a host that started again numbered its enquiries from one, so owners that still held guests of the process before left them without an answer; an enquiry could name more tokens kept than the prompt has, or an engine of another service; an owner that did not answer left no line. Change: hints also from this host; numbers begin with the start time of the process; enquiries that are not consistent are refused (TestBadEnquiryIsRefused has the new cases); event owner-silent, field owner, counter owner_silences_total. Stop is now Referral, since a planned stop is another thing.

--- a/gateway/core.go
+++ b/gateway/core.go
@@ -11,6 +11,10 @@
 	"github.com/cassiachute/cassiachute/wire"
 )
 
+// numberBits is the width of the part of a number that counts, after the start time of the
+// process: other hosts may still hold requests of the one before.
+const numberBits = 20
+
 // poisonous is the number of crashes after which a request is refused.
 const poisonous = 3
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -45,6 +45,7 @@
 	spent     bool          // a repeat was allowed when a wait for an answer ended
 	waited    time.Duration // here, for a target
 	target    string        // last target
+	owner     string        // address of the host that gave the last slot, empty for this one
 	choice    placement.Choice
 	lastEvent string        // last event that was passed on
 	pauses    int           // between the events of the present send
@@ -179,6 +180,7 @@
 	began := time.Now()
 	defer func() { x.waited += time.Since(began) }()
 	x.ask.Restart()
+	x.owner = ""
 	var last placement.Choice
 	for {
 		x.ask.Elapsed = time.Since(x.arrived)
@@ -232,9 +234,12 @@
 		case a := <-l.answers:
 			switch {
 			case awake() > until:
-				return x.follow(core.silent(x, l))
+				return x.replaceOwner(l)
 			case !a.queued:
 				x.ask.Hint = a.hint
+				if a.choice.Target != "" {
+					x.owner = hostAddress(l.host).String()
+				}
 				return a.choice, nil
 			}
 			limit += core.patience(x)
@@ -244,7 +249,13 @@
 			core.abandon(l)
 			return placement.Choice{}, failure(statusGone, reasonCallerGone)
 		case <-timer.C:
-			return x.follow(core.silent(x, l))
+			return x.replaceOwner(l)
 		}
 	}
 }
+
+// replaceOwner decides in place of an owner that did not answer.
+func (x *exchange) replaceOwner(l *lease) (placement.Choice, *problem) {
+	x.gateway.record.silent(x, l.host)
+	return x.follow(x.gateway.core.silent(x, l))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -127,6 +127,7 @@
 	}
 	g.mesh = socket
 	g.core.self, g.core.post = peerNumber(g.settings.Peer), g.post
+	g.core.last = g.boot << numberBits
 	g.core.board.SetHosts(placement.Host{ID: g.core.self, Place: g.settings.Place}, nil)
 	g.answers, err = mesh.NewResponder(g.settings.Peer, g.reply)
 	return err
--- a/gateway/guest.go
+++ b/gateway/guest.go
@@ -96,7 +96,7 @@
 	return placement.Ask{
 		Service: m.Service, Team: m.Team, Chain: chain, Output: int(m.Output), Guest: true,
 		Aim: fromMillis(m.Aim), Time: fromMillis(m.Time), Elapsed: fromMillis(m.Elapsed),
-		Excluded: m.Excluded, Anywhere: m.Anywhere, Wanted: m.Target, Held: int(m.Held),
+		Excluded: m.Excluded, Anywhere: m.Anywhere, Wanted: m.Target, Held: min(int(m.Held), chain.Shared()),
 	}, sound
 }
 
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cassiachute/cassiachute/placement"
@@ -18,13 +19,13 @@
 	number  uint64
 	host    uint64
 	ask     *placement.Ask
-	begun   bool            // the first event came
-	granted bool            // it has a slot
-	answers chan answerItem // what the owner says
+	begun   bool             // the first event came
+	granted bool             // it has a slot
+	answers chan ownerAnswer // what the owner says
 }
 
-// answerItem is what an owner says about a request.
-type answerItem struct {
+// ownerAnswer is what an owner says about a request.
+type ownerAnswer struct {
 	choice placement.Choice
 	queued bool   // it waits there
 	hint   string // engine to ask for instead
@@ -50,7 +51,7 @@
 	}
 	stop, ok := c.board.Next(now, &x.ask)
 	switch {
-	case !ok && x.ask.Stops() == 0:
+	case !ok && x.ask.Referrals() == 0:
 		return c.decideAlone(now, x, true)
 	case !ok:
 		return step{over: true}
@@ -58,12 +59,16 @@
 	x.ask.Anywhere, x.ask.Wanted, x.ask.Held = stop.Anywhere, stop.Target, 0
 	switch {
 	case stop.Host == c.self:
-		return c.decide(now, x, stop.Wait)
+		s := c.decide(now, x, stop.Wait)
+		if s.choice.Target == "" && !s.waits && !stop.Anywhere {
+			x.ask.Hint = c.board.Elsewhere(now, &x.ask)
+		}
+		return s
 	case now.Before(c.mute[stop.Host]):
 		return c.decideAlone(now, x, stop.Wait)
 	}
 	c.last++
-	l := &lease{number: c.last, host: stop.Host, ask: &x.ask, answers: make(chan answerItem, 2)}
+	l := &lease{number: c.last, host: stop.Host, ask: &x.ask, answers: make(chan ownerAnswer, 2)}
 	c.leases[l.number] = l
 	c.write(l.host, enquiryOf(x, l.number, &stop))
 	return step{lease: l}
@@ -122,7 +127,7 @@
 }
 
 // enquiryOf returns the message that asks an owner about a request.
-func enquiryOf(x *exchange, number uint64, stop *placement.Stop) *wire.Enquiry {
+func enquiryOf(x *exchange, number uint64, stop *placement.Referral) *wire.Enquiry {
 	a := &x.ask
 	return &wire.Enquiry{
 		Number: number, Service: a.Service, Team: a.Team, Target: stop.Target, Prompt: promptOf(a.Chain),
@@ -148,7 +153,8 @@
 	for _, tokens := range p.Tokens {
 		c.Tokens = append(c.Tokens, int(tokens))
 	}
-	return c, len(c.Names) == len(c.Tokens)
+	sound := len(c.Names) == len(c.Tokens) && slices.IsSorted(c.Tokens) && c.Shared() <= c.Total
+	return c, sound
 }
 
 // verdict takes the answer of an owner. A slot that nobody waits for any more is returned.
@@ -162,7 +168,7 @@
 		}
 		return
 	}
-	a := answerItem{choice: choiceOf(m), queued: m.Queued, hint: m.Hint}
+	a := ownerAnswer{choice: choiceOf(m), queued: m.Queued, hint: m.Hint}
 	switch {
 	case m.Target != "":
 		l.granted = true
--- a/gateway/lease_test.go
+++ b/gateway/lease_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cassiachute/cassiachute/placement"
@@ -65,7 +66,7 @@
 // exchange returns a request at the asker.
 func (p *pair) exchange() *exchange {
 	x := &exchange{
-		gateway: &Gateway{core: p.asker}, service: "model", arrived: time.Now(), limit: time.Now().Add(time.Minute),
+		gateway: &Gateway{core: p.asker, record: newRecorder(zerolog.Nop(), newMetrics(), p.asker.busy)}, service: "model", arrived: time.Now(), limit: time.Now().Add(time.Minute),
 		grants: make(chan placement.Choice, 1), gone: make(chan struct{}),
 	}
 	x.ask = placement.Ask{
@@ -183,6 +184,8 @@
 	p := newPair(1)
 	for number, m := range []*wire.Enquiry{
 		{Service: "model", Target: "engine0", Prompt: wire.Prompt{Names: []uint64{1, 2}, Tokens: []uint32{5}}},
+		{Service: "model", Target: "engine0", Prompt: wire.Prompt{Names: []uint64{1}, Tokens: []uint32{5000}, Total: 10}},
+		{Service: "model", Target: "engine0", Prompt: wire.Prompt{Names: []uint64{1, 2}, Tokens: []uint32{9, 5}, Total: 10}},
 		{Service: "unknown", Target: "engine0"},
 	} {
 		m.Number = uint64(number)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -26,6 +26,7 @@
 	waited     *prometheus.HistogramVec
 	revision   prometheus.Gauge
 	peerErrors prometheus.Counter
+	silences   prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -43,8 +44,9 @@
 		waited:     histograms("wait_seconds", "Time that requests waited for a target.", "service"),
 		revision:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "configuration_revision", Help: "Version in force."}),
 		peerErrors: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "peer_errors_total", Help: "News that could not be sent."}),
+		silences:   prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "owner_silences_total", Help: "Requests whose owner did not answer."}),
 	}
-	m.registry.MustRegister(m.requests, m.teams, m.refusals, m.attempts, m.store, m.took, m.first, m.gap, m.waited, m.revision, m.peerErrors)
+	m.registry.MustRegister(m.requests, m.teams, m.refusals, m.attempts, m.store, m.took, m.first, m.gap, m.waited, m.revision, m.peerErrors, m.silences)
 	return m
 }
 
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -39,6 +39,7 @@
 	eventOverload   = "host-overloaded"
 	eventRelief     = "host-relieved"
 	eventUsage      = "usage"
+	eventSilent     = "owner-silent"
 )
 
 // recorder writes the log and counts.
@@ -82,7 +83,7 @@
 	}
 	return event.Str("event", eventAnswered).Str("request", x.call.ID).Stringer("caller", x.caller.RemoteAddr()).Str("team", x.team).
 		Str("route", x.route.Name).Str("service", x.service).Str("target", x.target).
-		Int("sends", x.sends).Int("owners", x.ask.Stops()).Int("prompt", x.ask.Chain.Total).
+		Int("sends", x.sends).Str("owner", x.owner).Int("owners", x.ask.Referrals()).Int("prompt", x.ask.Chain.Total).
 		Hex("part", binary.BigEndian.AppendUint64(nil, x.ask.Chain.Deepest())).Int("shared", x.ask.Chain.Shared()).
 		Int("unread", x.choice.Load.Prompt).Int("queue", x.choice.Queue).Float64("expected", milliseconds(x.choice.Expect)).
 		Float64("limit", milliseconds(x.choice.Limit)).Float64("ahead", milliseconds(x.choice.Waiting)).
@@ -131,6 +132,13 @@
 		Str("last", x.lastEvent).Err(err).Send()
 }
 
+// silent notes an owner that did not answer, so that this host decides in its place.
+func (r *recorder) silent(x *exchange, host uint64) {
+	r.metrics.silences.Inc()
+	r.log.Warn().Str("event", eventSilent).Str("request", x.call.ID).Stringer("peer", hostAddress(host)).
+		Float64("mute", milliseconds(muteTime)).Send()
+}
+
 // resumed notes a stream that goes on at another target.
 func (r *recorder) resumed(x *exchange) {
 	r.log.Info().Str("event", eventResumed).Str("request", x.call.ID).Str("target", x.target).
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -49,10 +49,10 @@
 	Hint     string        // engine that an owner named in place of its own
 	Held     int           // tokens that the host of the caller knows the wanted engine to have read
 
-	homes  homes
-	stops  []asking // owners that were asked
-	waited bool     // at one of them
-	spills int      // engines with room that were asked for
+	homes     homes
+	referrals []string // engines whose owners were asked
+	waited    bool     // at one of them
+	spills    int      // engines with room that were asked for
 
 	scatter bool // hosts that know the same choose different engines for different prompts
 }
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -66,8 +66,8 @@
 	return p != nil && p.engine != nil
 }
 
-// Stop is a step on the way of a request to an engine: the owner of an engine is asked.
-type Stop struct {
+// Referral is a step on the way of a request to an engine: the owner of an engine is asked.
+type Referral struct {
 	Host     uint64 // that decides
 	Target   string // engine that is wanted
 	Held     int    // tokens of the prompt that this host knows the engine to have read
@@ -75,8 +75,8 @@
 	Anywhere bool   // engines that have to read the shared parts count as well
 }
 
-// maxStops bounds the owners that are asked about one request.
-const maxStops = 7
+// maxReferrals bounds the owners that are asked about one request.
+const maxReferrals = 7
 
 const (
 	mostSpills   = 2 // engines with room that a request asks for before it waits
@@ -88,29 +88,29 @@
 // reading the shared parts again there takes less time than the queue at the first. Then the
 // request waits for the first, and in the end any engine with room will do. It returns false
 // if there is nobody left to ask.
-func (b *Board) Next(now time.Time, a *Ask) (Stop, bool) {
+func (b *Board) Next(now time.Time, a *Ask) (Referral, bool) {
 	p := b.pool(a.Service)
-	if len(a.stops) >= maxStops {
-		return Stop{}, false
+	if len(a.referrals) >= maxReferrals {
+		return Referral{}, false
 	}
 	if r := b.rows[a.Hint]; r != nil && r.usable(now, a) && !a.asked(r) {
-		return a.stop(r, false, true), true
+		return a.refer(r, false, true), true
 	}
 	first, _ := p.homes(a)
 	homely := first != nil && first.usable(now, a)
 	if homely && !a.asked(first) {
-		return a.stop(first, false, false), true
+		return a.refer(first, false, false), true
 	}
 	if !homely || a.waited || p.spillsFirst(a) {
 		if r := b.idlest(now, a); r != nil {
 			a.spills++
-			return a.stop(r, !homely && !a.waited, true), true
+			return a.refer(r, !homely && !a.waited, true), true
 		}
 	}
 	if homely && !a.waited {
-		return a.stop(first, true, false), true
+		return a.refer(first, true, false), true
 	}
-	return Stop{}, false
+	return Referral{}, false
 }
 
 // spillsFirst returns whether a request looks for an engine with room before it waits for its
@@ -128,21 +128,18 @@
 func (b *Board) idlest(now time.Time, a *Ask) *row {
 	spill := *a
 	spill.Wanted, spill.Anywhere, spill.scatter = "", true, true
-	spill.Excluded = slices.Clone(a.Excluded)
-	for _, s := range a.stops {
-		spill.Excluded = append(spill.Excluded, s.target)
-	}
+	spill.Excluded = slices.Concat(a.Excluded, a.referrals)
 	return b.rows[b.Choose(now, &spill).Target]
 }
 
 // Home returns the engine that keeps the shared parts of a request's prompt and its owner, none
 // if nothing is shared.
-func (b *Board) Home(a *Ask) Stop {
+func (b *Board) Home(a *Ask) Referral {
 	p := b.pool(a.Service)
 	if first, _ := p.homes(a); first != nil {
-		return Stop{Host: first.owner, Target: first.target.ID}
+		return Referral{Host: first.owner, Target: first.target.ID}
 	}
-	return Stop{}
+	return Referral{}
 }
 
 // Elsewhere returns another engine for a request whose home has no room now: one that keeps
@@ -184,29 +181,23 @@
 	}
 }
 
-// asking is an owner that was asked about a request.
-type asking struct {
-	target string
-	host   uint64
-}
-
 // asked returns whether the owner of an engine was asked for it.
 func (a *Ask) asked(r *row) bool {
-	return slices.ContainsFunc(a.stops, func(s asking) bool { return s.target == r.target.ID })
+	return slices.Contains(a.referrals, r.target.ID)
 }
 
-// stop notes the owner of an engine as asked.
-func (a *Ask) stop(r *row, wait, anywhere bool) Stop {
-	a.stops = append(a.stops, asking{target: r.target.ID, host: r.owner})
+// refer notes the owner of an engine as asked.
+func (a *Ask) refer(r *row, wait, anywhere bool) Referral {
+	a.referrals = append(a.referrals, r.target.ID)
 	a.waited = a.waited || wait
-	return Stop{Host: r.owner, Target: r.target.ID, Held: r.memory.held(a.Chain), Wait: wait, Anywhere: anywhere}
+	return Referral{Host: r.owner, Target: r.target.ID, Held: r.memory.held(a.Chain), Wait: wait, Anywhere: anywhere}
 }
 
-// Stops returns how many owners were asked.
-func (a *Ask) Stops() int { return len(a.stops) }
+// Referrals returns how many owners were asked.
+func (a *Ask) Referrals() int { return len(a.referrals) }
 
 // Restart forgets which owners were asked, for a request that is sent once more.
-func (a *Ask) Restart() { a.stops, a.waited, a.spills, a.Hint, a.Ahead = nil, false, 0, "", 0 }
+func (a *Ask) Restart() { a.referrals, a.waited, a.spills, a.Hint, a.Ahead = nil, false, 0, "", 0 }
 
 // candidates returns the engines that a request may go to: those that this host owns and the
 // one that is wanted, or all if none is.
@@ -215,7 +206,7 @@
 		return p.rows
 	}
 	wanted := b.rows[a.Wanted]
-	if wanted == nil || wanted.owner == b.self {
+	if wanted == nil || wanted.owner == b.self || wanted.target.Service != a.Service {
 		return p.owned
 	}
 	return append(slices.Clone(p.owned), wanted)
--- a/placement/owner_world_test.go
+++ b/placement/owner_world_test.go
@@ -26,7 +26,7 @@
 			w.result(x.load.team).refused++
 			return
 		}
-		w.stops++
+		w.asked++
 		if w.visit(x, stop) {
 			return
 		}
@@ -34,7 +34,7 @@
 }
 
 // visit asks one owner. It returns false if the owner has no slot and no place in its queue.
-func (w *world) visit(x *work, stop placement.Stop) bool {
+func (w *world) visit(x *work, stop placement.Referral) bool {
 	x.decider = int(stop.Host) - 1
 	ask := x.ask
 	ask.Guest, ask.Wanted, ask.Anywhere, ask.Held = x.decider != x.host, stop.Target, stop.Anywhere, stop.Held
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -72,7 +72,7 @@
 	news    time.Duration // between the news of a host
 	forward *forwarder    // decides in place of the boards, if set
 	owners  bool          // engines have owners
-	stops   int           // owners that were asked
+	asked   int           // owners that were asked
 	over    int           // requests sent to engines that have no slot
 	idle    int           // steps in which an engine had nothing to read while a request waited
 }
