One lost datagram mutes no owner; requests of a muted owner wait

Cause (found on reading): an owner was muted for half a second after one enquiry without an answer, which one lost datagram is enough for; and a request whose owner was muted was refused at once, since its first enquiry does not wait. Change: two silences in a row; a request that this host decides alone waits as it did before there were owners.

--- a/gateway/core.go
+++ b/gateway/core.go
@@ -36,15 +36,16 @@
 	busy       *busy
 	hosts      int // most hosts of the fleet that were heard of at once
 
-	self    uint64 // number of this host
-	post    func(to uint64, m wire.Message)
-	outbox  []letter
-	leases  map[uint64]*lease    // asked of or held at other hosts, by number
-	guests  map[guestKey]*guest  // requests of other hosts
-	tickets map[uint64]guestKey  // guests that wait here, by their number in the queue
-	mute    map[uint64]time.Time // hosts that are not asked until then
-	owners  []placement.Host     // other hosts that own engines
-	elected time.Time            // when they were taken
+	self     uint64 // number of this host
+	post     func(to uint64, m wire.Message)
+	outbox   []letter
+	leases   map[uint64]*lease    // asked of or held at other hosts, by number
+	guests   map[guestKey]*guest  // requests of other hosts
+	tickets  map[uint64]guestKey  // guests that wait here, by their number in the queue
+	mute     map[uint64]time.Time // hosts that are not asked until then
+	silences map[uint64]int       // enquiries in a row that a host did not answer
+	owners   []placement.Host     // other hosts that own engines
+	elected  time.Time            // when they were taken
 }
 
 func newCore(s Settings) *core {
@@ -63,6 +64,7 @@
 		guests:     map[guestKey]*guest{},
 		tickets:    map[uint64]guestKey{},
 		mute:       map[uint64]time.Time{},
+		silences:   map[uint64]int{},
 	}
 }
 
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -11,6 +11,7 @@
 const (
 	ownerTimeout = 50 * time.Millisecond  // in which an owner answers
 	muteTime     = 500 * time.Millisecond // for which an owner that did not answer is not asked
+	muteSilences = 2                      // enquiries in a row without an answer: one may be lost
 	leasesEvery  = 500 * time.Millisecond // between two lists of the slots that a host holds
 )
 
@@ -65,7 +66,7 @@
 		}
 		return s
 	case now.Before(c.mute[stop.Host]):
-		return c.decideAlone(now, x, stop.Wait)
+		return c.decideAlone(now, x, true)
 	}
 	c.last++
 	l := &lease{number: c.last, host: stop.Host, ask: &x.ask, answers: make(chan ownerAnswer, 2)}
@@ -101,7 +102,9 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.unlock()
-	c.mute[l.host] = now.Add(muteTime)
+	if c.silences[l.host]++; c.silences[l.host] >= muteSilences {
+		c.mute[l.host] = now.Add(muteTime)
+	}
 	c.giveUp(l)
 	return c.decideAlone(now, x, true)
 }
@@ -161,6 +164,7 @@
 func (c *core) verdict(from uint64, m *wire.Verdict) {
 	c.mu.Lock()
 	defer c.unlock()
+	delete(c.silences, from)
 	l := c.leases[m.Number]
 	if l == nil || l.host != from || l.granted {
 		if m.Target != "" && l == nil {
