--- a/gateway/lease_test.go
+++ b/gateway/lease_test.go
@@ -200,3 +200,76 @@
 	}
 	require.Empty(t, p.owner.guests)
 }
+
+// A host that was started again is given slots, though owners still hold those of the process
+// before for a time.
+func TestRestartedHostIsAnswered(t *testing.T) {
+	p := newPair(2)
+	before := p.exchange()
+	first, _ := before.place()
+	require.NotZero(t, first.Lease)
+
+	again := newPair(1).asker
+	again.self, again.post = askerNumber, p.asker.post
+	again.last = 1 << numberBits
+	p.asker = again
+	second, problem := p.exchange().place()
+	require.Nil(t, problem)
+	require.NotZero(t, second.Lease)
+	require.False(t, p.free())
+}
+
+// An owner that was started again knows none of its leases: their ends do no harm, and it gives
+// out slots at once.
+func TestRestartedOwnerForgetsLeases(t *testing.T) {
+	p := newPair(1)
+	x := p.exchange()
+	choice, _ := x.place()
+	fresh := newPair(1).owner
+	fresh.self, fresh.post = ownerNumber, p.owner.post
+	p.owner = fresh
+	require.True(t, p.free())
+	next, problem := p.exchange().place()
+	require.Nil(t, problem)
+	require.NotZero(t, next.Lease)
+	p.asker.ended(x, choice, choice.Load, placement.Done, time.Millisecond)
+	require.False(t, p.free(), "the end of an unknown lease frees nothing")
+}
+
+// Two hosts that both take themselves for the owner admit no more than each has slots for, and
+// know of each other's by news.
+func TestTwoOwnersAtOnceAreToldApartByNews(t *testing.T) {
+	p := newPair(1)
+	choice, _ := p.exchange().place()
+	require.NotEmpty(t, choice.Target)
+	other := newPair(1).owner
+	other.self = ownerNumber + 9
+	ask := p.exchange().ask
+	ask.Wanted = "engine0"
+	require.NotEmpty(t, other.board.Choose(time.Now(), &ask).Target)
+	other.learn(time.Now(), ownerNumber, p.owner.board.News(time.Now()))
+	require.Empty(t, other.board.Choose(time.Now(), &ask).Target)
+}
+
+// A request whose caller leaves while it waits at an owner leaves nothing there.
+func TestCallerThatLeftLeavesTheQueueOfTheOwner(t *testing.T) {
+	p := newPair(1)
+	_, _ = p.exchange().place()
+	waits := p.exchange()
+	ended := make(chan *problem, 1)
+	go func() {
+		_, problem := waits.place()
+		ended <- problem
+	}()
+	require.Eventually(t, func() bool {
+		p.owner.mu.Lock()
+		defer p.owner.mu.Unlock()
+		return len(p.owner.tickets) == 1
+	}, 10*time.Second, time.Millisecond)
+	waits.cancel()
+	require.NotNil(t, <-ended)
+	p.owner.mu.Lock()
+	defer p.owner.mu.Unlock()
+	require.Empty(t, p.owner.tickets)
+	require.Len(t, p.owner.guests, 1)
+}
