Red: slots stay idle on hundreds of hosts while requests are refused

In virtual time with 300 hosts .92 of the slots are taken under 1.3 times the load; nothing should be idle while work waits (bound .95). Suspected: a request waits for its home alone, and afterwards only asks engines that look free in news 1.2 s old.

--- /dev/null
+++ b/placement/idle_test.go
@@ -0,0 +1,30 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiachute/cassiachute/knownred"
+)
+
+// Load pattern: more requests than there are slots, on hundreds of hosts that hear of each
+// other's engines late. Slots are not idle while requests are refused.
+func TestOwnersLeaveNoSlotsIdle(t *testing.T) {
+	knownred.Skip(t)
+	const hosts, engines, slots = 300, 60, 12
+	w := newWorldOfSlots(hosts, engines, 2_000_000, slots).withOwners()
+	w.phase = 1
+	flood := load{team: "one", hosts: firstHosts(hosts), perS: 1.3 * engines * slots, prompt: 500, parts: 2000, shared: 300, aim: tightAim}
+	w.run([]load{flood}, 2*time.Second)
+	taken, steps := 0, 0
+	for range 40 {
+		w.run([]load{flood}, 50*time.Millisecond)
+		for _, e := range w.engines {
+			taken += len(e.runs) + len(e.queue)
+		}
+		steps++
+	}
+	require.Greater(t, float64(taken), 0.95*float64(steps*engines*slots))
+}
