A slot of a target that leaves is given back

Cause (found on reading, not seen): an owner may learn later than the host of the caller that its engine leaves, when it is cut off from the store or reads the list later; the host sent there all the same (DRAIN). Change: a verdict for a target that this host knows to leave, or does not know, returns the slot and counts as none. TestSlotOfALeavingTargetIsGivenBack failed before (engine0 was used). Names: outgoing for messages to be sent.

--- a/gateway/core.go
+++ b/gateway/core.go
@@ -38,7 +38,7 @@
 
 	self     uint64 // number of this host
 	post     func(to uint64, m wire.Message)
-	outbox   []letter
+	outbox   []outgoing
 	leases   map[uint64]*lease    // asked of or held at other hosts, by number
 	guests   map[guestKey]*guest  // requests of other hosts
 	tickets  map[uint64]guestKey  // guests that wait here, by their number in the queue
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -174,6 +174,9 @@
 	}
 	a := ownerAnswer{choice: choiceOf(m), queued: m.Queued, hint: m.Hint}
 	switch {
+	case m.Target != "" && !c.board.Serves(m.Target):
+		a.choice = placement.Choice{Reason: placement.ReasonMissing, After: staleRetry}
+		c.giveUp(l)
 	case m.Target != "":
 		l.granted = true
 		c.board.Kept(m.Target, l.ask.Chain)
--- a/gateway/lease_test.go
+++ b/gateway/lease_test.go
@@ -273,3 +273,19 @@
 	require.Empty(t, p.owner.tickets)
 	require.Len(t, p.owner.guests, 1)
 }
+
+// DRAIN through an owner that has not heard yet that its engine leaves: a host that has does not
+// use the slot.
+func TestSlotOfALeavingTargetIsGivenBack(t *testing.T) {
+	p := newPair(1)
+	x := p.exchange()
+	stop, ok := p.asker.board.Next(time.Now(), &x.ask)
+	require.True(t, ok)
+	l := &lease{number: 77, host: ownerNumber, ask: &x.ask, answers: make(chan ownerAnswer, 2)}
+	p.asker.leases[l.number] = l
+	p.asker.board.SetTargets([]route.Target{{ID: "engine0", Service: "model", Slots: 1, Place: "place1", Leaving: true}})
+	p.owner.enquire(askerNumber, enquiryOf(x, l.number, &stop))
+	require.Empty(t, (<-l.answers).choice.Target)
+	require.Empty(t, p.asker.leases)
+	require.Empty(t, p.owner.guests)
+}
--- a/gateway/outbox.go
+++ b/gateway/outbox.go
@@ -6,23 +6,23 @@
 	"github.com/cassiachute/cassiachute/wire"
 )
 
-// letter is a message to another host.
-type letter struct {
+// outgoing is a message to another host.
+type outgoing struct {
 	to      uint64 // number of the host
 	message wire.Message
 }
 
 // write adds a message that is sent when the lock is given back. The caller holds the lock.
 func (c *core) write(to uint64, m wire.Message) {
-	c.outbox = append(c.outbox, letter{to: to, message: m})
+	c.outbox = append(c.outbox, outgoing{to: to, message: m})
 }
 
 // unlock gives the lock back and sends what was decided for other hosts.
 func (c *core) unlock() {
-	letters := c.outbox
+	pending := c.outbox
 	c.outbox = nil
 	c.mu.Unlock()
-	for _, l := range letters {
+	for _, l := range pending {
 		c.post(l.to, l.message)
 	}
 }
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -97,17 +97,17 @@
 		return a.refer(r, false, true), true
 	}
 	first, _ := p.homes(a)
-	homely := first != nil && first.usable(now, a)
-	if homely && !a.asked(first) {
+	homeUsable := first != nil && first.usable(now, a)
+	if homeUsable && !a.asked(first) {
 		return a.refer(first, false, false), true
 	}
-	if !homely || a.waited || p.spillsFirst(a) {
+	if !homeUsable || a.waited || p.spillsFirst(a) {
 		if r := b.idlest(now, a); r != nil {
 			a.spills++
-			return a.refer(r, !homely && !a.waited, true), true
+			return a.refer(r, !homeUsable && !a.waited, true), true
 		}
 	}
-	if homely && !a.waited {
+	if homeUsable && !a.waited {
 		return a.refer(first, true, false), true
 	}
 	return Referral{}, false
@@ -132,6 +132,12 @@
 	return b.rows[b.Choose(now, &spill).Target]
 }
 
+// Serves returns whether a target is listed and not leaving.
+func (b *Board) Serves(target string) bool {
+	r := b.rows[target]
+	return r != nil && !r.target.Leaving
+}
+
 // Home returns the engine that keeps the shared parts of a request's prompt and its owner, none
 // if nothing is shared.
 func (b *Board) Home(a *Ask) Referral {
