The end of an outage of the store is seen at once

Hosts that the store turns away keep entries that are missing for 2.5 s after its return. Cause: a feed that waits .7 s tells only at its end that the store is back; the list was read at once before, so the 2.5 s began .7 to 1.4 s earlier. Change: the first feed after a failure does not wait. TestListOfTargetsIsReadOnceAndFed has the new case (failed before: there was no such wait).

--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -31,6 +31,7 @@
 	version uint64                    // of the store, up to which the configuration was read
 	listed  uint64                    // the same for the list of targets, 0 if it is to be read whole
 	rows    map[string]wire.TargetRow // list of targets
+	failed  bool                      // the last read of the list failed
 	up      map[string]bool
 }
 
@@ -108,6 +109,7 @@
 	}
 	asked := awake()
 	err := w.list()
+	w.failed = err != nil
 	w.gateway.record.store("targets", err)
 	if errors.Is(err, platform.ErrExpired) {
 		w.listed = 0
@@ -136,7 +138,7 @@
 		w.apply(page)
 		return nil
 	}
-	page, err := w.client.Feed(platform.TableTargets, w.listed, w.wait())
+	page, err := w.client.Feed(platform.TableTargets, w.listed, w.listWait())
 	if err != nil {
 		return err
 	}
@@ -144,6 +146,15 @@
 	return nil
 }
 
+// listWait returns how long a feed of the list of targets waits. The first one after a failure
+// does not, since the time in which entries that lapsed may come back counts from its end.
+func (w *watcher) listWait() time.Duration {
+	if w.failed {
+		return 0
+	}
+	return w.wait()
+}
+
 // apply takes rows of the list of targets that changed.
 func (w *watcher) apply(page platform.Page) {
 	w.listed = page.Version
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -45,6 +45,9 @@
 	require.Equal(t, "b", string(w.rows["t0007"].Value))
 	require.NoError(t, w.list(), "nothing changed")
 	require.LessOrEqual(t, store.Counts().Reads, whole+3)
+	require.Positive(t, w.listWait())
+	w.failed = true
+	require.Zero(t, w.listWait(), "the end of an outage is seen at once")
 	cancel()
 	<-ended
 }
