Tidying after reading the whole change: one place for each thing

Cause: the encoding of a datagram stood twice in mesh, the message that gives a slot back twice in gateway/lease.go; which hosts own engines was decided in the file about guests; a referral was still called stop in places. Ruled out: larger moves (placement.Ask holds what a request asks and how far it came; splitting it touches what decides). No change of behaviour.

--- a/gateway/guest.go
+++ b/gateway/guest.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cassiachute/cassiachute/placement"
@@ -12,9 +11,6 @@
 // among its leases.
 const guestLife = 4 * leasesEvery
 
-// electEvery is the time between two looks which hosts own engines.
-const electEvery = 200 * time.Millisecond
-
 // guestKey names a request of another host.
 type guestKey struct {
 	host   uint64
@@ -30,26 +26,6 @@
 	confirmed time.Time        // when its host last had it on a list
 }
 
-// electionDue returns whether it is time to look again which hosts own engines, which takes
-// time in a large fleet.
-func (c *core) electionDue(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return now.Sub(c.elected) >= electEvery
-}
-
-// elect takes the other hosts that own engines.
-func (c *core) elect(now time.Time, owners []placement.Host) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.elected = now
-	if slices.Equal(owners, c.owners) {
-		return
-	}
-	c.owners = owners
-	c.board.SetHosts(placement.Host{ID: c.self, Place: c.settings.Place}, owners)
-}
-
 // enquire decides about a request of another host.
 func (c *core) enquire(from uint64, m *wire.Enquiry) {
 	now := time.Now()
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -50,28 +50,28 @@
 	if !c.board.Owned(x.service) {
 		return c.decideAlone(now, x, true)
 	}
-	stop, ok := c.board.Next(now, &x.ask)
+	referral, ok := c.board.Next(now, &x.ask)
 	switch {
 	case !ok && x.ask.Referrals() == 0:
 		return c.decideAlone(now, x, true)
 	case !ok:
 		return step{over: true}
 	}
-	x.ask.Anywhere, x.ask.Wanted, x.ask.Held = stop.Anywhere, stop.Target, 0
+	x.ask.Anywhere, x.ask.Wanted, x.ask.Held = referral.Anywhere, referral.Target, 0
 	switch {
-	case stop.Host == c.self:
-		s := c.decide(now, x, stop.Wait)
-		if s.choice.Target == "" && !s.waits && !stop.Anywhere {
+	case referral.Host == c.self:
+		s := c.decide(now, x, referral.Wait)
+		if s.choice.Target == "" && !s.waits && !referral.Anywhere {
 			x.ask.Hint = c.board.Elsewhere(now, &x.ask)
 		}
 		return s
-	case now.Before(c.mute[stop.Host]):
+	case now.Before(c.mute[referral.Host]):
 		return c.decideAlone(now, x, true)
 	}
 	c.last++
-	l := &lease{number: c.last, host: stop.Host, ask: &x.ask, answers: make(chan ownerAnswer, 2)}
+	l := &lease{number: c.last, host: referral.Host, ask: &x.ask, answers: make(chan ownerAnswer, 2)}
 	c.leases[l.number] = l
-	c.write(l.host, enquiryOf(x, l.number, &stop))
+	c.write(l.host, enquiryOf(x, l.number, &referral))
 	return step{lease: l}
 }
 
@@ -119,7 +119,13 @@
 // giveUp returns a lease to its owner. The caller holds the lock.
 func (c *core) giveUp(l *lease) {
 	delete(c.leases, l.number)
-	c.write(l.host, &wire.Progress{Number: l.number, Ended: true, Outcome: uint8(placement.Returned)})
+	c.giveBack(l.host, l.number)
+}
+
+// giveBack tells an owner that nobody uses a slot or a place in its queue. The caller holds the
+// lock.
+func (c *core) giveBack(host, number uint64) {
+	c.write(host, &wire.Progress{Number: number, Ended: true, Outcome: uint8(placement.Returned)})
 }
 
 // patience returns how long a request may wait for a target.
@@ -130,13 +136,13 @@
 }
 
 // enquiryOf returns the message that asks an owner about a request.
-func enquiryOf(x *exchange, number uint64, stop *placement.Referral) *wire.Enquiry {
+func enquiryOf(x *exchange, number uint64, referral *placement.Referral) *wire.Enquiry {
 	a := &x.ask
 	return &wire.Enquiry{
-		Number: number, Service: a.Service, Team: a.Team, Target: stop.Target, Prompt: promptOf(a.Chain),
-		Held: uint32(stop.Held), Output: uint32(a.Output),
+		Number: number, Service: a.Service, Team: a.Team, Target: referral.Target, Prompt: promptOf(a.Chain),
+		Held: uint32(referral.Held), Output: uint32(a.Output),
 		Aim: toMillis(a.Aim), Time: toMillis(a.Time), Elapsed: toMillis(a.Elapsed),
-		Wait: stop.Wait, Anywhere: stop.Anywhere, Excluded: a.Excluded,
+		Wait: referral.Wait, Anywhere: referral.Anywhere, Excluded: a.Excluded,
 	}
 }
 
@@ -168,7 +174,7 @@
 	l := c.leases[m.Number]
 	if l == nil || l.host != from || l.granted {
 		if m.Target != "" && l == nil {
-			c.write(from, &wire.Progress{Number: m.Number, Ended: true, Outcome: uint8(placement.Returned)})
+			c.giveBack(from, m.Number)
 		}
 		return
 	}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -101,13 +101,10 @@
 
 // Post sends a message to one host. It may be lost on the way.
 func (s *Socket) Post(to netip.AddrPort, m wire.Message) error {
-	body, err := wire.Encode([]wire.Message{m})
+	body, err := datagram(m)
 	if err != nil {
 		return err
 	}
-	if len(body) > maxDatagramBytes {
-		return ErrTooLarge
-	}
 	_, err = s.conn.WriteToUDPAddrPort(body, to)
 	return err
 }
@@ -115,13 +112,10 @@
 // Send sends news to hosts. A host that can't be reached is left out; the first
 // error is returned.
 func (s *Socket) Send(news *wire.News, hosts []netip.AddrPort) error {
-	body, err := wire.Encode([]wire.Message{news})
+	body, err := datagram(news)
 	if err != nil {
 		return err
 	}
-	if len(body) > maxDatagramBytes {
-		return ErrTooLarge
-	}
 	var first error
 	for _, to := range hosts {
 		if _, err := s.conn.WriteToUDPAddrPort(body, to); err != nil && first == nil {
@@ -130,3 +124,12 @@
 	}
 	return first
 }
+
+// datagram returns the bytes of a message. The error is ErrTooLarge, or that of its encoding.
+func datagram(m wire.Message) ([]byte, error) {
+	body, err := wire.Encode([]wire.Message{m})
+	if err == nil && len(body) > maxDatagramBytes {
+		err = ErrTooLarge
+	}
+	return body, err
+}
