Log batches are written in pieces that end at a line

Cause: a host that writes much hands a batch of up to 256 KB to one write; the collector of the output cuts the middle out, so lines of exactly the crowded hosts were missing, and figures that were got by counting them (two postmortems, docs/PLATFORM.md) are of a part. Ruled out: lines dropped by the bounded buffer (no lines-dropped in that log). Change: pieces of at most 3,000 bytes that end at a line; a longer line stays whole. TestLargeBatchesAreWrittenInPieces fails without the change.

--- a/logbook/logbook.go
+++ b/logbook/logbook.go
@@ -4,6 +4,7 @@
 package logbook
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -43,6 +44,7 @@
 	bufferBytes  = 256 << 10
 	reserveBytes = 64 << 10 // of the buffer, for lines above the level of information
 	flushEvery   = 200 * time.Millisecond
+	pieceBytes   = 3000 // most of one write, unless a line is longer: collectors cut what is larger than a pipe takes at once
 )
 
 // Book is a bounded buffer of log lines. It implements zerolog.LevelWriter.
@@ -134,9 +136,29 @@
 	if len(batch) == 0 {
 		return nil
 	}
-	_, err := b.out.Write(batch)
-	b.spare = batch[:0]
-	return err
+	defer func() { b.spare = batch[:0] }()
+	for rest := batch; len(rest) > 0; {
+		end := pieceEnd(rest)
+		if _, err := b.out.Write(rest[:end]); err != nil {
+			return err
+		}
+		rest = rest[end:]
+	}
+	return nil
+}
+
+// pieceEnd returns the end of the whole lines that are written at once.
+func pieceEnd(lines []byte) int {
+	if len(lines) <= pieceBytes {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:pieceBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(lines)
 }
 
 // take returns what is to be written.
--- a/logbook/logbook_test.go
+++ b/logbook/logbook_test.go
@@ -91,3 +91,35 @@
 	require.Len(t, book.Dropped(), 65)
 	require.NotZero(t, book.Dropped()["other"])
 }
+
+// pieces keeps what is written at once.
+type pieces struct{ sizes []int }
+
+func (p *pieces) Write(b []byte) (int, error) {
+	if b[len(b)-1] != '\n' {
+		return 0, io.ErrShortWrite
+	}
+	p.sizes = append(p.sizes, len(b))
+	return len(b), nil
+}
+
+// Collectors of the output cut large writes: a batch is written in pieces that end at a line.
+func TestLargeBatchesAreWrittenInPieces(t *testing.T) {
+	var out pieces
+	book := logbook.NewBook(&out)
+	for n := range 100 {
+		_, err := fmt.Fprintf(book, "{\"text\":%q}\n", strings.Repeat("x", 17*n))
+		require.NoError(t, err)
+	}
+	_, err := fmt.Fprintf(book, "{\"text\":%q}\n", strings.Repeat("x", 5000))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.NoError(t, <-book.Run(ctx))
+	longest := out.sizes[len(out.sizes)-1]
+	require.Greater(t, longest, 5000, "a long line stays whole")
+	require.Less(t, longest, 6000)
+	for _, size := range out.sizes[:len(out.sizes)-1] {
+		require.LessOrEqual(t, size, 3000)
+	}
+}
