Log lines name the tokens that a request asks for

Cause: a refused line names no prompt, so what a team asked can't be added up from the log of a crowded host, where most requests are refused before a target is looked for; answered lines lack the tokens to be generated, which shares count. Conclusion: the margin of shares can be worked out from logs alone.

--- a/gateway/record.go
+++ b/gateway/record.go
@@ -87,7 +87,7 @@
 	}
 	return event.Str("event", eventAnswered).Str("request", x.call.ID).Stringer("caller", x.caller.RemoteAddr()).Str("team", x.team).
 		Str("route", x.route.Name).Str("service", x.service).Str("target", x.target).
-		Int("sends", x.sends).Str("owner", x.owner).Int("owners", x.ask.Referrals()).Int("prompt", x.ask.Chain.Total).
+		Int("sends", x.sends).Str("owner", x.owner).Int("owners", x.ask.Referrals()).Int("prompt", x.ask.Chain.Total).Int("output", x.ask.Output).
 		Hex("part", binary.BigEndian.AppendUint64(nil, x.ask.Chain.Deepest())).Int("shared", x.ask.Chain.Shared()).
 		Int("unread", x.choice.Load.Prompt).Int("queue", x.choice.Queue).Float64("expected", milliseconds(x.choice.Expect)).
 		Float64("limit", milliseconds(x.choice.Limit)).Float64("ahead", milliseconds(x.choice.Waiting)).
@@ -117,7 +117,7 @@
 	defer r.busy.since(activityLog, time.Now())
 	r.metrics.refusals.WithLabelValues(p.reason).Inc()
 	r.log.Warn().Str("event", eventRefused).Str("request", call.ID).Stringer("caller", caller).Str("team", team).
-		Bytes("path", head.RequestURI()).Int("status", p.status).Str("reason", p.reason).
+		Bytes("path", head.RequestURI()).Int("prompt", call.Prompt).Int("output", call.Output).Int("status", p.status).Str("reason", p.reason).
 		Float64("age", milliseconds(p.age)).Float64("retry", milliseconds(p.retry)).Send()
 }
 
