A team's share is kept on arrival: what is over its max-min share looks for no target

Cause: nothing kept a team's share before work was done for it. The share of what is promised ranks everybody alike once engines die or the promise is above what they give. Ruled out: that all count as entitled on the grown sites (entitled is a third of even there); the processor of the crowded host in most windows (lag 1 to 3 ms); host and owners differ in belief. Change: while engines are full, of a team over the level only the part that the level is of what it asks is admitted, the same part at every host and moment; the rest is refused on arrival, with the time in which the share has room. Refused requests count as asked for. A team that asks for less than the level is entitled; the promise counts no more than the level. Lateness is looked at after the quota. Conclusion: the share is kept by one figure on arrival.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -45,12 +45,13 @@
 	g.inFlight.Add(-1)
 }
 
-// admit finds the route and the team of a request that this host has time for.
+// admit finds the route and the team of a request that its team has a share for and this host
+// has time for.
 func (g *Gateway) admit(head *fasthttp.RequestHeader, call *platform.Call) (*route.Route, string, *problem) {
 	age := g.core.age()
 	r, team, p := g.identify(head, call, age)
-	if p == nil && g.core.overloaded(time.Now(), serviceOf(r, call), team) {
-		p = notRun(reasonOverloaded, g.core.overloadWait(time.Now()))
+	if p == nil {
+		p = g.core.admit(time.Now(), arrivalOf(r, call, team))
 	}
 	if p != nil {
 		p.age = age
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -10,18 +10,14 @@
 const overloadRetry = 50 * time.Millisecond
 
 // overloadWait returns when a caller that this host refuses may be served: by another host
-// once the balancer sends its connections there, or here.
+// once the balancer sends its connections there, or here. The caller holds the lock.
 func (c *core) overloadWait(now time.Time) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	return max(overloadRetry, c.rotation.Moved(now))
 }
 
 // overloaded returns whether this host is too short of processor time to take a
-// request.
+// request. The caller holds the lock.
 func (c *core) overloaded(now time.Time, service, team string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	standing := placement.Entitled
 	if c.lag.Overloaded() {
 		standing = c.board.Standing(now, service, team)
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -29,6 +29,7 @@
 	reasonMalformed  = "malformed"
 	reasonTooLarge   = "too-large"
 	reasonOverloaded = "host-overloaded"
+	reasonQuota      = "over-quota"
 )
 
 // problem is an answer that the fleet makes itself.
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"syscall"
 	"time"
 
@@ -23,10 +24,19 @@
 		a.Dict(zerolog.Dict().Str("team", s.Team).Str("service", s.Service).
 			Float64("here", s.Here).Float64("asked", s.Asked).Float64("received", s.Received).
 			Float64("entitled", s.Entitled).Float64("even", s.Even).Stringer("standing", s.Standing).
-			Int("running", s.Running).Bool("starved", s.Starved).Float64("taken", s.Taken))
+			Int("running", s.Running).Bool("starved", s.Starved).Float64("taken", s.Taken).
+			Float64("fullness", s.Fullness).Float64("quota", finite(s.Quota)))
 	}
 }
 
+// finite returns a quota for the log, 0 if there is none.
+func finite(quota float64) float64 {
+	if math.IsInf(quota, 1) {
+		return 0
+	}
+	return quota
+}
+
 // usage notes what the host spends, if it served since the last time.
 func (g *Gateway) usage() time.Duration {
 	if served := g.served.Swap(0); served > 0 {
--- a/placement/owner_world_test.go
+++ b/placement/owner_world_test.go
@@ -23,7 +23,7 @@
 	for {
 		stop, ok := w.boards[x.host].Next(w.now, &x.ask)
 		if !ok {
-			w.result(x.load.team).refused++
+			w.refuse(x)
 			return
 		}
 		w.asked++
--- a/placement/team.go
+++ b/placement/team.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -46,6 +47,8 @@
 	starved  map[string]bool // teams that received far less than they asked for and others got
 	taken    float64         // part of the slots that are taken
 	slots    int             // of all engines
+	fullness float64         // part of what engines take that they hold
+	quota    float64         // most that a team may receive, infinite while engines have room
 }
 
 // shares returns the present shares of a service over the whole fleet.
@@ -67,6 +70,9 @@
 	if p.engine != nil {
 		s.starved = starved(demands, s.even)
 		s.taken, s.slots = p.occupancy(now)
+		s.fullness = p.fullness(now)
+		s.quota = quotaOf(demands, s.handed, s.fullness)
+		s.entitled = min(s.entitled, s.quota/quotaHeadroom) // engines may be fewer than what is promised counts
 	}
 	p.shares = s
 	return &p.shares
@@ -119,6 +125,8 @@
 	switch {
 	case received <= s.entitled:
 		return Entitled, s.entitled / max(1, received)
+	case !math.IsInf(s.quota, 1) && s.asked[team] <= s.even:
+		return Entitled, s.even / max(1, received)
 	case s.starved[team]:
 		return Entitled, starvedRatio
 	}
@@ -145,6 +153,8 @@
 	Running  int     // requests of this host at engines
 	Starved  bool    // it received far less than it asked for and others got
 	Taken    float64 // part of the slots of the service that are taken
+	Fullness float64 // part of what engines take that they hold
+	Quota    float64 // most that the team may receive, infinite while engines have room
 }
 
 // TopShares returns the shares of the teams that asked this host for the most.
@@ -161,6 +171,7 @@
 				Service: service, Team: name, Here: u.asked.read(now), Asked: s.asked[name], Received: s.received[name],
 				Entitled: s.entitled, Even: s.even, Standing: standing,
 				Running: u.running, Starved: s.starved[name], Taken: s.taken,
+				Fullness: s.fullness, Quota: s.quota,
 			})
 		}
 	}
--- a/placement/track.go
+++ b/placement/track.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Asked takes the arrival of a request.
+// Asked takes the arrival of a request that was admitted.
 func (b *Board) Asked(now time.Time, a *Ask) {
 	p := b.pool(a.Service)
 	p.team(a.Team).asked.add(now, a.Cost())
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -73,6 +73,7 @@
 	forward *forwarder    // decides in place of the boards, if set
 	owners  bool          // engines have owners
 	asked   int           // owners that were asked
+	quota   int           // requests refused on arrival
 	over    int           // requests sent to engines that have no slot
 	idle    int           // steps in which an engine had nothing to read while a request waited
 }
@@ -162,7 +163,7 @@
 		}
 		x := &work{load: l, host: l.hosts[w.rng.IntN(len(l.hosts))], arrived: w.now}
 		x.ask = placement.Ask{
-			Service: "model", Team: l.team, Aim: l.aim, Output: 100,
+			Service: "model", Team: l.team, Aim: l.aim, Output: 100, Seed: w.next,
 			Chain: placement.NewChain(parts, l.prompt+l.shared),
 		}
 		w.result(l.team).asked++
@@ -185,6 +186,12 @@
 		return
 	}
 	b := w.boards[x.host]
+	if ok, _ := b.Admit(w.now, &x.ask); !ok {
+		b.Declined(w.now, &x.ask)
+		w.result(x.load.team).refused++
+		w.quota++
+		return
+	}
 	b.Asked(w.now, &x.ask)
 	x.decider, x.decided = x.host, &x.ask
 	if w.owners {
@@ -199,16 +206,24 @@
 	}
 	w.next++
 	if !b.Wait(w.now, w.next, &x.ask) {
-		w.result(x.load.team).refused++
+		w.refuse(x)
 		return
 	}
 	w.waiting[x.host][w.next] = x
 }
 
+// refuse ends a request that was admitted and found no engine.
+func (w *world) refuse(x *work) { w.result(x.load.team).refused++ }
+
 // send puts a request into the queue of its engine.
 func (w *world) send(x *work, c placement.Choice) {
 	e := w.engines[c.Target]
 	x.choice, x.sent, x.left = c, w.now, c.Load
+	if e == nil { // it died
+		w.boards[x.decider].Ended(w.now, x.decided, c.Target, x.left, placement.Unreached, 0)
+		w.refuse(x)
+		return
+	}
 	x.unread = x.ask.Chain.Total
 	if len(e.queue)+len(e.runs) >= w.slots {
 		w.over++
@@ -306,7 +321,7 @@
 			continue
 		}
 		if g.Choice.Target == "" {
-			w.result(x.load.team).refused++
+			w.refuse(x)
 			continue
 		}
 		w.send(x, g.Choice)
