A host that stood still takes no target for unreached

The limit of a new connection ran on while the host itself had no processor time, and net.Dialer tells a timeout though the connection is there. The target was suspended and, with the other one left for its silence, the caller got a 502. The second half of a limit now begins when the first was seen to end; a target that takes no connection is given up after the same time as before. The test stops a process in its dial; it failed in each run before (i/o timeout). Seen as TestEndlessBytesAreNoSignOfLife: 502 in place of 200.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"net"
 	"sync"
 	"time"
@@ -207,7 +206,7 @@
 // crashed returns whether no process answers at the target any more: it refuses
 // a connection, or something on the way accepts it and ends it at once.
 func (x *exchange) crashed() bool {
-	ctx, cancel := context.WithTimeout(x.entry.core.ctx, crashDial)
+	ctx, cancel := link.WithLimit(x.entry.core.ctx, crashDial)
 	defer cancel()
 	line, err := x.entry.pool.Get(ctx, x.target.Address, true)
 	if err != nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"time"
 
@@ -217,7 +216,7 @@
 	if !ok {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(x.gateway.ctx, x.gateway.core.allow(crashDial))
+	ctx, cancel := link.WithLimit(x.gateway.ctx, x.gateway.core.allow(crashDial))
 	defer cancel()
 	line, err := x.gateway.pool.Get(ctx, address, true)
 	if err == nil {
--- a/link/pool.go
+++ b/link/pool.go
@@ -58,10 +58,14 @@
 	if via, ok := p.routes[address]; ok {
 		address = via
 	}
-	limit := p.dial()
-	dialer := net.Dialer{Timeout: limit}
+	ctx, cancel := WithLimit(ctx, p.dial())
+	defer cancel()
+	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
+		if ended := context.Cause(ctx); ended != nil {
+			err = ended
+		}
 		return nil, fault.Mark(errors.Wrapf(err, "dial %s", address), ErrUnreached)
 	}
 	p.opened.Add(1)
