Tests of a second answer wait for it to arrive

TestExtraAnswerIsDropped wrote the answer and the second one in two writes and took it that the second had arrived before the next request was sent. When it had not, the gateway rightly left it as the answer of another request, and the test with its only target got no-target (2 of 300 runs with two processors). Three tests in its place, each of which fails without the check it is for: both in one write; the second on an idle connection, known to have arrived; the second after the next request was sent, which another target then answers.

--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -105,18 +105,56 @@
 // A second answer behind the first belongs to no request: the connection is not
 // used again.
 func TestExtraAnswerIsDropped(t *testing.T) {
-	a := newScripted(t, "a", "plain", func(a *arrival) bool {
+	w := newWorld(t, newScripted(t, "a", "plain", func(a *arrival) bool {
+		a.atOnce(func() {
+			ok(a)
+			a.answer(fasthttp.StatusOK, "extra")
+		})
+		return true
+	}))
+	for n := range 3 {
+		id := fmt.Sprintf("r%d", n)
+		require.Equal(t, "done "+id, w.do(call{path: "/lookup/x", id: id}).body)
+	}
+}
+
+// Nor is a connection used again on which a second answer came while it was idle.
+func TestExtraAnswerWhileIdleIsDropped(t *testing.T) {
+	answered, arrived := make(chan bool), make(chan bool)
+	w := newWorld(t, newScripted(t, "a", "plain", func(a *arrival) bool {
 		ok(a)
+		<-answered
 		a.answer(fasthttp.StatusOK, "extra")
+		arrived <- a.arrived()
 		return true
-	})
-	w := newWorld(t, a)
+	}))
 	for n := range 3 {
 		id := fmt.Sprintf("r%d", n)
 		require.Equal(t, "done "+id, w.do(call{path: "/lookup/x", id: id}).body)
+		answered <- true
+		require.True(t, <-arrived)
 	}
 }
 
+// A second answer that comes once the next request is sent on the connection is not passed
+// on: another target answers that request.
+func TestLateExtraAnswerIsDropped(t *testing.T) {
+	a := newScripted(t, "a", "plain", func(a *arrival) bool {
+		if a.number > 1 {
+			fmt.Fprint(a.conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: r\r\nX-Replica-Seal: s\r\nContent-Length: 5\r\n\r\nextra")
+		}
+		return ok(a)
+	})
+	w := newWorld(t, a, newScripted(t, "b", "plain", ok))
+	n := 0
+	w.until(func() bool {
+		n++
+		id := fmt.Sprintf("r%d", n)
+		require.Equal(t, "done "+id, w.do(call{path: "/lookup/x", id: id}).body)
+		return len(a.seen()) > 1
+	})
+}
+
 // A target that does not answer is left for another one.
 func TestSilentTargetIsLeft(t *testing.T) {
 	silent := func(a *arrival) bool {
--- a/gateway/scripted_test.go
+++ b/gateway/scripted_test.go
@@ -13,6 +13,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+
+	"github.com/cassiachute/cassiachute/link"
 )
 
 // arrival is a request at a scripted target.
@@ -117,3 +120,46 @@
 	_, err := conn.Read(make([]byte, 1))
 	return errors.Is(err, io.EOF)
 }
+
+// heldConn holds what is written.
+type heldConn struct {
+	net.Conn
+	held bytes.Buffer
+}
+
+// Write implements net.Conn.
+func (c *heldConn) Write(p []byte) (int, error) { return c.held.Write(p) }
+
+// atOnce passes on all that a function writes in one piece.
+func (a *arrival) atOnce(write func()) {
+	conn := a.conn
+	held := &heldConn{Conn: conn}
+	a.conn = held
+	write()
+	a.conn = conn
+	_, _ = conn.Write(held.held.Bytes())
+}
+
+// arrived waits until all that was written has arrived at the other side, or that has closed
+// the connection. It returns false if neither happens.
+func (a *arrival) arrived() bool {
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if count, err := unacknowledged(a.conn); err == nil && count == 0 || link.Gone(a.conn) {
+			return true
+		}
+	}
+	return false
+}
+
+// unacknowledged returns the number of bytes that were written on a connection and have not
+// arrived at the other side yet, as far as is known here.
+func unacknowledged(conn net.Conn) (int, error) {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	count := 0
+	var asked error
+	err = raw.Control(func(fd uintptr) { count, asked = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return count, errors.CombineErrors(err, asked)
+}
