TestEndlessBytesAreNoSignOfLife names no key's age

A process that was stopped for most of the time read the store too late to serve keys (3 s in the worlds of these tests), refused with stale-configuration as it must, and the test got 502. The test is about bytes without end: keys last a minute in its world, what it requires is unchanged, and a failure shows the reason. The age of keys keeps its own tests with 3 s.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -80,7 +80,7 @@
 	for name, script := range endless {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, newScripted(t, "a", "model", func(a *arrival) bool {
+			w := newWorldWith(t, keysLast, newScripted(t, "a", "model", func(a *arrival) bool {
 				if a.header("Last-Event-Id") == "" && a.header("X-Attempt-Id") == "r1" {
 					return script(a)
 				}
@@ -100,7 +100,7 @@
 			}))
 			r := w.do(call{path: "/stream/x", key: "key1", id: "r1", deadline: 5 * time.Second})
 			require.NoError(t, r.err)
-			require.Equal(t, fasthttp.StatusOK, r.status)
+			require.Equal(t, fasthttp.StatusOK, r.status, r.body)
 			require.Equal(t, wantEvents(3), r.body)
 		})
 	}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -74,6 +74,12 @@
 }
 
 func newWorld(t testing.TB, targets ...*scripted) *world {
+	t.Helper()
+	return newWorldWith(t, func(*gateway.Settings) {}, targets...)
+}
+
+// newWorldWith is newWorld with changed settings.
+func newWorldWith(t testing.TB, change func(s *gateway.Settings), targets ...*scripted) *world {
 	t.Helper()
 	loopback.Together(worldAddresses)
 	l, storeAddress := listen(t)
@@ -90,6 +96,7 @@
 	s := w.settings("host1", storeAddress)
 	s.Listen, s.Ready = w.address, w.ready
 	w.peer = s.Peer
+	change(&s)
 	g, err := gateway.New(s, gateway.WithLog(zerolog.New(w.logs)))
 	require.NoError(t, err)
 	serving, stop := context.WithCancel(ctx)
@@ -132,6 +139,9 @@
 	}
 }
 
+// keysLast lets keys be served however late the host reads the store.
+func keysLast(s *gateway.Settings) { s.Revoke = settings.Span{Duration: time.Minute} }
+
 // settings returns settings of a gateway that reads a store.
 func (w *world) settings(name string, store netip.AddrPort) gateway.Settings {
 	s := gateway.NewSettings()
