--- a/placement/quota.go
+++ b/placement/quota.go
@@ -7,8 +7,8 @@
 
 const (
 	quotaHeadroom    = 1.25 // of what was handed out, that teams may ask engines for while those are full
-	openPart         = 0.45 // of what engines take, up to which no team has a quota
-	fullPart         = 0.75 // of it, from which engines count as full
+	openPart         = 0.6  // of what engines take, up to which no team has a quota
+	fullPart         = 0.85 // of it, from which engines count as full
 	mostCatchUp      = 2.0  // times its quota, for a team that received less
 	leastBacklogPart = 0.5  // of the time until its share has room, after which the first refused caller returns
 )
@@ -67,7 +67,7 @@
 // Engines that do not answer count for nothing, nor do those that hold nothing: while others
 // are full, these have died or have just come.
 func (p *pool) fullness(now time.Time) float64 {
-	queue := evenPart * queuePart * p.tight.Seconds()
+	queue := entitledPart * queuePart * p.tight.Seconds()
 	held, count := 0.0, 0
 	for _, r := range p.rows {
 		if r.target.Leaving || !r.health.usable(now) || r.stalled(now) {
--- a/placement/quota_test.go
+++ b/placement/quota_test.go
@@ -58,7 +58,7 @@
 		e := w.engines[id]
 		delete(w.engines, id)
 		for _, x := range append(e.queue, e.runs...) {
-			w.boards[x.decider].Ended(w.now, x.decided, id, x.left, placement.Unreached, 0)
+			w.ended(x, id, placement.Unreached)
 		}
 	}
 }
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -52,7 +52,8 @@
 	left    placement.Load
 	unread  int
 	steps   int
-	longer  int // steps that its stream runs beyond the usual ones, or less
+	longer  int  // steps that its stream runs beyond the usual ones, or less
+	again   bool // it repeats one that was refused
 }
 
 // outcome sums up what became of the requests of a team.
@@ -76,6 +77,8 @@
 	quota   int           // requests refused on arrival
 	over    int           // requests sent to engines that have no slot
 	idle    int           // steps in which an engine had nothing to read while a request waited
+	targets []route.Target
+	callers callers // what callers do when they are refused or wait for long
 }
 
 func newWorld(hosts, engines int, rate float64) *world {
@@ -94,11 +97,10 @@
 		Routes:   []route.Route{{Aim: tightAim, Shares: []route.Share{{Service: "model", Weight: 1}}}},
 		Services: []route.Service{{Name: "model", Engine: &route.Engine{Slots: slots, Memory: 10_000_000}}},
 	})
-	var targets []route.Target
 	for n := range engines {
 		id := fmt.Sprintf("engine%d", n)
 		w.engines[id] = &engine{kept: map[uint64]bool{}}
-		targets = append(targets, route.Target{
+		w.targets = append(w.targets, route.Target{
 			ID: id, Service: "model", Slots: slots, Place: "place1",
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80),
 		})
@@ -106,7 +108,7 @@
 	for range hosts {
 		b := placement.NewBoard("place1")
 		b.Configure(table)
-		b.SetTargets(targets)
+		b.SetTargets(w.targets)
 		w.boards = append(w.boards, b)
 		w.waiting = append(w.waiting, map[uint64]*work{})
 	}
@@ -186,10 +188,11 @@
 		return
 	}
 	b := w.boards[x.host]
-	if ok, _ := b.Admit(w.now, &x.ask); !ok {
+	if ok, after := b.Admit(w.now, &x.ask); !ok {
 		b.Declined(w.now, &x.ask)
 		w.result(x.load.team).refused++
 		w.quota++
+		w.callers.refused(w.now, x, after)
 		return
 	}
 	b.Asked(w.now, &x.ask)
@@ -213,14 +216,17 @@
 }
 
 // refuse ends a request that was admitted and found no engine.
-func (w *world) refuse(x *work) { w.result(x.load.team).refused++ }
+func (w *world) refuse(x *work) {
+	w.result(x.load.team).refused++
+	w.callers.refused(w.now, x, leastPause)
+}
 
 // send puts a request into the queue of its engine.
 func (w *world) send(x *work, c placement.Choice) {
 	e := w.engines[c.Target]
 	x.choice, x.sent, x.left = c, w.now, c.Load
 	if e == nil { // it died
-		w.boards[x.decider].Ended(w.now, x.decided, c.Target, x.left, placement.Unreached, 0)
+		w.ended(x, c.Target, placement.Unreached)
 		w.refuse(x)
 		return
 	}
@@ -271,12 +277,20 @@
 			continue
 		}
 		if w.forward == nil {
-			w.boards[x.decider].Ended(w.now, x.decided, id, x.left, placement.Done, w.now.Sub(x.sent))
+			w.ended(x, id, placement.Done)
 		}
 	}
 	e.runs = running
 }
 
+// ended tells the host that decided about a request and the one of the caller that it ended.
+func (w *world) ended(x *work, target string, o placement.Outcome) {
+	w.boards[x.decider].Ended(w.now, x.decided, target, x.left, o, w.now.Sub(x.sent))
+	if x.decider != x.host {
+		w.boards[x.host].EndedElsewhere(w.now, target, x.left, o)
+	}
+}
+
 func (w *world) anyWaits() bool {
 	for _, waiting := range w.waiting {
 		if len(waiting) > 0 {
