--- a/placement/past.go
+++ b/placement/past.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -37,6 +38,10 @@
 			counted[d.Team] = even
 		}
 	}
+	maps.DeleteFunc(p.pasts, func(team string, _ past) bool {
+		_, heard := counted[team]
+		return !heard
+	})
 	return counted
 }
 
