--- a/placement/quota.go
+++ b/placement/quota.go
@@ -6,11 +6,12 @@
 )
 
 const (
-	quotaHeadroom    = 1.25 // of what was handed out, that teams may ask engines for while those are full
-	openPart         = 0.6  // of what engines take, up to which no team has a quota
-	fullPart         = 0.85 // of it, from which engines count as full
-	mostCatchUp      = 2.0  // times its quota, for a team that received less
-	leastBacklogPart = 0.5  // of the time until its share has room, after which the first refused caller returns
+	quotaHeadroom    = 1.25  // of what was handed out, that teams may ask engines for while those are full
+	openPart         = 0.6   // of what engines take, up to which no team has a quota
+	fullPart         = 0.85  // of it, from which engines count as full
+	mostCatchUp      = 2.0   // times its quota, for a team that received less
+	leastBacklogPart = 0.5   // of the time until its share has room, after which the first refused caller returns
+	minQueue         = 0.001 // seconds, where no route names an aim
 )
 
 // Admit decides on arrival whether a request may look for a target. It answers floods: while
@@ -84,6 +85,3 @@
 	}
 	return held / float64(max(1, count))
 }
-
-// minQueue keeps fullness finite where no route names an aim, in seconds.
-const minQueue = 0.001
--- a/placement/team.go
+++ b/placement/team.go
@@ -127,17 +127,21 @@
 
 // standing compares what a team received of late with its share. It also returns
 // the share over what the team received: the promised one for an entitled team, the
-// even one for others. A team that is starved counts as entitled.
+// even one for others. A team that is starved counts as entitled, and so does one that asks for no
+// more than an even part while teams have quotas.
 func (b *Board) standing(now time.Time, service, team string) (Standing, float64) {
 	s := b.shares(now, service, b.pool(service))
-	return s.standing(team, ranking{received: s.received, starved: s.starved})
+	return s.standing(team, s.plain())
 }
 
+// plain returns the ranking by all that was received, for hosts that decide in place of an owner.
+func (s *shares) plain() ranking { return ranking{received: s.received, starved: s.starved} }
+
 // rank returns the standing of the team of a request, and the ratio, for the decision about it.
 func (b *Board) rank(now time.Time, a *Ask) (Standing, float64) {
 	s := b.shares(now, a.Service, b.pool(a.Service))
 	if a.Wanted == "" {
-		return s.standing(a.Team, ranking{received: s.received, starved: s.starved})
+		return s.standing(a.Team, s.plain())
 	}
 	return s.standing(a.Team, s.owners)
 }
