A process that stops ends its calls to the store and its queries of hosts

What was seen: a gateway outlived its grace and was killed, an idle one too; its log had no 'stopped', and what was in flight was cut at any byte. Cause: Run waits for each of its loops, and feeds of the store (up to 1.7 s), other calls (1 s) and queries of hosts (.4 s and more on a late host) did not end with the context. Change: a client of the platform can be closed, which ends its calls; mesh.Ask ends with its context; what fails as the host ends is not noted as a loss of the store. Ruled out: a shorter timeout of the store's calls, as feeds wait for changes on purpose.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,6 +178,7 @@
 	case err = <-served:
 	}
 	cancel()
+	g.client.Close()
 	for _, end := range ends {
 		<-end
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -61,6 +61,9 @@
 		q.Revision = table.Version
 	}
 	v, err := mesh.Ask(g.ctx, peer, q, g.core.allow(mesh.QueryTimeout))
+	if g.ctx.Err() != nil {
+		return false // the query ended with this host
+	}
 	g.record.asked(peer, err)
 	if err != nil || v.Revision == 0 {
 		return false
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -69,10 +69,10 @@
 		if lostTrack(err) {
 			w.version = 0
 		}
-		w.gateway.record.store("configuration", err)
+		w.note("configuration", err)
 		return retryOf(d)
 	}
-	w.gateway.record.store("configuration", nil)
+	w.note("configuration", nil)
 	for _, row := range page.Rows {
 		if row.Key == platform.KeyConfig && !row.Removed {
 			w.gateway.takeConfig(row.Value)
@@ -94,6 +94,15 @@
 	return w.client.Feed(platform.TableOperator, w.version, w.wait())
 }
 
+// note takes the result of a read of the store. One that failed as the host ended says nothing of the
+// store.
+func (w *watcher) note(part string, err error) {
+	if err != nil && w.gateway.ctx.Err() != nil {
+		return
+	}
+	w.gateway.record.store(part, err)
+}
+
 // wait returns how long a feed waits.
 func (w *watcher) wait() time.Duration {
 	if w.gateway.peers.count() >= smallFleet {
@@ -112,7 +121,7 @@
 	asked := awake()
 	err := w.list()
 	w.failed = err != nil
-	w.gateway.record.store("targets", err)
+	w.note("targets", err)
 	if errors.Is(err, platform.ErrExpired) {
 		return retryOf(d)
 	}
@@ -191,14 +200,14 @@
 func (w *watcher) hosts() time.Duration {
 	if !w.up["hosts"] {
 		err := w.client.PutHost(platform.Host{Address: w.gateway.settings.Peer, Place: w.gateway.settings.Place})
-		w.gateway.record.store("hosts", err)
+		w.note("hosts", err)
 		if err != nil {
 			return storeRetry
 		}
 		w.up["hosts"] = true
 	}
 	list, err := w.client.Hosts()
-	w.gateway.record.store("hosts", err)
+	w.note("hosts", err)
 	if err != nil {
 		return storeRetry
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -61,3 +62,26 @@
 	cancel()
 	<-done
 }
+
+// A host that ended waited for the answer to its query until its time was over.
+func TestQueryEndsWithItsContext(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer silent.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		_, err := mesh.Ask(ctx, silent.Addr().(*net.TCPAddr).AddrPort(), &wire.Query{}, time.Minute)
+		done <- err
+	}()
+	conn, err := silent.Accept()
+	require.NoError(t, err)
+	defer conn.Close()
+	cancel()
+	select {
+	case err := <-done:
+		require.ErrorIs(t, err, mesh.ErrAnswer)
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "the query goes on")
+	}
+}
--- a/mesh/query.go
+++ b/mesh/query.go
@@ -66,8 +66,8 @@
 	_ = wire.WriteMessage(conn, r.answer(q)) // the asker turns to another host
 }
 
-// Ask sends a query to a host and returns its answer, which has to come within a time.
-// The error is ErrAnswer.
+// Ask sends a query to a host and returns its answer, which has to come within a time and before
+// the context ends. The error is ErrAnswer.
 func Ask(ctx context.Context, host netip.AddrPort, q *wire.Query, limit time.Duration) (*wire.Reply, error) {
 	end := time.Now().Add(limit)
 	ctx, cancel := context.WithDeadline(ctx, end)
@@ -81,6 +81,7 @@
 	if err := conn.SetDeadline(end); err != nil {
 		return nil, errors.Wrapf(ErrAnswer, "%s: %v", host, err)
 	}
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })() // fails if it is closed already
 	if err := wire.WriteMessage(conn, q); err != nil {
 		return nil, errors.Wrapf(ErrAnswer, "%s: %v", host, err)
 	}
