Work that has no end in time is ended before the grace is over

Cause: stop waited for answers until the end of the grace, and then for nothing; nobody ended what was left. Change: half a second before the end, requests are answered (504, or a refusal where no target has them), streams end after a whole event, and the process waits for these answers and for its loops for a bounded time. The grace counts by the clock that runs on while a host is suspended. 'stopped' tells the time since the signal and loops that did not end. Ruled out: cutting streams that may be resumed earlier than others, as most end by themselves. Before: TestProcessWithEndlessWorkEndsWithinItsGrace ended 2.09 s after the signal (grace 1.2 s). After: it passes, as do the tests of planned stops.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -336,7 +336,7 @@
 // error.
 func (x *exchange) again(err error) *problem {
 	if x.left() {
-		return failure(statusGone, reasonCallerGone)
+		return x.aborted()
 	}
 	if x.remaining() < leastLeft {
 		return x.timeout()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -59,7 +59,8 @@
 	paused    time.Duration // their sum
 
 	passed atomic.Int64  // when the caller last took an event, in ns since it arrived, 0 before
-	gone   chan struct{} // closed when the caller left
+	gone   chan struct{} // closed when it is ended before its answer is complete
+	why    string        // the reason of that, set before
 
 	mu       sync.Mutex
 	lines    []*link.Line // to targets that have the request
@@ -142,20 +143,23 @@
 }
 
 // cancel ends the work for a caller that left.
-func (x *exchange) cancel() {
+func (x *exchange) cancel() { x.abort(reasonCallerGone) }
+
+// abort ends the work for a reason. An answer that is not complete ends with it.
+func (x *exchange) abort(why string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.canceled {
 		return
 	}
-	x.canceled = true
+	x.canceled, x.why = true, why
 	close(x.gone)
 	for _, l := range x.lines {
 		l.Close()
 	}
 }
 
-// use makes a line one of those that cancel ends. It returns false if the caller left.
+// use makes a line one of those that abort ends. It returns false if that was before.
 func (x *exchange) use(l *link.Line) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -163,13 +167,14 @@
 	return !x.canceled
 }
 
-// drop takes a line from those that cancel ends.
+// drop takes a line from those that abort ends.
 func (x *exchange) drop(l *link.Line) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.lines = slices.DeleteFunc(x.lines, func(used *link.Line) bool { return used == l })
 }
 
+// left returns whether the caller left, or the work was ended for another reason.
 func (x *exchange) left() bool {
 	select {
 	case <-x.gone:
@@ -179,6 +184,17 @@
 	}
 }
 
+// aborted returns the answer to an exchange that was ended.
+func (x *exchange) aborted() *problem {
+	switch {
+	case x.why != reasonStopping:
+		return failure(statusGone, x.why)
+	case x.history.MayHave || x.beside != nil || x.relief != nil:
+		return failure(fasthttp.StatusGatewayTimeout, x.why)
+	}
+	return notRun(x.why, rejectedRetry)
+}
+
 // remaining returns the time that is left to answer.
 func (x *exchange) remaining() time.Duration { return time.Until(x.limit) }
 
@@ -190,7 +206,7 @@
 	}
 	switch {
 	case x.left():
-		return failure(statusGone, reasonCallerGone)
+		return x.aborted()
 	case x.remaining() < leastLeft:
 		return x.timeout()
 	case x.team != "" && g.core.age() > g.limits.Load().keyAge:
@@ -256,7 +272,7 @@
 		return choice, nil
 	case <-x.gone:
 		x.gateway.core.withdraw(x)
-		return s.choice, failure(statusGone, reasonCallerGone)
+		return s.choice, x.aborted()
 	case <-timer.C:
 		x.gateway.core.withdraw(x)
 		return s.choice, x.timeout()
@@ -289,7 +305,7 @@
 			timer.Reset(limit)
 		case <-x.gone:
 			core.abandon(l)
-			return placement.Choice{}, failure(statusGone, reasonCallerGone)
+			return placement.Choice{}, x.aborted()
 		case <-timer.C:
 			return x.replaceOwner(l)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,6 +56,7 @@
 	ctx       context.Context
 	limits    atomic.Pointer[limits]
 	stopFrom  atomic.Int64 // awake time of the signal to stop in ns, 0 before
+	stopEnd   atomic.Int64 // awake time by which the work is to be over then, in ns
 	inFlight  atomic.Int64
 	served    atomic.Int64 // requests since the last line on usage
 	addresses atomic.Pointer[map[string]netip.AddrPort]
@@ -179,10 +180,7 @@
 	}
 	cancel()
 	g.client.Close()
-	for _, end := range ends {
-		<-end
-	}
-	g.record.process(eventStopped, &g.settings)
+	g.record.stopped(&g.settings, g.stopSince(), joined(ends))
 	return err
 }
 
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -374,3 +374,19 @@
 	r.log.Info().Str("event", name).Str("place", s.Place).
 		Stringer("listen", s.Listen).Stringer("peer", s.Peer).Send()
 }
+
+// cutting notes that a host that stops ends requests, or connections with parts of them.
+func (r *recorder) cutting(inFlight int64, connections int, err error) {
+	r.log.Warn().Str("event", eventStopping).Int64("inflight", inFlight).Int("callers", connections).Err(err).Send()
+}
+
+// stopped notes the end of the process, the time since the signal to stop, and the loops that
+// did not end in time.
+func (r *recorder) stopped(s *Settings, took time.Duration, late int) {
+	event := r.log.Info()
+	if late > 0 {
+		event = r.log.Error()
+	}
+	event.Str("event", eventStopped).Str("place", s.Place).Stringer("listen", s.Listen).Stringer("peer", s.Peer).
+		Float64("took", milliseconds(took)).Int("late", late).Send()
+}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/cassiachute/cassiachute/platform"
@@ -11,7 +12,9 @@
 	stopPoll   = 20 * time.Millisecond
 	leastStop  = 3 * time.Second // for the balancer to notice a planned stop
 	settleTime = 50 * time.Millisecond
-	stopMargin = 500 * time.Millisecond // before the end of the grace, in which nothing is begun
+	stopMargin = 500 * time.Millisecond // before the end of the grace, in which nothing is begun and what is left is ended
+	cutTime    = 150 * time.Millisecond // of the margin, to answer what is ended
+	closeTime  = 150 * time.Millisecond // of the margin, for the loops of the host to end
 )
 
 func (g *Gateway) stopping() bool { return g.stopFrom.Load() != 0 }
@@ -25,47 +28,87 @@
 	return max(1, awake()-time.Duration(from))
 }
 
+// stopLeft returns the time until the work of a host that stops has to be over.
+func (g *Gateway) stopLeft() time.Duration { return time.Duration(g.stopEnd.Load()) - awake() }
+
 // stop is the planned stop: the host is not ready any more and serves on until the
-// balancer has noticed and all answers are out.
+// balancer has noticed and all answers are out. What has no end in time is ended. Times are
+// those of a clock that runs on while the host is suspended, as the grace does.
 func (g *Gateway) stop() {
-	began := time.Now()
-	g.stopFrom.Store(int64(awake()))
+	from, grace := awake(), g.limits.Load().grace
+	g.stopEnd.Store(int64(from + grace - stopMargin))
+	g.stopFrom.Store(int64(from))
 	g.record.process(eventStopping, &g.settings)
-	end := began.Add(g.limits.Load().grace - stopMargin)
-	<-time.After(min(leastStop, g.limits.Load().grace/2))
-	g.idleUntil(end)
+	least, idleFrom := from+min(leastStop, grace/2), from
+	g.stopUntil(func() bool {
+		now := awake()
+		if g.inFlight.Load() > 0 {
+			idleFrom = now
+		}
+		return now >= least && now-idleFrom >= settleTime
+	})
 	err := g.listeners[0].Close()
 	g.callers.stop()
-	g.closedUntil(end) // requests that kept connections brought meanwhile
-	if left := g.inFlight.Load(); left > 0 {
-		g.log.Warn().Str("event", eventStopping).Int64("inflight", left).Err(err).Send()
+	g.stopUntil(g.unused) // requests that kept connections brought meanwhile
+	if !g.unused() {
+		g.record.cutting(g.inFlight.Load(), g.callers.count(), err)
+		g.cut()
 	}
 }
 
-// idleUntil waits until no request was in flight for a short time, or until a time.
-func (g *Gateway) idleUntil(end time.Time) {
+// unused returns whether no connection of a caller is open, so that none brings a request that
+// is read as the process ends.
+func (g *Gateway) unused() bool { return g.callers.count() == 0 }
+
+// stopUntil waits for a condition, or until the work of this host has to be over.
+func (g *Gateway) stopUntil(condition func() bool) {
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
-	idle := time.Duration(0)
-	for idle < settleTime && time.Now().Before(end) {
+	for !condition() && g.stopLeft() > 0 {
 		<-ticker.C
-		idle += stopPoll
-		if g.inFlight.Load() > 0 {
-			idle = 0
-		}
 	}
 }
 
-// closedUntil waits until no connection of a caller is open, so that none brings a request that
-// is read as the process ends, or until a time.
-func (g *Gateway) closedUntil(end time.Time) {
+// cut ends what is not over: requests are answered, and streams end after a whole event, for a
+// caller that goes on elsewhere.
+func (g *Gateway) cut() {
+	for _, x := range g.core.active() {
+		x.abort(reasonStopping)
+	}
+	end := awake() + cutTime
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
-	for g.callers.count() > 0 && time.Now().Before(end) {
+	for !g.unused() && awake() < end {
 		<-ticker.C
 	}
 }
 
+// joined waits for the ends of loops and returns how many have not ended in time.
+func joined(ends []<-chan struct{}) int {
+	limit, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	late := 0
+	for _, end := range ends {
+		select {
+		case <-end:
+		case <-limit.Done():
+			if !isClosed(end) {
+				late++
+			}
+		}
+	}
+	return late
+}
+
+func isClosed(end <-chan struct{}) bool {
+	select {
+	case <-end:
+		return true
+	default:
+		return false
+	}
+}
+
 // outlasts returns whether a request might not be over when this process ends. Soon
 // after the signal to stop, a stream is taken if most streams of its route would be
 // over; later, only what its own time limits.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -241,7 +241,7 @@
 		return io.EOF
 	}
 	outcome := placement.Failed
-	if reason == reasonCallerGone {
+	if reason == reasonCallerGone || reason == reasonStopping {
 		outcome = placement.Withdrawn
 	}
 	f.attempt.finish(outcome)
@@ -273,7 +273,7 @@
 func (f *flow) stopped() string {
 	switch x := f.exchange; {
 	case x.left():
-		return reasonCallerGone
+		return x.why
 	case x.remaining() <= 0 && !f.done:
 		return reasonTimeout
 	}
@@ -285,7 +285,7 @@
 func (f *flow) resume(err error) string {
 	x := f.exchange
 	if x.left() {
-		return reasonCallerGone
+		return x.why
 	}
 	if x.remaining() < leastLeft {
 		return reasonTimeout
