A host that stops takes only what it can finish

What callers saw: requests that were taken in a planned stop were cut at the end of the grace. Cause, one for four forms: what is left of the grace was compared with a guess, once, on arrival. A stream was taken if twice the mean length of its route fitted (0 where none is known, so any after a start); a request that had waited for a place, and a second send, were not compared again; a reload moved what is left, but not the end of the process. Change: streams are expected to take the upper marks of their route of late (to the first event, and between events times the events announced), or all of their time if none is known; each send is compared; what waits is refused at once when it can't be over in time; the end is set by the signal, and only a shorter grace moves it. Ruled out: refusing all streams from the signal on, as most are over in time and the balancer notices only after two seconds; taking orders by their usual time, as one that is cut has run. Before (tests on the commit before): taken and answered 200 in TestStreamOfUnknownLengthIsRefusedInAPlannedStop, TestStreamThatMayBeLong..., TestOrderThatWaits..., TestReloadDoesNotMove...; after: refused, with none at the target.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -108,8 +108,30 @@
 	if x.events == 0 {
 		return false
 	}
-	last, err := strconv.ParseUint(x.lastEvent, 10, 64)
-	return err == nil && last >= x.events
+	return numberOf(x.lastEvent) >= x.events
+}
+
+// numberOf returns the number of an event, 0 if it has none.
+func numberOf(event string) uint64 {
+	number, err := strconv.ParseUint(event, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return number
+}
+
+// eventsPassed returns the events that the caller got.
+func (x *exchange) eventsPassed() uint64 {
+	first, last := numberOf(x.call.LastEvent), numberOf(x.lastEvent)
+	return last - min(first, last)
+}
+
+// eventsLeft returns the events that the caller may still get, 0 if that is not known.
+func (x *exchange) eventsLeft() uint64 {
+	if passed := numberOf(x.lastEvent); passed < x.events {
+		return x.events - passed
+	}
+	return min(1, x.events)
 }
 
 // serviceOf returns the service that a request of a route goes to.
@@ -159,6 +181,13 @@
 	}
 }
 
+// waits returns whether no target has the request and the caller got nothing yet.
+func (x *exchange) waits() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.lines) == 0 && x.passed.Load() == 0
+}
+
 // use makes a line one of those that abort ends. It returns false if that was before.
 func (x *exchange) use(l *link.Line) bool {
 	x.mu.Lock()
@@ -209,6 +238,8 @@
 		return x.aborted()
 	case x.remaining() < leastLeft:
 		return x.timeout()
+	case g.outlasts(x.route, x.eventsLeft(), x.remaining()):
+		return x.refuse(notRun(reasonStopping, rejectedRetry))
 	case x.team != "" && g.core.age() > g.limits.Load().keyAge:
 		return x.refuse(notRun(reasonStale, staleRetry))
 	case g.core.crashes(x.digest) >= poisonous:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,7 +87,7 @@
 		client:  platform.NewClient(s.Store, platform.WithTimeout(storeTimeout)),
 		peers:   newContacts(s.Peer),
 		listing: route.NewListing(s.Heartbeat.Or(defaultHeartbeat)),
-		lengths: lengths{means: map[string]time.Duration{}},
+		lengths: lengths{routes: map[string]length{}},
 		decoded: map[string]decodedTarget{},
 		boot:    uint64(time.Now().UnixMilli()),
 	}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -26,6 +26,7 @@
 		return err
 	}
 	g.limits.Store(newLimits(&s))
+	g.shortenStop()
 	g.core.reload(s)
 	return nil
 }
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cassiachute/cassiachute/platform"
 	"github.com/cassiachute/cassiachute/route"
 )
 
@@ -28,6 +27,19 @@
 	return max(1, awake()-time.Duration(from))
 }
 
+// shortenStop takes a grace that became shorter after the signal to stop. A longer one comes too
+// late for what the platform waits.
+func (g *Gateway) shortenStop() {
+	from := g.stopFrom.Load()
+	if from == 0 {
+		return
+	}
+	end := from + int64(g.limits.Load().grace-stopMargin)
+	for known := g.stopEnd.Load(); end < known && !g.stopEnd.CompareAndSwap(known, end); {
+		known = g.stopEnd.Load()
+	}
+}
+
 // stopLeft returns the time until the work of a host that stops has to be over.
 func (g *Gateway) stopLeft() time.Duration { return time.Duration(g.stopEnd.Load()) - awake() }
 
@@ -38,6 +50,7 @@
 	from, grace := awake(), g.limits.Load().grace
 	g.stopEnd.Store(int64(from + grace - stopMargin))
 	g.stopFrom.Store(int64(from))
+	g.shortenStop() // a reload may cross the signal
 	g.record.process(eventStopping, &g.settings)
 	least, idleFrom := from+min(leastStop, grace/2), from
 	g.stopUntil(func() bool {
@@ -60,12 +73,18 @@
 // is read as the process ends.
 func (g *Gateway) unused() bool { return g.callers.count() == 0 }
 
-// stopUntil waits for a condition, or until the work of this host has to be over.
+// stopUntil waits for a condition, or until the work of this host has to be over. Requests that
+// wait for a target until they can't be over in time are refused meanwhile.
 func (g *Gateway) stopUntil(condition func() bool) {
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
 	for !condition() && g.stopLeft() > 0 {
 		<-ticker.C
+		for _, x := range g.core.active() {
+			if x.waits() && g.outlasts(x.route, x.events, x.remaining()) {
+				x.abort(reasonStopping)
+			}
+		}
 	}
 }
 
@@ -109,18 +128,17 @@
 	}
 }
 
-// outlasts returns whether a request might not be over when this process ends. Soon
-// after the signal to stop, a stream is taken if most streams of its route would be
-// over; later, only what its own time limits.
-func (g *Gateway) outlasts(r *route.Route, call *platform.Call) bool {
-	since := g.stopSince()
-	if since == 0 {
+// outlasts returns whether a request that takes at most a time might not be over when the work of a
+// host that stops has to be. For a stream of at most so many events, what is known of others of its
+// route counts.
+func (g *Gateway) outlasts(r *route.Route, events uint64, limit time.Duration) bool {
+	if !g.stopping() {
 		return false
 	}
-	grace := g.limits.Load().grace
-	left := grace - stopMargin - since
-	if r.Kind == route.Stream && since < grace/4 {
-		return g.lengths.expect(r.Name) > left
+	if r.Kind == route.Stream {
+		if length, ok := g.lengths.expect(r.Name, events); ok {
+			limit = min(limit, length)
+		}
 	}
-	return r.Wait(call.Deadline) > left
+	return limit > g.stopLeft()
 }
--- a/gateway/stop_late_test.go
+++ b/gateway/stop_late_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cassiachute/cassiachute/gateway"
 	"github.com/cassiachute/cassiachute/settings"
+	"github.com/cassiachute/cassiachute/standin/loopback"
 	standin "github.com/cassiachute/cassiachute/standin/platform"
 )
 
@@ -76,3 +77,81 @@
 func streamRequest(path, id string) string {
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Key: key1\r\nX-Token-Count: 100,40\r\nContent-Length: 0\r\n\r\n", path, id)
 }
+
+// A host without any stream so far took streams of any length in a planned stop, and cut them.
+func TestStreamOfUnknownLengthIsRefusedInAPlannedStop(t *testing.T) {
+	w := newWorld(t, newScripted(t, "m", "model", func(a *arrival) bool {
+		a.begin()
+		a.events(1, 1)
+		<-time.After(3 * time.Second)
+		return false
+	}))
+	w.stop()
+	w.until(func() bool { return w.logged(`"event":"stopping"`) })
+	r := w.do(call{path: "/stream/x", key: "key1", id: "r1"})
+	require.Equal(t, fasthttp.StatusServiceUnavailable, r.status)
+	require.NotEmpty(t, r.header.Peek(fasthttp.HeaderRetryAfter))
+	require.Empty(t, w.targets[0].seen())
+}
+
+// A stream was taken if the mean of its route would be over in time; a longer one was cut.
+func TestStreamThatMayBeLongIsRefusedInAPlannedStop(t *testing.T) {
+	w := newWorld(t, newScripted(t, "m", "model", func(a *arrival) bool {
+		a.begin()
+		for n := 1; n <= 4; n++ {
+			a.events(n, n)
+			<-time.After(100 * time.Millisecond)
+		}
+		a.end()
+		return true
+	}))
+	for n := range 4 {
+		require.NoError(t, w.do(call{path: "/stream/x", key: "key1", id: fmt.Sprint("r", n)}).err)
+	}
+	w.stop()
+	w.until(func() bool { return w.logged(`"event":"stopping"`) })
+	r := w.do(call{path: "/stream/x", key: "key1", id: "long"}) // 40 events at the pace of the others take 4 s
+	require.Equal(t, fasthttp.StatusServiceUnavailable, r.status)
+	require.Len(t, w.targets[0].seen(), 4)
+}
+
+// An order that waited for a place was sent on late in the grace, and cut.
+func TestOrderThatWaitsIsRefusedLateInTheGrace(t *testing.T) {
+	hold := make(chan struct{})
+	metrics := loopback.Address()
+	w := newWorldWith(t, func(s *gateway.Settings) {
+		s.Grace, s.Metrics = settings.Span{Duration: 2 * time.Second}, metrics
+	}, newScripted(t, "a", "plain", func(a *arrival) bool {
+		<-hold
+		return ok(a)
+	}))
+	for n := range 8 {
+		conn := w.dial("")
+		ask(t, conn, "/order/x", fmt.Sprint("r", n))
+	}
+	w.until(func() bool { return len(w.targets[0].seen()) == 8 })
+	waiting := w.dial("POST /order/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: late\r\nX-Deadline-Ms: 1900\r\nContent-Length: 0\r\n\r\n")
+	w.until(func() bool {
+		_, body := w.get(metrics, "/metrics")
+		return strings.Contains(body, "cassia_gateway_in_flight_requests 9")
+	})
+	w.stop()
+	w.until(func() bool { return w.logged(`"event":"stopping"`) })
+	close(hold)
+	r := readResult(bufio.NewReader(waiting))
+	require.NoError(t, r.err)
+	require.Equal(t, fasthttp.StatusServiceUnavailable, r.status)
+	require.Len(t, w.targets[0].seen(), 8)
+}
+
+// A reload that made the grace longer after the signal to stop let requests in that were cut at its end.
+func TestReloadDoesNotMoveTheEndOfAPlannedStop(t *testing.T) {
+	w := newWorldWith(t, graceOf(1200*time.Millisecond), newScripted(t, "a", "plain", ok))
+	w.stop()
+	w.until(func() bool { return w.logged(`"event":"stopping"`) })
+	longer := w.own
+	longer.Grace = settings.Span{Duration: time.Minute}
+	require.NoError(t, w.gateway.Reload(longer))
+	require.Equal(t, fasthttp.StatusServiceUnavailable, w.do(call{path: "/order/x", id: "r1"}).status)
+	require.Empty(t, w.targets[0].seen())
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -236,7 +235,7 @@
 	if reason == "" {
 		f.attempt.finish(placement.Done)
 		x.gateway.core.clear(x.digest)
-		x.gateway.lengths.learn(x.route.Name, time.Since(x.arrived))
+		x.gateway.lengths.learn(x.route.Name, f.head, time.Since(x.arrived), x.eventsPassed())
 		x.gateway.record.streamed(x, f, "")
 		return io.EOF
 	}
@@ -305,30 +304,3 @@
 		}
 	}
 }
-
-// lengths learns how long the streams of each route take.
-type lengths struct {
-	mu    sync.Mutex
-	means map[string]time.Duration
-}
-
-// lengthWeight is the part of the newest stream in the mean.
-const lengthWeight = 0.05
-
-func (l *lengths) learn(name string, took time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	mean, ok := l.means[name]
-	if !ok {
-		l.means[name] = took
-		return
-	}
-	l.means[name] = mean + time.Duration(lengthWeight*float64(took-mean))
-}
-
-// expect returns a time that most streams of a route do not exceed.
-func (l *lengths) expect(name string) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return 2 * l.means[name]
-}
