Late in the grace a stream is taken only if its own time ends with it

What callers would see: a stream that came when the balancer had noticed the stop, taken since few of its route take longer, and cut at the end of the grace as one of the few. Change: what others took counts for requests that came in the first quarter of the grace, also when they are sent after a wait; after it, only their own time. Before: TestStreamLateInTheGraceIsRefusedUnlessItsTimeIsOver answered 200; after: 503. Conclusion: a stream is cut only if it came before the balancer could notice.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -238,7 +238,7 @@
 		return x.aborted()
 	case x.remaining() < leastLeft:
 		return x.timeout()
-	case g.outlasts(x.route, x.eventsLeft(), x.remaining()):
+	case g.outlasts(x.route, x.eventsLeft(), time.Since(x.arrived), x.remaining()):
 		return x.refuse(notRun(reasonStopping, rejectedRetry))
 	case x.team != "" && g.core.age() > g.limits.Load().keyAge:
 		return x.refuse(notRun(reasonStale, staleRetry))
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -12,6 +12,7 @@
 	leastStop  = 3 * time.Second // for the balancer to notice a planned stop
 	settleTime = 50 * time.Millisecond
 	stopMargin = 500 * time.Millisecond // before the end of the grace, in which nothing is begun and what is left is ended
+	noticePart = 4                      // of the grace: in this part of it, the balancer may not have noticed yet
 	cutTime    = 150 * time.Millisecond // of the margin, to answer what is ended
 	closeTime  = 150 * time.Millisecond // of the margin, for the loops of the host to end
 )
@@ -81,7 +82,7 @@
 	for !condition() && g.stopLeft() > 0 {
 		<-ticker.C
 		for _, x := range g.core.active() {
-			if x.waits() && g.outlasts(x.route, x.events, x.remaining()) {
+			if x.waits() && g.outlasts(x.route, x.events, time.Since(x.arrived), x.remaining()) {
 				x.abort(reasonStopping)
 			}
 		}
@@ -128,13 +129,14 @@
 	}
 }
 
-// outlasts returns whether a request that takes at most a time might not be over when the work of a
-// host that stops has to be.
-func (g *Gateway) outlasts(r *route.Route, events uint64, limit time.Duration) bool {
+// outlasts returns whether a request that came so long ago, and takes at most a time from now on, might not
+// be over when the work of a host that stops has to be. What others of its route took counts for what
+// came before the balancer could notice the stop; later, only its own time.
+func (g *Gateway) outlasts(r *route.Route, events uint64, age, limit time.Duration) bool {
 	if !g.stopping() {
 		return false
 	}
-	if length, ok := g.lengthOf(r, events); ok {
+	if length, ok := g.lengthOf(r, events); ok && g.stopSince()-age < g.limits.Load().grace/noticePart {
 		limit = min(limit, length)
 	}
 	return limit > g.stopLeft()
--- a/gateway/stop_late_test.go
+++ b/gateway/stop_late_test.go
@@ -116,6 +116,26 @@
 	require.Len(t, w.targets[0].seen(), 4)
 }
 
+// A stream that came late in the grace was taken by the usual length of its route, and a longer one was cut.
+func TestStreamLateInTheGraceIsRefusedUnlessItsTimeIsOver(t *testing.T) {
+	const grace = 3 * time.Second
+	w := newWorldWith(t, graceOf(grace), newScripted(t, "m", "model", func(a *arrival) bool {
+		a.begin()
+		a.events(1, 4)
+		a.end()
+		return true
+	}))
+	for n := range 4 {
+		require.NoError(t, w.do(call{path: "/stream/x", key: "key1", id: fmt.Sprint("r", n)}).err)
+	}
+	w.stop()
+	w.until(func() bool { return w.logged(`"event":"stopping"`) })
+	require.Equal(t, fasthttp.StatusOK, w.do(call{path: "/stream/x", key: "key1", id: "early"}).status)
+	<-time.After(grace / 3)
+	require.Equal(t, fasthttp.StatusServiceUnavailable, w.do(call{path: "/stream/x", key: "key1", id: "late"}).status)
+	require.Equal(t, fasthttp.StatusOK, w.do(call{path: "/stream/x", key: "key1", id: "short", deadline: time.Second}).status)
+}
+
 // An order that waited for a place was sent on late in the grace, and cut.
 func TestOrderThatWaitsIsRefusedLateInTheGrace(t *testing.T) {
 	hold := make(chan struct{})
