The end of a process does not wait for a reader of its log

What was seen: with a standard output that nobody reads, a gateway was still there 8 s after the signal to stop (grace 3 s); killed in production, with no 'stopped' in its log. Cause: main waits for the log to be written, without a bound. Change: it waits for a tenth of a second. Conclusion: nothing that a process waits for after its last answer is without a bound.

--- a/cmd/cassia-gateway/main.go
+++ b/cmd/cassia-gateway/main.go
@@ -2,10 +2,12 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"os"
 	"runtime"
 	"runtime/debug"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -20,7 +22,8 @@
 	heapGrowth    = 200  // percent between collections
 	memoryPart    = 0.75 // of the limit that the heap may use before it is collected harder
 	mebibyte      = 1 << 20
-	defaultMemory = 256 // MiB
+	defaultMemory = 256                    // MiB
+	flushTime     = 100 * time.Millisecond // for the last lines of the log, if nobody reads it
 )
 
 func main() {
@@ -34,10 +37,12 @@
 		written := book.Run(writing)
 		err := serve(ctx, s, common.Settings, cassiachute.WithLog(log.Output(book)), cassiachute.WithDropped(book.Dropped))
 		stop()
-		if writeErr := <-written; writeErr != nil && err == nil {
-			return writeErr
+		select {
+		case writeErr := <-written:
+			return cmp.Or(err, writeErr)
+		case <-time.After(flushTime):
+			return err
 		}
-		return err
 	}
 	if proceed, code := program.Parse(common, os.Args[1:], os.Stdout); !proceed {
 		os.Exit(code)
