The cut at the end of a grace waits for the last request, and for callers that do not read

What was seen (review, by tests of its own): a caller that reads nothing left no 'answered' line and held the stop to its very end; with a short grace the cut came before its last sixth; a stream whose end was read already could be broken off. Cause: 'over' was taken from the connections, which close before the request is accounted for; the margin was half a second whatever the grace; a blocked write is not ended by the abort. Change: the stop is over when nothing is in flight and no connection is open; the margin is half a second or a sixth of the grace, parts of it for the cut and for the loops; connections whose callers do not read are closed in it; a stream whose end was read ends. Tests: those of planned stops, with a margin of 200 and 300 ms; no new one. Conclusion: each request has its line, and the process ends within the margin.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -180,7 +180,8 @@
 	}
 	cancel()
 	g.client.Close()
-	g.record.stopped(&g.settings, g.stopSince(), joined(ends))
+	late := joined(ends, marginOf(g.limits.Load().grace)/joinPart)
+	g.record.stopped(&g.settings, g.stopSince(), late)
 	return err
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -11,10 +11,11 @@
 	stopPoll   = 20 * time.Millisecond
 	leastStop  = 3 * time.Second // for the balancer to notice a planned stop
 	settleTime = 50 * time.Millisecond
-	stopMargin = 500 * time.Millisecond // before the end of the grace, in which nothing is begun and what is left is ended
+	mostMargin = 500 * time.Millisecond // before the end of the grace, in which nothing is begun and what is left is ended
+	marginPart = 6                      // of the grace, that the margin takes at most
 	noticePart = 4                      // of the grace: in this part of it, the balancer may not have noticed yet
-	cutTime    = 150 * time.Millisecond // of the margin, to answer what is ended
-	closeTime  = 150 * time.Millisecond // of the margin, for the loops of the host to end
+	cutPart    = 2                      // of the margin, to answer what is ended
+	joinPart   = 4                      // of the margin, for the loops of the host to end
 )
 
 func (g *Gateway) stopping() bool { return g.stopFrom.Load() != 0 }
@@ -28,6 +29,9 @@
 	return max(1, awake()-time.Duration(from))
 }
 
+// marginOf returns the time at the end of a grace in which nothing is begun.
+func marginOf(grace time.Duration) time.Duration { return min(mostMargin, grace/marginPart) }
+
 // shortenStop takes a grace that became shorter after the signal to stop. A longer one comes too
 // late for what the platform waits.
 func (g *Gateway) shortenStop() {
@@ -35,7 +39,8 @@
 	if from == 0 {
 		return
 	}
-	end := from + int64(g.limits.Load().grace-stopMargin)
+	grace := g.limits.Load().grace
+	end := from + int64(grace-marginOf(grace))
 	for known := g.stopEnd.Load(); end < known && !g.stopEnd.CompareAndSwap(known, end); {
 		known = g.stopEnd.Load()
 	}
@@ -49,7 +54,7 @@
 // those of a clock that runs on while the host is suspended, as the grace does.
 func (g *Gateway) stop() {
 	from, grace := awake(), g.limits.Load().grace
-	g.stopEnd.Store(int64(from + grace - stopMargin))
+	g.stopEnd.Store(int64(from + grace - marginOf(grace)))
 	g.stopFrom.Store(int64(from))
 	g.shortenStop() // a reload may cross the signal
 	g.record.process(eventStopping, &g.settings)
@@ -70,9 +75,9 @@
 	}
 }
 
-// unused returns whether no connection of a caller is open, so that none brings a request that
-// is read as the process ends.
-func (g *Gateway) unused() bool { return g.callers.count() == 0 }
+// unused returns whether nothing is in flight, and no connection of a caller is open that may bring
+// a request which is read as the process ends.
+func (g *Gateway) unused() bool { return g.inFlight.Load() == 0 && g.callers.count() == 0 }
 
 // stopUntil waits for a condition, or until the work of this host has to be over. Requests that
 // wait for a target until they can't be over in time are refused meanwhile.
@@ -90,22 +95,35 @@
 }
 
 // cut ends what is not over: requests are answered, and streams end after a whole event, for a
-// caller that goes on elsewhere.
+// caller that goes on elsewhere. The connections of callers that do not read are closed.
 func (g *Gateway) cut() {
 	for _, x := range g.core.active() {
 		x.abort(reasonStopping)
 	}
-	end := awake() + cutTime
+	limit := marginOf(g.limits.Load().grace) / cutPart
+	if g.unusedWithin(limit / 2) {
+		return
+	}
+	for _, x := range g.core.active() {
+		_ = x.caller.Close() // fails if it is closed already
+	}
+	g.unusedWithin(limit / 2)
+}
+
+// unusedWithin waits until all is over, and returns false if it is not in a time.
+func (g *Gateway) unusedWithin(limit time.Duration) bool {
+	end := awake() + limit
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
 	for !g.unused() && awake() < end {
 		<-ticker.C
 	}
+	return g.unused()
 }
 
-// joined waits for the ends of loops and returns how many have not ended in time.
-func joined(ends []<-chan struct{}) int {
-	limit, cancel := context.WithTimeout(context.Background(), closeTime)
+// joined waits for the ends of loops and returns how many have not ended in a time.
+func joined(ends []<-chan struct{}, within time.Duration) int {
+	limit, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	late := 0
 	for _, end := range ends {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -271,7 +271,7 @@
 // stopped returns why the stream ends before its target ended it.
 func (f *flow) stopped() string {
 	switch x := f.exchange; {
-	case x.left():
+	case x.left() && (x.why != reasonStopping || !f.done):
 		return x.why
 	case x.remaining() <= 0 && !f.done:
 		return reasonTimeout
