What a stopping host has in hand is served if it may be repeated

Cause: each send was compared with the whole time that the caller waits, where nothing was known of the route; the rest of a stream counted as a whole one. Change: what may be repeated is tried where nothing is known, and what has begun is gone on with, as its caller may turn elsewhere at the end; plain routes have a usual length as well; only the events that are left count. Conclusion: only what may not be repeated is held to what is left of the grace.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -127,11 +127,14 @@
 }
 
 // eventsLeft returns the events that the caller may still get, 0 if that is not known.
-func (x *exchange) eventsLeft() uint64 {
-	if passed := numberOf(x.lastEvent); passed < x.events {
-		return x.events - passed
+func (x *exchange) eventsLeft() uint64 { return eventsAfter(x.lastEvent, x.events) }
+
+// eventsAfter returns the events after the last one that a caller got, of a number that its request allows.
+func eventsAfter(last string, events uint64) uint64 {
+	if passed := numberOf(last); passed < events {
+		return events - passed
 	}
-	return min(1, x.events)
+	return min(1, events)
 }
 
 // serviceOf returns the service that a request of a route goes to.
@@ -238,7 +241,7 @@
 		return x.aborted()
 	case x.remaining() < leastLeft:
 		return x.timeout()
-	case g.outlasts(x.route, x.eventsLeft(), time.Since(x.arrived), x.remaining()):
+	case !x.begun && g.outlastsInHand(x.route, x.eventsLeft(), x.remaining()):
 		return x.refuse(notRun(reasonStopping, rejectedRetry))
 	case x.team != "" && g.core.age() > g.limits.Load().keyAge:
 		return x.refuse(notRun(reasonStale, staleRetry))
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -91,7 +91,7 @@
 	switch {
 	case r == nil:
 		return nil, "", deny(fasthttp.StatusNotFound, reasonNoRoute, age)
-	case g.outlasts(r, g.core.eventsOf(serviceOf(r, call), call.Output), 0, r.Wait(call.Deadline)):
+	case g.outlasts(r, eventsAfter(call.LastEvent, g.core.eventsOf(serviceOf(r, call), call.Output)), r.Wait(call.Deadline)):
 		return nil, "", notRun(reasonStopping, rejectedRetry)
 	case r.Public || !table.Keyed():
 		return r, "", nil
@@ -148,6 +148,8 @@
 	if g.stopping() {
 		ctx.SetConnectionClose()
 	}
+	took := time.Since(x.arrived)
+	g.lengths.learn(x.route.Name, took, took, 0)
 	g.record.answered(x, a.response.StatusCode(), "", 0)
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -87,7 +87,7 @@
 	for !condition() && g.stopLeft() > 0 {
 		<-ticker.C
 		for _, x := range g.core.active() {
-			if x.waits() && g.outlasts(x.route, x.events, time.Since(x.arrived), x.remaining()) {
+			if x.waits() && g.outlastsInHand(x.route, x.events, x.remaining()) {
 				x.abort(reasonStopping)
 			}
 		}
@@ -147,27 +147,46 @@
 	}
 }
 
-// outlasts returns whether a request that came so long ago, and takes at most a time from now on, might not
-// be over when the work of a host that stops has to be. What others of its route took counts for what
-// came before the balancer could notice the stop; later, only its own time.
-func (g *Gateway) outlasts(r *route.Route, events uint64, age, limit time.Duration) bool {
+// outlasts returns whether a request that arrives, and takes at most a time, might not be over when
+// the work of a host that stops has to be. What others of its route took counts for what comes
+// before the balancer can notice the stop; later, only its own time.
+func (g *Gateway) outlasts(r *route.Route, events uint64, limit time.Duration) bool {
 	if !g.stopping() {
 		return false
 	}
-	if length, ok := g.lengthOf(r, events); ok && g.stopSince()-age < g.limits.Load().grace/noticePart {
+	if length, ok := g.lengthOf(r, events); ok && g.stopSince() < g.limits.Load().grace/noticePart {
 		limit = min(limit, length)
 	}
 	return limit > g.stopLeft()
 }
 
-// lengthOf returns how long a stream of at most so many events is expected to take, as far as others of
-// its route tell. One that may not be resumed is lost if it is cut, so for it the most counts.
-func (g *Gateway) lengthOf(r *route.Route, events uint64) (time.Duration, bool) {
+// outlastsInHand is outlasts for a request that was let in, of which the caller got nothing yet. One that
+// may be repeated is tried if nothing is known of its length, as its caller may go on elsewhere.
+func (g *Gateway) outlastsInHand(r *route.Route, events uint64, limit time.Duration) bool {
+	if !g.stopping() {
+		return false
+	}
+	length, ok := g.lengthOf(r, events)
 	switch {
-	case r.Kind != route.Stream:
-		return 0, false
-	case r.Resumable:
-		return g.lengths.usual(r.Name)
+	case ok:
+		limit = min(limit, length)
+	case r.Repeatable():
+		limit = 0
+	}
+	return limit > g.stopLeft()
+}
+
+// lengthOf returns how long a request is expected to take, as far as others of its route tell, and for
+// a stream the events announced. One that may not be repeated is lost if it is cut, so for it the most
+// counts.
+func (g *Gateway) lengthOf(r *route.Route, events uint64) (time.Duration, bool) {
+	most, announced := g.lengths.most(r.Name, events)
+	if !r.Repeatable() {
+		return most, announced
+	}
+	usual, known := g.lengths.usual(r.Name)
+	if announced && most < usual {
+		return most, true
 	}
-	return g.lengths.most(r.Name, events)
+	return usual, known
 }
--- a/gateway/stop_late_test.go
+++ b/gateway/stop_late_test.go
@@ -174,3 +174,50 @@
 	require.Equal(t, fasthttp.StatusServiceUnavailable, w.do(call{path: "/order/x", id: "r1"}).status)
 	require.Empty(t, w.targets[0].seen())
 }
+
+// A lookup in hand got no second send, and no place that it waited for, from the signal to stop on.
+func TestLookupInHandIsServedInAPlannedStop(t *testing.T) {
+	hold := make(chan struct{})
+	script := func(a *arrival) bool {
+		select {
+		case <-hold:
+			return ok(a)
+		default:
+			<-hold
+			return false
+		}
+	}
+	w := newWorldWith(t, graceOf(2*time.Second), newScripted(t, "a", "plain", script), newScripted(t, "b", "plain", script))
+	conn := w.dial("POST /lookup/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r1\r\nContent-Length: 0\r\n\r\n")
+	w.until(func() bool { return len(w.targets[0].seen())+len(w.targets[1].seen()) == 1 })
+	w.stop()
+	w.until(func() bool { return w.logged(`"event":"stopping"`) })
+	close(hold)
+	require.Equal(t, fasthttp.StatusOK, readResult(bufio.NewReader(conn)).status)
+}
+
+// A stream that its target broke off after the signal to stop was not resumed.
+func TestStreamInHandIsResumedInAPlannedStop(t *testing.T) {
+	hold := make(chan struct{})
+	script := func(a *arrival) bool {
+		if a.header("Last-Event-Id") == "" {
+			a.begin()
+			a.events(1, 2)
+			<-hold
+			return false
+		}
+		a.begin()
+		a.events(3, 40)
+		a.end()
+		return true
+	}
+	w := newWorld(t, newScripted(t, "m", "model", script), newScripted(t, "n", "model", script))
+	conn := w.dial(streamRequest("/stream/x", "r1"))
+	w.until(func() bool { return len(w.targets[0].seen())+len(w.targets[1].seen()) == 1 })
+	w.stop()
+	w.until(func() bool { return w.logged(`"event":"stopping"`) })
+	close(hold)
+	r := readResult(bufio.NewReader(conn))
+	require.NoError(t, r.err)
+	require.Equal(t, wantEvents(40), r.body)
+}
