The administration API ends in a bounded time

Cause: Shutdown waits for all calls, and calls had no time to be read in. Change: calls are read within 10 s, and the shutdown waits for 3 s at most.

--- a/admin/server.go
+++ b/admin/server.go
@@ -29,6 +29,8 @@
 	defaultRecords = 50
 	maxRecords     = 1000
 	statusTimeout  = time.Second
+	readTimeout    = 10 * time.Second // for a call to be read
+	stopTime       = 3 * time.Second  // for calls in flight to end
 )
 
 // Server is the administration API.
@@ -65,18 +67,21 @@
 	a.listener = listener
 	a.server = &fasthttp.Server{
 		Handler: a.handle, NoDefaultServerHeader: true, MaxRequestBodySize: maxBodyBytes, CloseOnShutdown: true,
+		ReadTimeout: readTimeout,
 	}
 	return a, nil
 }
 
-// Run serves until the context ends; calls in flight finish.
+// Run serves until the context ends; calls in flight finish, unless they take too long.
 func (a *Server) Run(ctx context.Context) error {
 	served := make(chan error, 1)
 	go func() { served <- a.server.Serve(a.listener) }()
 	a.log.Info().Stringer("listen", a.settings.Listen).Msg("serving")
 	select {
 	case <-ctx.Done():
-		return a.server.Shutdown()
+		ending, cancel := context.WithTimeout(context.Background(), stopTime)
+		defer cancel()
+		return a.server.ShutdownWithContext(ending)
 	case err := <-served:
 		return err
 	}
