A stream whose caller does not read ends with its host

What callers saw: nothing new; operators had no line for such a stream, and for up to two seconds its place was free for nobody else. Cause: a stream that waits for its caller to take what is written does not see that it was ended. The process ended without its outcome, and the slot that another host had given was not given back. Ruled out: a limit for writes from the cut on, as it would also end answers that are written late on a busy host. A big answer as a whole, a lookup at two targets, a second send late in the grace, a body that is whole around the end of the work, a stream that may not be resumed or is being resumed, and a second request in one segment with the last one: tested, no fault. The latter is not served (the answer before closes the connection, so its caller knows that it was not processed): the server hides what it has read of it. Before: TestCallerThatDoesNotReadItsStreamHoldsNothingUp fails, no line for the request. After: it passes, the new tests three times, and the tests of stops and streams once. Conclusion: each request that is cut has its line, and its place is free.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -89,15 +89,27 @@
 }
 
 // cut ends what is not over: requests are answered, and streams end after a whole event, for a
-// caller that goes on elsewhere.
+// caller that goes on elsewhere. A caller that does not take what is written ends with its
+// connection, so that the place of its stream is given back.
 func (g *Gateway) cut() {
 	for _, x := range g.core.active() {
 		x.abort(reasonStopping)
 	}
-	end := awake() + cutTime
+	within(cutTime, g.unused)
+	for _, x := range g.core.active() {
+		if x.route.Kind == route.Stream {
+			x.caller.Close()
+		}
+	}
+	within(settleTime, func() bool { return g.inFlight.Load() == 0 })
+}
+
+// within waits for a condition, for a limited time.
+func within(limit time.Duration, condition func() bool) {
+	end := awake() + limit
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
-	for !g.unused() && awake() < end {
+	for !condition() && awake() < end {
 		<-ticker.C
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -222,7 +222,11 @@
 // Close implements io.Closer. The server closes a stream that it can't write on.
 func (f *flow) Close() error {
 	if !f.over {
-		_ = f.end(reasonCallerGone) // the server knows that the stream is not complete
+		reason := reasonCallerGone
+		if x := f.exchange; x.left() {
+			reason = x.why
+		}
+		_ = f.end(reason) // the server knows that the stream is not complete
 	}
 	f.exchange.gateway.end(f.exchange)
 	return nil
