--- a/cmd/cassia-gateway/main.go
+++ b/cmd/cassia-gateway/main.go
@@ -22,8 +22,8 @@
 	heapGrowth    = 200  // percent between collections
 	memoryPart    = 0.75 // of the limit that the heap may use before it is collected harder
 	mebibyte      = 1 << 20
-	defaultMemory = 256                    // MiB
-	flushTime     = 100 * time.Millisecond // for the last lines of the log, if nobody reads it
+	defaultMemory = 256                   // MiB
+	flushTime     = 50 * time.Millisecond // for the last lines of the log, if nobody reads it
 )
 
 func main() {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -14,8 +14,9 @@
 	mostMargin = 500 * time.Millisecond // before the end of the grace, in which nothing is begun and what is left is ended
 	marginPart = 6                      // of the grace, that the margin takes at most
 	noticePart = 4                      // of the grace: in this part of it, the balancer may not have noticed yet
-	cutPart    = 2                      // of the margin, to answer what is ended
-	joinPart   = 4                      // of the margin, for the loops of the host to end
+	cutPart    = 5                      // of the margin, twice, to answer what is ended
+	tellPart   = 10                     // of the margin, to tell the other hosts
+	joinPart   = 5                      // of the margin, for the loops of the host to end
 )
 
 func (g *Gateway) stopping() bool { return g.stopFrom.Load() != 0 }
@@ -95,41 +96,53 @@
 }
 
 // cut ends what is not over: requests are answered, and streams end after a whole event, for a
-// caller that goes on elsewhere. The connections of callers that do not read are closed.
+// caller that goes on elsewhere. A caller that does not take what is written ends with its
+// connection, so that the place of its stream is given back.
 func (g *Gateway) cut() {
 	for _, x := range g.core.active() {
 		x.abort(reasonStopping)
 	}
 	limit := marginOf(g.limits.Load().grace) / cutPart
-	if g.unusedWithin(limit / 2) {
-		return
-	}
+	within(limit, g.unused)
 	for _, x := range g.core.active() {
-		_ = x.caller.Close() // fails if it is closed already
+		if x.route.Kind == route.Stream {
+			_ = x.caller.Close() // fails if it is closed already
+		}
 	}
-	g.unusedWithin(limit / 2)
+	within(limit, g.unused)
 }
 
-// unusedWithin waits until all is over, and returns false if it is not in a time.
-func (g *Gateway) unusedWithin(limit time.Duration) bool {
+// within waits for a condition, for a limited time.
+func within(limit time.Duration, condition func() bool) {
 	end := awake() + limit
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
-	for !g.unused() && awake() < end {
+	for !condition() && awake() < end {
 		<-ticker.C
 	}
-	return g.unused()
+}
+
+// farewell tells the other hosts that the work here is over: else what they heard last counts until
+// they miss the next news. It waits for the end of the loop that tells.
+func (g *Gateway) farewell(told <-chan struct{}) {
+	timer := time.NewTimer(marginOf(g.limits.Load().grace) / tellPart)
+	defer timer.Stop()
+	select {
+	case <-told:
+		g.tell()
+	case <-timer.C:
+	}
 }
 
 // joined waits for the ends of loops and returns how many have not ended in a time.
-func joined(ends []<-chan struct{}, within time.Duration) int {
-	limit, cancel := context.WithTimeout(context.Background(), within)
+func joined(ends []<-chan struct{}, limit time.Duration) int {
+	ending, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	late := 0
 	for _, end := range ends {
 		select {
 		case <-end:
-		case <-limit.Done():
+		case <-ending.Done():
 			if !isClosed(end) {
 				late++
 			}
@@ -161,7 +174,7 @@
 }
 
 // outlastsInHand is outlasts for a request that was let in, of which the caller got nothing yet. One that
-// may be repeated is tried if nothing is known of its length, as its caller may go on elsewhere.
+// may be repeated is tried if nothing is known of its length but its aim fits, as its caller may go on elsewhere.
 func (g *Gateway) outlastsInHand(r *route.Route, events uint64, limit time.Duration) bool {
 	if !g.stopping() {
 		return false
@@ -171,7 +184,7 @@
 	case ok:
 		limit = min(limit, length)
 	case r.Repeatable():
-		limit = 0
+		limit = min(limit, r.Aim)
 	}
 	return limit > g.stopLeft()
 }
