Connections to targets end with the work of a host

What callers saw: a request whose target was being connected to at the end of a planned stop got no answer. Cause: an exchange that is ended closes its lines, but a connection that is being made takes up to 300 ms; the process waits 150 ms for answers. Change: connections that are being made end at the cut. Only streams whose events are being written end with their connection. What ends so is no sign against its target: not noted as unreached nor as crashed. Ruled out: a shorter limit for connections late in the grace, as one that began before stays the same. Conclusion: no wait of an exchange outlives the cut: for an owner, a place, a connection, or a line.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -72,6 +72,10 @@
 	x.target, a.address = choice.Target, address
 	unnamed := x.call.ID == "" // its answer could not be told from an earlier one
 	line, err := x.gateway.pool.Get(ctx, address, unnamed)
+	if err != nil && x.left() {
+		a.finish(placement.Returned)
+		return a, errUnsent
+	}
 	if err != nil {
 		x.gateway.pool.Forget(address)
 		a.finish(placement.Unreached)
@@ -195,6 +199,9 @@
 		x.gateway.pool.Put(address, line)
 		return false
 	}
+	if x.left() {
+		return false
+	}
 	x.gateway.pool.Forget(address)
 	x.gateway.record.crash(x, x.gateway.core.blame(x.digest))
 	return true
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -58,9 +58,10 @@
 	pauses    int           // between the events of the present send
 	paused    time.Duration // their sum
 
-	passed atomic.Int64  // when the caller last took an event, in ns since it arrived, 0 before
-	gone   chan struct{} // closed when it is ended before its answer is complete
-	why    string        // the reason of that, set before
+	streams atomic.Bool   // the server writes its events to the caller
+	passed  atomic.Int64  // when the caller last took an event, in ns since it arrived, 0 before
+	gone    chan struct{} // closed when it is ended before its answer is complete
+	why     string        // the reason of that, set before
 
 	mu       sync.Mutex
 	lines    []*link.Line // to targets that have the request
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,7 +53,8 @@
 	boot     uint64
 	number   uint64 // of the last news
 
-	ctx       context.Context
+	ctx       context.Context // of connections to targets and queries of other hosts
+	endSends  context.CancelFunc
 	limits    atomic.Pointer[limits]
 	stopFrom  atomic.Int64 // awake time of the signal to stop in ns, 0 before
 	stopEnd   atomic.Int64 // awake time by which the work is to be over then, in ns
@@ -87,7 +88,7 @@
 		client:  platform.NewClient(s.Store, platform.WithTimeout(storeTimeout)),
 		peers:   newContacts(s.Peer),
 		listing: route.NewListing(s.Heartbeat.Or(defaultHeartbeat)),
-		lengths: lengths{routes: map[string]length{}},
+		lengths: lengths{routes: map[string]length{}}, endSends: func() {},
 		decoded: map[string]decodedTarget{},
 		boot:    uint64(time.Now().UnixMilli()),
 	}
@@ -159,7 +160,8 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	g.ctx = inner
+	g.ctx, g.endSends = context.WithCancel(inner)
+	defer g.endSends()
 	for _, seed := range g.settings.Seeds {
 		g.peers.meet(netip.AddrPortFrom(seed.Addr(), g.settings.Peer.Port()), time.Now())
 	}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -95,9 +95,10 @@
 	for _, x := range g.core.active() {
 		x.abort(reasonStopping)
 	}
+	g.endSends()
 	within(cutTime, g.unused)
 	for _, x := range g.core.active() {
-		if x.route.Kind == route.Stream {
+		if x.streams.Load() {
 			x.caller.Close()
 		}
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -64,6 +64,7 @@
 		g.end(x)
 		return
 	}
+	x.streams.Store(true)
 	ctx.SetBodyStream(f, -1)
 }
 
