--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -102,10 +102,11 @@
 	for _, x := range g.core.active() {
 		x.abort(reasonStopping)
 	}
+	g.endSends()
 	limit := marginOf(g.limits.Load().grace) / cutPart
 	within(limit, g.unused)
 	for _, x := range g.core.active() {
-		if x.route.Kind == route.Stream {
+		if x.streams.Load() {
 			_ = x.caller.Close() // fails if it is closed already
 		}
 	}
