A target that reads no more holds its caller no longer than the caller waits

Callers with a large body (over what the buffers on the way take) saw nothing for five seconds, whatever deadline and time limit they had, if their target stopped reading: orders, lookups and streams alike. Cause: the send of a request had a limit of its own, of five seconds, and did not know the time that is left. A send now ends with the caller's time, and counts as silence of the target, as a late answer does.

Evidence: a target that writes half a head and reads nothing, deadline of 1 s: answered after 5.0 s before, within 1.5 s with 504 after.

No target has the request before its body is whole, none is sent twice, no answer looks whole that isn't. Ruled out: a refusal that stops is taken for a promise.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -61,7 +61,8 @@
 	over     bool
 }
 
-// start hands the request to the target of a choice. The error is errUnsent or link.ErrBroken.
+// start hands the request to the target of a choice. The error is errUnsent,
+// link.ErrSilent or link.ErrBroken.
 func (x *exchange) start(ctx context.Context, choice placement.Choice) (*attempt, error) {
 	a := &attempt{exchange: x, choice: choice, left: choice.Load, owner: x.owner}
 	address, ok := x.gateway.address(choice.Target)
@@ -86,7 +87,7 @@
 	a.alive = a.sent
 	err = line.SendBytes(platform.AppendRequest(nil, x.request, platform.Forward{
 		Team: x.team, Target: choice.Target, Deadline: x.remaining(), LastEvent: x.lastEvent,
-	}))
+	}), max(leastLeft, x.remaining()))
 	x.gateway.record.busy.since(activitySend, a.sent)
 	if line.Wrote() {
 		x.sends++
--- a/link/line.go
+++ b/link/line.go
@@ -153,17 +153,18 @@
 	return err != nil && !errors.Is(classify(err), ErrSilent)
 }
 
-// SendBytes writes a request that is encoded already. Wrote tells whether any
-// byte was handed over.
-func (l *Line) SendBytes(request []byte) error {
+// SendBytes writes a request that is encoded already, within a time. Wrote tells whether any
+// byte was handed over. The error is marked ErrSilent if the target did not take all of it in
+// that time.
+func (l *Line) SendBytes(request []byte, limit time.Duration) error {
 	l.wrote = false
 	l.sends++
-	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := l.conn.SetWriteDeadline(time.Now().Add(min(limit, writeTimeout))); err != nil {
 		return fault.Mark(err, ErrBroken)
 	}
 	if _, err := (lineWriter{line: l}).Write(request); err != nil {
 		l.bad = true
-		return fault.Mark(err, ErrBroken)
+		return classify(err)
 	}
 	return nil
 }
