Test: the product's own interface takes no answer that stops for a whole one

Heads and bodies that stop (closed, reset, silent, gone on with), with a length, chunked, without a length and with bare line feeds, for lookups, orders with and without a name, model streams and model answers that are put together. Sound: what was cut is sent again where that is allowed and served whole, an order reaches one target and ends as unknown. Package entry had no test of its own; its world is one entry host, scripted targets at one listener and the stand-in of the platform.

--- /dev/null
+++ b/entry/head_test.go
@@ -0,0 +1,251 @@
+package entry_test
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/tidwall/gjson"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/catalog"
+	"github.com/cassiachute/cassiachute/entry"
+)
+
+const (
+	tokens    = 4
+	headPause = 20 * time.Millisecond
+	callers   = 48
+	plainBody = "whole body"
+)
+
+// How an answer ends after it stopped.
+const (
+	closes = "closes"
+	resets = "resets"
+	goesOn = "goes on"
+	silent = "is silent"
+)
+
+// stopped is an answer that stops after some bytes, at the first target that has the request.
+type stopped struct {
+	caller string // how it is asked for
+	shape  string
+	cut    int
+	end    string
+}
+
+func (s stopped) model() bool { return s.caller == "stream" || s.caller == "completion" }
+
+// framings are the heads of answers with a body in their framing.
+var framings = map[string]func(kind string, pieces []string) (head, body string){
+	"with a length": func(kind string, pieces []string) (string, string) {
+		body := strings.Join(pieces, "")
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n", kind, len(body)), body
+	},
+	"chunked": func(kind string, pieces []string) (string, string) {
+		return "HTTP/1.1 200 OK\r\nContent-Type: " + kind + "\r\nTransfer-Encoding: chunked\r\n\r\n", chunked(pieces)
+	},
+	"no length": func(kind string, pieces []string) (string, string) {
+		return "HTTP/1.1 200 OK\r\nContent-Type: " + kind + "\r\n\r\n", strings.Join(pieces, "")
+	},
+	"line feeds": func(kind string, pieces []string) (string, string) {
+		return "HTTP/1.1 200 OK\nContent-Type: " + kind + "\nTransfer-Encoding: chunked\n\n", chunked(pieces)
+	},
+	"line feeds, the last line as it should be": func(kind string, pieces []string) (string, string) {
+		return "HTTP/1.1 200 OK\nContent-Type: " + kind + "\nTransfer-Encoding: chunked\r\n\r\n", chunked(pieces)
+	},
+}
+
+func chunked(pieces []string) string {
+	var all strings.Builder
+	for _, piece := range pieces {
+		fmt.Fprintf(&all, "%x\r\n%s\r\n", len(piece), piece)
+	}
+	return all.String() + "0\r\n\r\n"
+}
+
+// wantText returns the text of the answer of a model.
+func wantText() string {
+	var all strings.Builder
+	for n := range tokens {
+		fmt.Fprintf(&all, "t%d ", n)
+	}
+	return all.String()
+}
+
+// events returns the answer of a model from a token on.
+func events(from int) []string {
+	var pieces []string
+	for n := from; n < tokens; n++ {
+		pieces = append(pieces, fmt.Sprintf("data: {\"id\":\"e\",\"choices\":[{\"index\":0,\"text\":\"t%d \"}]}\n\n", n))
+	}
+	return append(pieces, "data: {\"id\":\"e\",\"choices\":[{\"index\":0,\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\n", "data: [DONE]\n\n")
+}
+
+// answer returns the whole answer to a request in the framing of a case.
+func (s stopped) answer(a *arrival) (head, body string) {
+	if s.model() {
+		return framings[s.shape]("text/event-stream", events(int(gjson.GetBytes(a.request.Body(), "resume").Int())))
+	}
+	return framings[s.shape]("text/plain", []string{plainBody[:5], plainBody[5:]})
+}
+
+// script stops the first answer to a request and answers its repeats as a whole.
+func (s stopped) script(a *arrival) bool {
+	if a.number > 1 {
+		s.shape = "chunked"
+		head, body := s.answer(a)
+		a.write(head + body)
+		return true
+	}
+	head, body := s.answer(a)
+	all := head + body
+	a.write(all[:s.cut])
+	switch s.end {
+	case resets:
+		_ = a.conn.(*net.TCPConn).SetLinger(0)
+	case goesOn:
+		time.Sleep(headPause)
+		a.write(all[s.cut:])
+		return s.shape != "no length"
+	case silent:
+		_, _ = a.conn.Read(make([]byte, 1)) // until the host leaves
+	}
+	return false
+}
+
+// play sends the request of a case.
+func (s stopped) play(w *world, n int) result {
+	id := fmt.Sprint("r", n)
+	switch s.caller {
+	case "stream", "completion":
+		body := fmt.Sprintf(`{"model":"s%d","prompt":"p","stream":%t}`, n, s.caller == "stream")
+		return w.do(fasthttp.MethodPost, "/v1/completions", id, "", body)
+	case "lookup":
+		return w.do(fasthttp.MethodGet, fmt.Sprintf("/services/s%d/x", n), id, "", "")
+	case "named order":
+		return w.do(fasthttp.MethodPost, fmt.Sprintf("/services/s%d/x", n), id, entry.HeaderOrder+": o"+id+"\r\n", "order")
+	}
+	return w.do(fasthttp.MethodPost, fmt.Sprintf("/services/s%d/x", n), id, "", "order")
+}
+
+// text returns the text of an answer, and whether it is complete as far as its kind tells.
+func (s stopped) text(r result) (string, bool) {
+	switch s.caller {
+	case "stream":
+		var all strings.Builder
+		for line := range strings.Lines(r.body) {
+			all.WriteString(gjson.Get(strings.TrimPrefix(line, "data: "), "choices.0.text").String())
+		}
+		return all.String(), r.whole && strings.HasSuffix(r.body, "data: [DONE]\n\n")
+	case "completion":
+		return gjson.Get(r.body, "choices.0.text").String(), r.whole
+	}
+	return r.body, r.whole
+}
+
+// once returns whether the request may not run twice.
+func (s stopped) once() bool { return strings.HasSuffix(s.caller, "order") }
+
+// playAll plays cases side by side, each with a service of its own.
+func playAll(t *testing.T, cases []stopped, check func(w *world, n int, s stopped, r result)) {
+	t.Helper()
+	services := map[string]string{}
+	for n, s := range cases {
+		services[fmt.Sprint("s", n)] = catalog.KindPlain
+		if s.model() {
+			services[fmt.Sprint("s", n)] = catalog.KindModel
+		}
+	}
+	w := newWorld(t, services, func(a *arrival) bool {
+		var n int
+		_, err := fmt.Sscanf(string(a.request.Header.Peek(entry.HeaderRequest)), "r%d", &n)
+		return err == nil && cases[n].script(a)
+	})
+	var next atomic.Int64
+	var busy sync.WaitGroup
+	for range callers {
+		busy.Go(func() {
+			for n := int(next.Add(1)) - 1; n < len(cases) && !t.Failed(); n = int(next.Add(1)) - 1 {
+				check(w, n, cases[n], cases[n].play(w, n))
+			}
+		})
+	}
+	busy.Wait()
+}
+
+// cutsOf returns where the answers of a case stop: in the head, and in the body as well if its
+// end can be told.
+func cutsOf(s stopped, inHead, inBody int) []int {
+	a := &arrival{}
+	a.request.SetBodyString("{}")
+	head, body := s.answer(a)
+	last := len(head) + len(body)
+	if s.shape == "no length" && s.end != resets && !s.model() {
+		last = len(head)
+	}
+	var cuts []int
+	for cut := 0; cut < last; cut += inHead {
+		if cut >= len(head) {
+			cut += inBody - inHead
+		}
+		cuts = append(cuts, min(cut, last-1))
+	}
+	return append(cuts, len(head)-1, last-1)
+}
+
+// steps are the bytes between two cuts in the head and in the body, by the end of the answer.
+var steps = map[string][2]int{closes: {5, 79}, resets: {23, 97}, goesOn: {31, 109}, silent: {61, 149}}
+
+// MIXED, TWICE: a target stops in the head of its answer, or later. No caller gets a part of an
+// answer as a whole, nothing that may not be repeated runs twice, and no request that a target had
+// is told not to have run.
+func TestAnswerThatStopsIsNoAnswer(t *testing.T) {
+	for _, caller := range []string{"lookup", "order", "named order", "stream", "completion"} {
+		t.Run(caller, func(t *testing.T) {
+			t.Parallel()
+			var cases []stopped
+			for shape := range framings {
+				for end, step := range steps {
+					s := stopped{caller: caller, shape: shape, end: end}
+					for _, s.cut = range cutsOf(s, step[0], step[1]) {
+						cases = append(cases, s)
+					}
+				}
+			}
+			playAll(t, cases, func(w *world, n int, s stopped, r result) {
+				s.requireTrue(t, w, n, r)
+			})
+		})
+	}
+}
+
+// requireTrue checks what a caller got.
+func (s stopped) requireTrue(t *testing.T, w *world, n int, r result) {
+	t.Helper()
+	id := fmt.Sprint("r", n)
+	text, complete := s.text(r)
+	want := plainBody
+	if s.model() {
+		want = wantText()
+	}
+	if complete && r.status == fasthttp.StatusOK {
+		require.Equal(t, want, text, "%+v", s)
+		require.True(t, !s.once() || s.end == goesOn, "%+v: a part was taken for the whole", s)
+	}
+	if r.status != fasthttp.StatusOK {
+		require.Equal(t, entry.OutcomeUnknown, r.outcome, "%+v: %s", s, r.body)
+	}
+	if s.once() {
+		require.Equal(t, 1, w.sent(id), "%+v", s)
+	}
+	if s.end == goesOn && s.shape != "line feeds" || !s.once() {
+		require.True(t, complete && r.status == fasthttp.StatusOK, "%+v: not served: %d %s", s, r.status, r.body)
+	}
+}
--- /dev/null
+++ b/entry/world_test.go
@@ -0,0 +1,177 @@
+package entry_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/catalog"
+	"github.com/cassiachute/cassiachute/entry"
+	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/publish"
+	"github.com/cassiachute/cassiachute/settings"
+	"github.com/cassiachute/cassiachute/standin/loopback"
+	standin "github.com/cassiachute/cassiachute/standin/platform"
+)
+
+const (
+	waitLimit    = 20 * time.Second
+	replicas     = 2           // targets of each service
+	silenceLimit = time.Second // of an answer
+)
+
+// arrival is a request at a target.
+type arrival struct {
+	request fasthttp.Request
+	conn    net.Conn
+	number  int // of the sends of this request
+}
+
+func (a *arrival) write(text string) { _, _ = io.WriteString(a.conn, text) }
+
+// world is an entry host between scripted targets and a stand-in of the platform. All targets
+// are at one listener, and tell requests by their ids.
+type world struct {
+	t       *testing.T
+	address netip.AddrPort
+
+	mu    sync.Mutex
+	sends map[string]int
+}
+
+// newWorld starts an entry host with services of some kinds, whose targets run a script. It
+// returns false to close the connection.
+func newWorld(t *testing.T, services map[string]string, script func(a *arrival) bool) *world {
+	t.Helper()
+	w := &world{t: t, sends: map[string]int{}}
+	targets, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go w.accept(targets, script)
+	store, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	stored := standin.New(standin.NewConfig(), store).Run(ctx)
+	client := platform.NewClient(addressOf(store))
+
+	s := entry.NewSettings()
+	s.Place, s.Secret, s.Platform = "place1", "secret-of-the-peers", addressOf(store)
+	s.Listen, s.Peer, s.Status = loopback.Address(), loopback.Address(), loopback.Address()
+	s.Grace = settings.Duration{Duration: time.Millisecond}
+	set := catalog.NewSet()
+	set.Places["place1"], set.Teams["team1"] = catalog.Place{}, catalog.Team{}
+	sum := sha256.Sum256([]byte("key1"))
+	set.Keys["key1"] = catalog.Key{Digest: hex.EncodeToString(sum[:]), Teams: []string{"team1"}}
+	for name, kind := range services {
+		limit := settings.Duration{Duration: silenceLimit}
+		set.Services[name] = catalog.Service{Kind: kind, First: limit, Idle: limit}
+		for range replicas {
+			n := len(set.Targets)
+			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 3, byte(n >> 8), byte(n)}), 1)
+			set.Targets[fmt.Sprintf("target%d", n)] = catalog.Target{Service: name, Place: "place1", Address: address, Slots: 8}
+			s.Routes = append(s.Routes, entry.Route{To: address, Via: addressOf(targets)})
+		}
+	}
+	_, err = publish.NewStore(client, time.Now).Publish("test", func(newest *catalog.Set) error {
+		set.Revision = newest.Revision
+		*newest = *set
+		return nil
+	})
+	require.NoError(t, err)
+	e, err := entry.New(s)
+	require.NoError(t, err)
+	serving, stop := context.WithCancel(ctx)
+	done := make(chan error, 1)
+	go func() { done <- e.Run(serving) }()
+	t.Cleanup(func() {
+		stop()
+		require.NoError(t, <-done)
+		cancel()
+		<-stored
+		targets.Close()
+	})
+	w.address = s.Listen
+	require.Eventually(t, func() bool {
+		status, _, err := fasthttp.GetTimeout(nil, "http://"+s.Status.String()+"/readyz", time.Second)
+		return err == nil && status == fasthttp.StatusOK
+	}, waitLimit, 5*time.Millisecond)
+	return w
+}
+
+func addressOf(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
+
+func (w *world) accept(l net.Listener, script func(a *arrival) bool) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go w.serve(conn, script)
+	}
+}
+
+func (w *world) serve(conn net.Conn, script func(a *arrival) bool) {
+	defer conn.Close()
+	rd := bufio.NewReader(conn)
+	for {
+		a := &arrival{conn: conn}
+		if err := a.request.Read(rd); err != nil {
+			return
+		}
+		id := string(a.request.Header.Peek(entry.HeaderRequest))
+		w.mu.Lock()
+		w.sends[id]++
+		a.number = w.sends[id]
+		w.mu.Unlock()
+		if !script(a) {
+			return
+		}
+	}
+}
+
+// sent returns how often a request reached a target.
+func (w *world) sent(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sends[id]
+}
+
+// result is what a caller saw.
+type result struct {
+	status  int
+	outcome string
+	body    string
+	whole   bool // the answer looks whole
+}
+
+// do sends a request on a connection of its own and reads all that comes.
+func (w *world) do(method, path, id, more, body string) result {
+	conn, err := net.DialTimeout("tcp", w.address.String(), waitLimit)
+	if err != nil {
+		return result{}
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(waitLimit))
+	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key1\r\nX-Request-Id: %s\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		method, path, id, more, len(body), body)
+	all, _ := io.ReadAll(conn) // a reset is a proper way to cut an answer
+	var response fasthttp.Response
+	rd := bufio.NewReader(bytes.NewReader(all))
+	err = response.Read(rd)
+	_, left := rd.ReadByte()
+	return result{
+		status: response.StatusCode(), outcome: string(response.Header.Peek(entry.HeaderOutcome)), body: string(response.Body()),
+		whole: err == nil && left == io.EOF && len(all) > 0,
+	}
+}
