Soak: each kind of fault has a number that stays

Change: a fixed number for each kind. The digests in the test were taken before the change. Evidence: TestPlansOfOldSeedsStay passes before and after; five seeds of a minute for each kind. Conclusion: kinds can be added; the plans of old seeds stay.

--- a/soak/plan.go
+++ b/soak/plan.go
@@ -35,28 +35,29 @@
 
 // kindOf says how often a kind of fault is played and how long it lasts.
 type kindOf struct {
-	every time.Duration // on average
-	least time.Duration
-	most  time.Duration
+	number uint64        // of its series; it stays, so that a seed keeps its plan where kinds are added
+	every  time.Duration // on average
+	least  time.Duration
+	most   time.Duration
 }
 
 const ms = time.Millisecond
 
 var kinds = map[Fault]kindOf{
-	FaultPause:   {150 * ms, 500 * ms, 2000 * ms},
-	FaultStill:   {2 * time.Second, 500 * ms, 2000 * ms},
-	FaultRepeat:  {400 * ms, 0, 0},
-	FaultResume:  {500 * ms, 0, 0},
-	FaultBreak:   {500 * ms, 0, 0},
-	FaultFull:    {time.Second, 300 * ms, 1200 * ms},
-	FaultEntries: {time.Second, 0, 0},
-	FaultConfig:  {800 * ms, 0, 0},
-	FaultLeave:   {5 * time.Second, 3 * time.Second, 5 * time.Second},
-	FaultStop:    {5 * time.Second, 300 * ms, 2500 * ms},
-	FaultTerm:    {9 * time.Second, 0, 0},
-	FaultHangup:  {1500 * ms, 0, 0},
-	FaultLeaving: {5 * time.Second, 3 * time.Second, 5 * time.Second},
-	FaultRetry:   {2 * time.Second, time.Second, 3 * time.Second},
+	FaultPause:   {7, 150 * ms, 500 * ms, 2000 * ms},
+	FaultStill:   {11, 2 * time.Second, 500 * ms, 2000 * ms},
+	FaultRepeat:  {8, 400 * ms, 0, 0},
+	FaultResume:  {9, 500 * ms, 0, 0},
+	FaultBreak:   {0, 500 * ms, 0, 0},
+	FaultFull:    {3, time.Second, 300 * ms, 1200 * ms},
+	FaultEntries: {2, time.Second, 0, 0},
+	FaultConfig:  {1, 800 * ms, 0, 0},
+	FaultLeave:   {5, 5 * time.Second, 3 * time.Second, 5 * time.Second},
+	FaultStop:    {12, 5 * time.Second, 300 * ms, 2500 * ms},
+	FaultTerm:    {13, 9 * time.Second, 0, 0},
+	FaultHangup:  {4, 1500 * ms, 0, 0},
+	FaultLeaving: {6, 5 * time.Second, 3 * time.Second, 5 * time.Second},
+	FaultRetry:   {10, 2 * time.Second, time.Second, 3 * time.Second},
 }
 
 // Faults returns all kinds of faults.
@@ -114,9 +115,9 @@
 		}
 		p.Targets = append(p.Targets, t)
 	}
-	for n, name := range Faults() {
+	for _, name := range Faults() {
 		if slices.Contains(faults, name) {
-			p.Events = append(p.Events, p.series(name, rand.New(rand.NewPCG(seed, uint64(2+n))))...)
+			p.Events = append(p.Events, p.series(name, rand.New(rand.NewPCG(seed, 2+kinds[name].number)))...)
 		}
 	}
 	slices.SortStableFunc(p.Events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
--- /dev/null
+++ b/soak/plan_test.go
@@ -0,0 +1,54 @@
+package soak_test
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiachute/cassiachute/soak"
+)
+
+// planDigests are of the plans of five seeds, as they were before gateways were stopped in turn.
+var planDigests = map[soak.Fault]string{
+	soak.FaultBreak:   "cdc955337c25",
+	soak.FaultConfig:  "c08479a192c9",
+	soak.FaultEntries: "27dd206daf07",
+	soak.FaultFull:    "1f85654ad4fb",
+	soak.FaultHangup:  "4a402a3ba563",
+	soak.FaultLeave:   "ab5421170da1",
+	soak.FaultLeaving: "ff4991f162a4",
+	soak.FaultPause:   "e49b64667317",
+	soak.FaultRepeat:  "4aac733fdee6",
+	soak.FaultResume:  "093f726dd1cb",
+	soak.FaultRetry:   "3c17348453ef",
+	soak.FaultStill:   "32eab328b695",
+	soak.FaultStop:    "fe617c098db2",
+	soak.FaultTerm:    "dfbffe2a402a",
+}
+
+// A new kind of fault leaves the plans of seeds as they were: each kind has a number that stays.
+func TestPlansOfOldSeedsStay(t *testing.T) {
+	for name, want := range planDigests {
+		var text strings.Builder
+		for seed := range uint64(5) {
+			for _, e := range soak.Draw(seed, hosts, time.Minute, []soak.Fault{name}).Events {
+				fmt.Fprintln(&text, e, e.Draw)
+			}
+		}
+		require.Equal(t, want, fmt.Sprintf("%x", sha256.Sum256([]byte(text.String())))[:12], name)
+	}
+}
+
+// No two kinds of faults share a number, from which their series are drawn.
+func TestKindsHaveSeriesOfTheirOwn(t *testing.T) {
+	seen := map[uint64]soak.Fault{}
+	for _, name := range soak.Faults() {
+		first := soak.Draw(1, hosts, time.Hour, []soak.Fault{name}).Events[0].Draw
+		require.Empty(t, seen[first], name)
+		seen[first] = name
+	}
+}
