Soak: a gateway that is told to stop is killed at the end of its grace, and judged

Cause: the fault term waited 2 s more than the grace before it killed a process, and judged nothing of the stop, so processes that the platform kills were not seen. Change: SIGKILL at the end of the grace; the rule 'outlived' (a process that SIGKILL ended, unless it stood still in its grace) and the rule 'unlogged' (the last line of a process that ended as planned is not 'stopped'); the report counts stops and kills. Evidence: TestRulesBite (seven cases more); TestProcessThatOutlivesItsGraceIsKilled and TestLastLineIsThatOfItsProcess with scripted programs.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -24,7 +24,6 @@
 	contactTime  = 3 * time.Second // after a fault of a gateway, before it counts as in touch
 	askEvery     = time.Second     // the balancer asks whether a gateway is ready
 	askMisses    = 2               // after which it gets no new connection
-	endLimit     = 2 * time.Second // more than the grace, before a gateway is killed
 	addressBlock = 32              // addresses that share a port, more than a fleet has
 )
 
@@ -46,19 +45,21 @@
 	dir     string
 	listen  netip.AddrPort
 	ready   netip.AddrPort
+	grace   time.Duration // between a signal to stop and the end
 
 	files    sync.Mutex // guards the settings and their file
 	settings map[string]any
 
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	done   chan struct{} // closed once the process has ended
-	away   []Span        // not in touch
-	terms  []Span        // from a signal to stop to the end of the process
-	ending bool          // asked to end, and not started again yet
-	ended  int           // processes that ended by themselves
-	in     bool          // in rotation
-	misses int
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	done    chan struct{} // closed once the process has ended
+	away    []Span        // not in touch
+	stops   []Stop        // planned ends
+	logFrom int           // where the log of the present process begins
+	ending  bool          // asked to end, and not started again yet
+	ended   int           // processes that ended by themselves
+	in      bool          // in rotation
+	misses  int
 }
 
 // newGateways returns the gateways of a fleet that reads a store.
@@ -69,7 +70,7 @@
 	for n := range count {
 		g := &gateway{
 			name: fmt.Sprintf("host%d", n+1), program: program, dir: dir,
-			listen: loopback.Address(), ready: loopback.Address(),
+			listen: loopback.Address(), ready: loopback.Address(), grace: grace,
 		}
 		peer := loopback.Address()
 		seeds = append(seeds, peer.String())
@@ -109,11 +110,15 @@
 	if err := g.write(func() {}); err != nil {
 		return err
 	}
-	out, err := os.OpenFile(filepath.Join(g.dir, g.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	out, err := os.OpenFile(g.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = out.Close() }() // the process has its own descriptor
+	info, err := out.Stat()
+	if err != nil {
+		return err
+	}
 	cmd := exec.Command(g.program, "--settings", g.file())
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
@@ -121,7 +126,7 @@
 	}
 	done := make(chan struct{})
 	g.mu.Lock()
-	g.cmd, g.done, g.ending, g.in = cmd, done, false, false
+	g.cmd, g.done, g.ending, g.in, g.logFrom = cmd, done, false, false, int(info.Size())
 	g.mu.Unlock()
 	go func() {
 		_ = cmd.Wait() // what counts is that it ended, and whether it was asked to
@@ -155,39 +160,6 @@
 	g.mu.Unlock()
 }
 
-// restart ends the process as planned and starts another one, unless that is under way.
-func (g *gateway) restart() error {
-	if !g.end() {
-		return nil
-	}
-	return g.start()
-}
-
-// end ends the process as planned and waits until it has ended. It returns false if that
-// is under way.
-func (g *gateway) end() bool {
-	g.mu.Lock()
-	if g.ending {
-		g.mu.Unlock()
-		return false
-	}
-	g.ending = true
-	g.terms = append(g.terms, Span{From: time.Now()})
-	n, done := len(g.terms)-1, g.done
-	g.mu.Unlock()
-	g.signal(syscall.SIGTERM)
-	select {
-	case <-done:
-	case <-time.After(grace + endLimit):
-		g.signal(syscall.SIGKILL) // ends a stopped process too
-		<-done
-	}
-	g.mu.Lock()
-	g.terms[n].To = time.Now()
-	g.mu.Unlock()
-	return true
-}
-
 // hangup changes a setting and has the process read it, once the process is ready.
 func (g *gateway) hangup(draw uint64) error {
 	err := g.write(func() { g.settings["memory"] = fmt.Sprint(128 + draw%64) })
--- a/soak/rules.go
+++ b/soak/rules.go
@@ -23,7 +23,7 @@
 	Seen []Seen
 	target.Records
 	Away  map[int][]Span // of gateways that were not in touch
-	Terms map[int][]Span // of gateways that were told to stop
+	Stops map[int][]Stop // of gateways, planned
 	Ended map[int]int    // processes that ended by themselves
 	Least map[Kind]time.Duration
 
@@ -64,18 +64,6 @@
 	return false
 }
 
-// stopped returns whether the end of a gateway that was told to stop was near at the end of
-// a request, or over.
-func (v *View) stopped(s *Seen) bool {
-	for _, t := range v.Terms[s.Gateway] {
-		if s.Sent.Before(t.From.Add(contactTime)) && s.Done.After(t.From.Add(grace*5/6)) &&
-			s.Sent.After(t.From.Add(-s.Limit)) {
-			return true
-		}
-	}
-	return false
-}
-
 // timeOver returns whether the time of a request was over when its answer ended.
 func (v *View) timeOver(s *Seen) bool {
 	limit := s.Limit
@@ -118,6 +106,8 @@
 	{Name: "overlap", Broken: overlap},
 	{Name: "drain", Broken: drain},
 	{Name: "ended", Broken: ended},
+	{Name: "outlived", Broken: outlived},
+	{Name: "unlogged", Broken: unlogged},
 	{Name: "leaving", Broken: leaving, Of: FaultLeaving},
 	{Name: "paused", Broken: paused, Of: FaultRetry},
 }
--- a/soak/rules_test.go
+++ b/soak/rules_test.go
@@ -16,7 +16,7 @@
 
 // sound returns what is seen of four requests that are served as they should be.
 func sound() *View {
-	v := &View{Away: map[int][]Span{}, Terms: map[int][]Span{}, Ended: map[int]int{}, Least: map[Kind]time.Duration{}}
+	v := &View{Away: map[int][]Span{}, Stops: map[int][]Stop{}, Ended: map[int]int{}, Least: map[Kind]time.Duration{}}
 	v.Leaving = map[string]time.Time{}
 	for _, kind := range []Kind{KindLookup, KindOrder, KindStream, KindOnce} {
 		s := Seen{
@@ -113,11 +113,11 @@
 	}},
 	{"lost", "the gateway is told to stop", 1, func(v *View) {
 		v.cut(KindStream)
-		v.Terms[0] = []Span{{From: at(500 * ms)}}
+		v.Stops[0] = []Stop{{Span: Span{From: at(500 * ms)}}}
 	}},
 	{"lost", "the time to stop is over", 0, func(v *View) {
 		v.cut(KindStream)
-		v.Terms[0] = []Span{{From: at(-time.Second), To: at(time.Second)}}
+		v.Stops[0] = []Stop{{Span: Span{From: at(-time.Second), To: at(time.Second)}}}
 		s, _ := v.request(KindStream)
 		s.Limit, s.Done = 20*time.Second, at(6*time.Second)
 	}},
@@ -206,6 +206,22 @@
 		v.late("late", "t2", at(1900*ms))
 	}},
 	{"ended", "a gateway ends by itself", 1, func(v *View) { v.Ended[0] = 1 }},
+	{"outlived", "a process is killed at the end of its grace", 1, func(v *View) {
+		v.Stops[1] = []Stop{{Killed: true, Last: lastEvent}}
+	}},
+	{"outlived", "a process is killed that stood still", 0, func(v *View) { v.Stops[1] = []Stop{{Killed: true, Still: true}} }},
+	{"outlived", "each process counts", 2, func(v *View) {
+		v.Stops[0] = []Stop{{Killed: true}, {Last: lastEvent}}
+		v.Stops[1] = []Stop{{Last: lastEvent}, {Killed: true}}
+	}},
+	{"unlogged", "a process ends without a word", 1, func(v *View) { v.Stops[0] = []Stop{{}} }},
+	{"unlogged", "a process ends while it stops", 1, func(v *View) {
+		v.Stops[0] = []Stop{{Last: `{"level":"info","event":"stopping"}`}}
+	}},
+	{"unlogged", "a process says that it ended", 0, func(v *View) {
+		v.Stops[0] = []Stop{{Last: `{"level":"info","host":"host1","event":"stopped","took":3}`}}
+	}},
+	{"unlogged", "a process that is killed", 0, func(v *View) { v.Stops[0] = []Stop{{Killed: true}} }},
 	{"leaving", "a request long after an answer that said so", 1, func(v *View) {
 		v.Said = []target.Said{{ID: string(KindOrder), Target: "t2", At: at(0)}}
 		v.late("late", "t2", at(2100*ms))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -45,6 +45,8 @@
 	Refused  int
 	Cut      int // answers that are not whole, excused ones too
 	Excused  int // not whole or failed, and not judged as that
+	Stops    int // planned ends of processes
+	Killed   int // of these, processes that were still there at the end of their grace
 	Stalls   int // times that the machine held the soak up; requests of these moments are excused
 	Dir      string
 }
@@ -64,7 +66,7 @@
 func (r *Report) Print(w io.Writer) {
 	fmt.Fprintf(w, "seed %d: %d faults, %d requests, %d served, %d refused, %d not whole, %d excused, held up %d times\n",
 		r.Plan.Seed, len(r.Plan.Events), r.Requests, r.Served, r.Refused, r.Cut, r.Excused, r.Stalls)
-	fmt.Fprintf(w, "  faults %v\n", r.Plan.counts())
+	fmt.Fprintf(w, "  faults %v, %d processes told to stop, %d killed\n", r.Plan.counts(), r.Stops, r.Killed)
 	for _, v := range r.Verdicts {
 		word := "kept"
 		if len(v.Cases) > 0 {
@@ -134,6 +136,14 @@
 			r.Served++
 		}
 	}
+	for _, stops := range v.Stops {
+		for _, s := range stops {
+			r.Stops++
+			if s.Killed {
+				r.Killed++
+			}
+		}
+	}
 	counts := p.counts()
 	for _, rule := range Rules {
 		if rule.Of == "" || counts[rule.Of] > 0 {
--- a/soak/world.go
+++ b/soak/world.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -134,14 +135,14 @@
 // view returns what was seen.
 func (f *fleet) view() *View {
 	v := &View{
-		Seen: f.seen, Records: f.ledger.Records(), Away: map[int][]Span{}, Terms: map[int][]Span{}, Ended: map[int]int{},
+		Seen: f.seen, Records: f.ledger.Records(), Away: map[int][]Span{}, Stops: map[int][]Stop{}, Ended: map[int]int{},
 		Least: map[Kind]time.Duration{
 			KindLookup: operator.LeastPlain * ms, KindOrder: operator.LeastPlain * ms,
 			KindStream: operator.LeastStream * ms, KindOnce: operator.LeastStream * ms,
 		},
 	}
 	for n, g := range f.gateways {
-		v.Away[n], v.Terms[n], v.Ended[n] = append(g.away, f.stalls...), g.terms, g.ended
+		v.Away[n], v.Stops[n], v.Ended[n] = slices.Concat(g.away, f.stalls), g.planned(), g.ended
 	}
 	v.Stalls = len(f.stalls)
 	return v
