Soak: a planned stop excuses no more than LOST does

Cause: any request that was sent up to 3 s after SIGTERM and ended in the last sixth of the grace was excused, whatever its target did; an order without an answer too. Change: the excuse asks for a run that was at work at a moment of the last sixth, and only a stream may be cut with it. An order or lookup has an answer (504 counts as one; it is excused from 'failed'). Narrower than the rule in one point: the answer must have ended in the last sixth as well. Evidence: TestRulesBite, 13 cases in place of one: both sides of 3 s and of the last sixth, a run that had not begun, one that began after the grace, another gateway, orders without and with an answer. Conclusion: what a stop cuts is judged as the platform judges it.

--- a/soak/rules_test.go
+++ b/soak/rules_test.go
@@ -61,6 +61,13 @@
 	return s, r
 }
 
+// atGrace has a request last until the end of the grace of its gateway.
+func (v *View) atGrace(s *Seen, r *target.Run) (*Seen, *target.Run) {
+	v.Stops[0] = []Stop{{Span: Span{From: at(-time.Second), To: at(grace - time.Second)}, Last: lastEvent}}
+	s.Limit, s.Done, r.Ended = 20*time.Second, at(6500*ms), at(6500*ms)
+	return s, r
+}
+
 // late adds an arrival of a request of a gateway.
 func (v *View) late(id, name string, at time.Time) {
 	v.Seen = append(v.Seen, Seen{
@@ -115,11 +122,46 @@
 		v.cut(KindStream)
 		v.Stops[0] = []Stop{{Span: Span{From: at(500 * ms)}}}
 	}},
-	{"lost", "the time to stop is over", 0, func(v *View) {
-		v.cut(KindStream)
-		v.Stops[0] = []Stop{{Span: Span{From: at(-time.Second), To: at(time.Second)}}}
-		s, _ := v.request(KindStream)
-		s.Limit, s.Done = 20*time.Second, at(6*time.Second)
+	{"lost", "a stream runs at the end of a grace", 0, func(v *View) { v.atGrace(v.cut(KindStream)) }},
+	{"lost", "its target had ended before the last sixth of the grace", 1, func(v *View) {
+		_, r := v.atGrace(v.cut(KindStream))
+		r.Ended = at(-time.Second + lastPart)
+	}},
+	{"lost", "its target was at work just in the last sixth", 0, func(v *View) {
+		_, r := v.atGrace(v.cut(KindStream))
+		r.Ended = at(-time.Second + lastPart + ms)
+	}},
+	{"lost", "its target began after the grace", 1, func(v *View) {
+		s, r := v.atGrace(v.cut(KindStream))
+		r.Began = at(-time.Second + grace)
+		s.Done, r.Ended = r.Began.Add(ms), r.Began.Add(ms)
+	}},
+	{"lost", "its target had not begun", 1, func(v *View) {
+		_, r := v.atGrace(v.cut(KindStream))
+		r.Began = time.Time{}
+	}},
+	{"lost", "a stream is cut before the last sixth while its target goes on", 1, func(v *View) {
+		s, _ := v.atGrace(v.cut(KindStream))
+		s.Done = at(-time.Second + lastPart)
+	}},
+	{"lost", "a stream was sent late in a grace", 1, func(v *View) {
+		v.atGrace(v.cut(KindStream))
+		v.Stops[0][0].From = at(-lateTake - ms)
+	}},
+	{"lost", "a stream was sent just early enough", 0, func(v *View) {
+		v.atGrace(v.cut(KindStream))
+		v.Stops[0][0].From = at(-lateTake)
+	}},
+	{"lost", "another gateway was told to stop", 1, func(v *View) {
+		v.atGrace(v.cut(KindStream))
+		v.Stops[0], v.Stops[1] = nil, v.Stops[0]
+	}},
+	{"lost", "an order has no answer at the end of a grace", 1, func(v *View) { v.atGrace(v.cut(KindOrder)) }},
+	{"lost", "an order is answered at the end of a grace", 0, func(v *View) { v.atGrace(v.answer(KindOrder, 504)) }},
+	{"failed", "an order is answered at the end of a grace", 0, func(v *View) { v.atGrace(v.answer(KindOrder, 504)) }},
+	{"failed", "an order is answered early in a grace", 1, func(v *View) {
+		s, _ := v.atGrace(v.answer(KindOrder, 504))
+		s.Done = at(time.Second)
 	}},
 	{"failed", "a lookup fails", 1, func(v *View) { v.answer(KindLookup, 502) }},
 	{"failed", "a lookup is refused", 0, func(v *View) { v.answer(KindLookup, 503) }},
--- a/soak/stop.go
+++ b/soak/stop.go
@@ -10,9 +10,13 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/cassiachute/cassiachute/standin/target"
 )
 
 const (
+	lateTake   = 3 * time.Second     // after a signal to stop, in which what a gateway takes may outlast its grace
+	lastPart   = grace * 5 / 6       // of a grace, after which work of a target excuses a cut
 	signalWait = 2 * time.Second     // for the first line of a process, before it is told to stop
 	lastEvent  = `"event":"stopped"` // in the last line of a process that ended as planned
 )
@@ -105,18 +109,29 @@
 	return stops
 }
 
-// stopped returns whether the end of a gateway that was told to stop was near at the end of
-// a request, or over.
+// stopped returns whether the end of a gateway that was told to stop excuses a request: it was
+// sent soon after the signal, and its target was still at work on it late in the grace. Only an
+// answer that has no end of its own may be cut, a stream.
 func (v *View) stopped(s *Seen) bool {
-	for _, t := range v.Stops[s.Gateway] {
-		if s.Sent.Before(t.From.Add(contactTime)) && s.Done.After(t.From.Add(grace*5/6)) &&
-			s.Sent.After(t.From.Add(-s.Limit)) {
+	if !s.Whole && s.Events == 0 {
+		return false
+	}
+	for _, stop := range v.Stops[s.Gateway] {
+		last := Span{From: stop.From.Add(lastPart), To: stop.From.Add(grace)}
+		if !s.Sent.After(stop.From.Add(lateTake)) && s.Done.After(last.From) && v.works(s.ID, last) {
 			return true
 		}
 	}
 	return false
 }
 
+// works returns whether a target was at work on a request at some moment of a span.
+func (v *View) works(id string, span Span) bool {
+	return slices.ContainsFunc(v.runs[id], func(r target.Run) bool {
+		return Span{From: r.Began, To: r.Ended}.overlaps(span.From, span.To)
+	})
+}
+
 // eachStop returns a line for each planned end that breaks a rule.
 func (v *View) eachStop(broken func(s Stop) bool) []string {
 	var lines []string
