Soak: gateways are stopped in turn and overlapping (roll)

Cause: stops in series, and one soon after a start, were played by chance only. Change: a kind of fault, 'roll': all gateways get SIGTERM in turn, each next one once the one before is back or up to 3 s after its signal, and one of them once more within 1.5 s of being ready, all drawn from the seed. Its series has a number of its own. Evidence: TestStepsOfARoll; TestPlansOfOldSeedsStay passes, so old seeds keep their series; a run that names no faults has rolls besides.

--- a/soak/plan.go
+++ b/soak/plan.go
@@ -28,6 +28,7 @@
 	FaultLeave   Fault = "leave"   // a target leaves by the list and comes back under a new identity
 	FaultStop    Fault = "stop"    // a gateway is stopped and continued
 	FaultTerm    Fault = "term"    // a gateway ends as planned and starts again
+	FaultRoll    Fault = "roll"    // all gateways end as planned in turn or overlapping, one of them twice
 	FaultHangup  Fault = "hangup"  // a gateway reads its settings anew
 	FaultLeaving Fault = "leaving" // a target says in its answers that it leaves
 	FaultRetry   Fault = "retry"   // a full target says how long it wants no request
@@ -55,6 +56,7 @@
 	FaultLeave:   {5, 5 * time.Second, 3 * time.Second, 5 * time.Second},
 	FaultStop:    {12, 5 * time.Second, 300 * ms, 2500 * ms},
 	FaultTerm:    {13, 9 * time.Second, 0, 0},
+	FaultRoll:    {14, 10 * time.Second, 0, 0},
 	FaultHangup:  {4, 1500 * ms, 0, 0},
 	FaultLeaving: {6, 5 * time.Second, 3 * time.Second, 5 * time.Second},
 	FaultRetry:   {10, 2 * time.Second, time.Second, 3 * time.Second},
@@ -160,7 +162,7 @@
 	case FaultResume:
 		e.Who = rng.IntN(engines)
 		e.Shape = target.ResumeShapes[rng.IntN(len(target.ResumeShapes))]
-	case FaultStop, FaultTerm, FaultHangup:
+	case FaultStop, FaultTerm, FaultRoll, FaultHangup:
 		e.Who = rng.IntN(p.Gateways)
 	}
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -225,6 +225,8 @@
 		f.gateways[e.Who].pause(e.Length)
 	case FaultTerm:
 		err = f.gateways[e.Who].restart()
+	case FaultRoll:
+		err = f.roll(ctx, e)
 	case FaultHangup:
 		err = f.gateways[e.Who].hangup(e.Draw)
 	}
