Soak: callers with slow bodies, slow reads, new connections and long streams where gateways stop

A request's time counts from its first byte. Rolls come every 7 s. Kept connections were checked: a caller goes on on its own until 'Connection: close'.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -33,7 +33,9 @@
 	Gateway  int
 	Path     string
 	Events   int           // that the whole stream has
+	Copies   int           // of its identity, that its body has; one if 0
 	Limit    time.Duration // that the caller waits
+	Began    time.Time     // the first byte
 	Sent     time.Time     // the last byte
 	Done     time.Time
 	Status   int // 0 without a head
@@ -57,6 +59,7 @@
 // caller sends requests one after another on a connection that it keeps.
 type caller struct {
 	name    string
+	manner  manner
 	home    int // gateway that it prefers
 	fleet   *fleet
 	rng     *rand.Rand
@@ -86,7 +89,9 @@
 // think waits a time, now and then for almost as long as an idle connection is kept.
 func (c *caller) think(ctx context.Context) {
 	wait := time.Duration(c.rng.Int64N(int64(600 * ms)))
-	if c.rng.IntN(20) == 0 {
+	if c.manner == mannerFresh {
+		wait = wait * freshThink / (600 * ms)
+	} else if c.rng.IntN(20) == 0 {
 		wait = time.Duration(idlePart * float64(c.fleet.idle()))
 	}
 	select {
@@ -104,7 +109,7 @@
 
 // connect gets a connection to a gateway that is in rotation, or keeps the one that there is.
 func (c *caller) connect() bool {
-	if c.conn != nil && time.Since(c.used) < time.Duration(idlePart*float64(c.fleet.idle()))+50*ms {
+	if c.manner != mannerFresh && c.conn != nil && time.Since(c.used) < time.Duration(idlePart*float64(c.fleet.idle()))+50*ms {
 		return true
 	}
 	c.close()
@@ -116,7 +121,8 @@
 		}
 		conn, err := net.DialTimeout("tcp", g.listen.String(), dialLimit)
 		if err == nil {
-			c.conn, c.rd, c.gateway = conn, bufio.NewReader(conn), at
+			c.conn, c.gateway = c.slowed(conn), at
+			c.rd = bufio.NewReader(c.conn)
 			return true
 		}
 	}
@@ -131,11 +137,13 @@
 	}
 	s.Gateway = c.gateway
 	s.Extra = c.rd.Buffered() > 0
-	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: 100,%d\r\n%s: %d\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+	body := s.text()
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: 100,%d\r\n%s: %d\r\n%s: %s\r\nContent-Length: %d\r\n\r\n",
 		s.Path, target.HeaderAttempt, s.ID, target.HeaderTokens, s.Events, target.HeaderDeadline, s.Limit.Milliseconds(),
-		target.HeaderKey, key, len(s.ID), s.ID)
-	_ = c.conn.SetDeadline(time.Now().Add(s.Limit + answerWait)) // a closed connection fails at the write
-	if _, err := c.conn.Write([]byte(text)); err != nil {
+		target.HeaderKey, key, len(body))
+	s.Began = time.Now()
+	_ = c.conn.SetDeadline(s.Began.Add(s.Limit + answerWait)) // a closed connection fails at the write
+	if err := c.send(head, body); err != nil {
 		c.close()
 		return nil
 	}
@@ -164,6 +172,7 @@
 	if s.Events > 0 {
 		s.Limit *= 3
 	}
+	c.adapt(s)
 	s.Path = fmt.Sprintf("/%s/%s", s.Kind, c.name)
 	return s, c.fleet.key(c.rng.IntN(2))
 }
@@ -188,12 +197,16 @@
 }
 
 // newCallers returns the callers of a plan.
-func newCallers(f *fleet, count int, seed uint64) []*caller {
+func newCallers(f *fleet) []*caller {
+	kinds := make([]manner, callersEach)
+	if f.plan.stops() {
+		kinds = append(kinds, manners...)
+	}
 	var all []*caller
-	for n := range count {
+	for n := range len(kinds) * len(f.gateways) {
 		all = append(all, &caller{
-			name: fmt.Sprintf("c%d", n), home: n % len(f.gateways), fleet: f,
-			rng: rand.New(rand.NewPCG(seed, uint64(1000+n))),
+			name: fmt.Sprintf("c%d", n), manner: kinds[n/len(f.gateways)], home: n % len(f.gateways), fleet: f,
+			rng: rand.New(rand.NewPCG(f.plan.Seed, uint64(1000+n))),
 		})
 	}
 	return all
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -56,7 +56,7 @@
 	FaultLeave:   {5, 5 * time.Second, 3 * time.Second, 5 * time.Second},
 	FaultStop:    {12, 5 * time.Second, 300 * ms, 2500 * ms},
 	FaultTerm:    {13, 9 * time.Second, 0, 0},
-	FaultRoll:    {14, 10 * time.Second, 0, 0},
+	FaultRoll:    {14, 7 * time.Second, 0, 0},
 	FaultHangup:  {4, 1500 * ms, 0, 0},
 	FaultLeaving: {6, 5 * time.Second, 3 * time.Second, 5 * time.Second},
 	FaultRetry:   {10, 2 * time.Second, time.Second, 3 * time.Second},
--- a/soak/rules.go
+++ b/soak/rules.go
@@ -70,7 +70,7 @@
 	if least, ok := v.Least[s.Kind]; ok {
 		limit = min(limit, least)
 	}
-	return s.Done.Sub(s.Sent) >= limit-timeSlack
+	return s.Done.Sub(s.Began) >= limit-timeSlack
 }
 
 // faulty returns whether a target did not answer a request as it should.
@@ -202,7 +202,7 @@
 		case s.Extra, s.AnswerID != "" && s.AnswerID != s.ID, success && !s.Sealed:
 			return true
 		case success && s.Whole && s.Events == 0:
-			return s.Body != target.Body(s.ID, s.Path, s.ID)
+			return s.Body != target.Body(s.ID, s.Path, s.text())
 		}
 		return false
 	})
--- a/soak/rules_test.go
+++ b/soak/rules_test.go
@@ -20,7 +20,7 @@
 	v.Leaving = map[string]time.Time{}
 	for _, kind := range []Kind{KindLookup, KindOrder, KindStream, KindOnce} {
 		s := Seen{
-			ID: string(kind), Kind: kind, Path: "/" + string(kind) + "/x", Limit: 5 * time.Second, Sent: at(0), Done: at(time.Second),
+			ID: string(kind), Kind: kind, Path: "/" + string(kind) + "/x", Limit: 5 * time.Second, Began: at(0), Sent: at(0), Done: at(time.Second),
 			Status: 200, AnswerID: string(kind), Sealed: true, Whole: true,
 		}
 		s.Body = target.Body(s.ID, s.Path, s.ID)
@@ -71,7 +71,7 @@
 // late adds an arrival of a request of a gateway.
 func (v *View) late(id, name string, at time.Time) {
 	v.Seen = append(v.Seen, Seen{
-		ID: id, Kind: KindOrder, Sent: at, Done: at, Status: 200, Sealed: true, Whole: true, Body: target.Body(id, "", id),
+		ID: id, Kind: KindOrder, Began: at, Sent: at, Done: at, Status: 200, Sealed: true, Whole: true, Body: target.Body(id, "", id),
 	})
 	v.Arrivals = append(v.Arrivals, target.Arrival{ID: id, Target: name, At: at})
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -164,7 +164,7 @@
 	for _, g := range f.gateways {
 		ends = append(ends, g.balance(calling, askEvery))
 	}
-	for _, c := range newCallers(f, callersEach*len(f.gateways), f.plan.Seed) {
+	for _, c := range newCallers(f) {
 		ends = append(ends, c.run(calling))
 	}
 	began := time.Now()
