--- a/soak/rules_test.go
+++ b/soak/rules_test.go
@@ -16,11 +16,11 @@
 
 // sound returns what is seen of four requests that are served as they should be.
 func sound() *View {
-	v := &View{Away: map[int][]Span{}, Terms: map[int][]Span{}, Ended: map[int]int{}, Least: map[Kind]time.Duration{}}
+	v := &View{Away: map[int][]Span{}, Stops: map[int][]Stop{}, Ended: map[int]int{}, Least: map[Kind]time.Duration{}}
 	v.Leaving = map[string]time.Time{}
 	for _, kind := range []Kind{KindLookup, KindOrder, KindStream, KindOnce} {
 		s := Seen{
-			ID: string(kind), Kind: kind, Path: "/" + string(kind) + "/x", Limit: 5 * time.Second, Sent: at(0), Done: at(time.Second),
+			ID: string(kind), Kind: kind, Path: "/" + string(kind) + "/x", Limit: 5 * time.Second, Began: at(0), Sent: at(0), Done: at(time.Second),
 			Status: 200, AnswerID: string(kind), Sealed: true, Whole: true,
 		}
 		s.Body = target.Body(s.ID, s.Path, s.ID)
@@ -61,10 +61,17 @@
 	return s, r
 }
 
+// atGrace has a request last until the end of the grace of its gateway.
+func (v *View) atGrace(s *Seen, r *target.Run) (*Seen, *target.Run) {
+	v.Stops[0] = []Stop{{Span: Span{From: at(-time.Second), To: at(grace - time.Second)}, Last: lastEvent}}
+	s.Limit, s.Done, r.Ended = 20*time.Second, at(6500*ms), at(6500*ms)
+	return s, r
+}
+
 // late adds an arrival of a request of a gateway.
 func (v *View) late(id, name string, at time.Time) {
 	v.Seen = append(v.Seen, Seen{
-		ID: id, Kind: KindOrder, Sent: at, Done: at, Status: 200, Sealed: true, Whole: true, Body: target.Body(id, "", id),
+		ID: id, Kind: KindOrder, Began: at, Sent: at, Done: at, Status: 200, Sealed: true, Whole: true, Body: target.Body(id, "", id),
 	})
 	v.Arrivals = append(v.Arrivals, target.Arrival{ID: id, Target: name, At: at})
 }
@@ -113,13 +120,48 @@
 	}},
 	{"lost", "the gateway is told to stop", 1, func(v *View) {
 		v.cut(KindStream)
-		v.Terms[0] = []Span{{From: at(500 * ms)}}
+		v.Stops[0] = []Stop{{Span: Span{From: at(500 * ms)}}}
 	}},
-	{"lost", "the time to stop is over", 0, func(v *View) {
-		v.cut(KindStream)
-		v.Terms[0] = []Span{{From: at(-time.Second), To: at(time.Second)}}
-		s, _ := v.request(KindStream)
-		s.Limit, s.Done = 20*time.Second, at(6*time.Second)
+	{"lost", "a stream runs at the end of a grace", 0, func(v *View) { v.atGrace(v.cut(KindStream)) }},
+	{"lost", "its target had ended before the last sixth of the grace", 1, func(v *View) {
+		_, r := v.atGrace(v.cut(KindStream))
+		r.Ended = at(-time.Second + lastPart)
+	}},
+	{"lost", "its target was at work just in the last sixth", 0, func(v *View) {
+		_, r := v.atGrace(v.cut(KindStream))
+		r.Ended = at(-time.Second + lastPart + ms)
+	}},
+	{"lost", "its target began after the grace", 1, func(v *View) {
+		s, r := v.atGrace(v.cut(KindStream))
+		r.Began = at(-time.Second + grace)
+		s.Done, r.Ended = r.Began.Add(ms), r.Began.Add(ms)
+	}},
+	{"lost", "its target had not begun", 1, func(v *View) {
+		_, r := v.atGrace(v.cut(KindStream))
+		r.Began = time.Time{}
+	}},
+	{"lost", "a stream is cut before the last sixth while its target goes on", 1, func(v *View) {
+		s, _ := v.atGrace(v.cut(KindStream))
+		s.Done = at(-time.Second + lastPart)
+	}},
+	{"lost", "a stream was sent late in a grace", 1, func(v *View) {
+		v.atGrace(v.cut(KindStream))
+		v.Stops[0][0].From = at(-lateTake - ms)
+	}},
+	{"lost", "a stream was sent just early enough", 0, func(v *View) {
+		v.atGrace(v.cut(KindStream))
+		v.Stops[0][0].From = at(-lateTake)
+	}},
+	{"lost", "another gateway was told to stop", 1, func(v *View) {
+		v.atGrace(v.cut(KindStream))
+		v.Stops[0], v.Stops[1] = nil, v.Stops[0]
+	}},
+	{"lost", "an order has no answer at the end of a grace", 1, func(v *View) { v.atGrace(v.cut(KindOrder)) }},
+	{"lost", "an order is answered at the end of a grace", 0, func(v *View) { v.atGrace(v.answer(KindOrder, 504)) }},
+	{"failed", "an order is answered at the end of a grace", 0, func(v *View) { v.atGrace(v.answer(KindOrder, 504)) }},
+	{"failed", "an order is answered early in a grace", 1, func(v *View) {
+		s, _ := v.atGrace(v.answer(KindOrder, 504))
+		s.Done = at(time.Second)
 	}},
 	{"failed", "a lookup fails", 1, func(v *View) { v.answer(KindLookup, 502) }},
 	{"failed", "a lookup is refused", 0, func(v *View) { v.answer(KindLookup, 503) }},
@@ -206,6 +248,22 @@
 		v.late("late", "t2", at(1900*ms))
 	}},
 	{"ended", "a gateway ends by itself", 1, func(v *View) { v.Ended[0] = 1 }},
+	{"outlived", "a process is killed at the end of its grace", 1, func(v *View) {
+		v.Stops[1] = []Stop{{Killed: true, Last: lastEvent}}
+	}},
+	{"outlived", "a process is killed that stood still", 0, func(v *View) { v.Stops[1] = []Stop{{Killed: true, Still: true}} }},
+	{"outlived", "each process counts", 2, func(v *View) {
+		v.Stops[0] = []Stop{{Killed: true}, {Last: lastEvent}}
+		v.Stops[1] = []Stop{{Last: lastEvent}, {Killed: true}}
+	}},
+	{"unlogged", "a process ends without a word", 1, func(v *View) { v.Stops[0] = []Stop{{}} }},
+	{"unlogged", "a process ends while it stops", 1, func(v *View) {
+		v.Stops[0] = []Stop{{Last: `{"level":"info","event":"stopping"}`}}
+	}},
+	{"unlogged", "a process says that it ended", 0, func(v *View) {
+		v.Stops[0] = []Stop{{Last: `{"level":"info","host":"host1","event":"stopped","took":3}`}}
+	}},
+	{"unlogged", "a process that is killed", 0, func(v *View) { v.Stops[0] = []Stop{{Killed: true}} }},
 	{"leaving", "a request long after an answer that said so", 1, func(v *View) {
 		v.Said = []target.Said{{ID: string(KindOrder), Target: "t2", At: at(0)}}
 		v.late("late", "t2", at(2100*ms))
