Only the end of the work excuses a target that was being connected to

A caller that leaves ends no connection that is being made: a target that could not be reached then counts as before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -72,7 +72,7 @@
 	x.target, a.address = choice.Target, address
 	unnamed := x.call.ID == "" // its answer could not be told from an earlier one
 	line, err := x.gateway.pool.Get(ctx, address, unnamed)
-	if err != nil && x.left() {
+	if err != nil && x.gateway.ctx.Err() != nil { // the work of this host is over
 		a.finish(placement.Returned)
 		return a, errUnsent
 	}
@@ -199,7 +199,7 @@
 		x.gateway.pool.Put(address, line)
 		return false
 	}
-	if x.left() {
+	if x.gateway.ctx.Err() != nil {
 		return false
 	}
 	x.gateway.pool.Forget(address)
