A head that stops and goes on as another one is no answer of the product's own interface

Callers of orders, lookups and models got 200 with the text of a failure if a target stopped in the head of a success and wrote a failure after it, and a change of protocols (101) as their answer. All heads of targets now come through one function, which takes these for a connection that broke: unknown, sent again only where that is allowed.

Evidence: 15 of 15 cases (three heads, five kinds of caller) wrong before (200 or 101), 502 unknown after.

--- a/entry/head_test.go
+++ b/entry/head_test.go
@@ -42,6 +42,14 @@
 
 func (s stopped) model() bool { return s.caller == "stream" || s.caller == "completion" }
 
+// kind returns the kind of service that is asked.
+func (s stopped) kind() string {
+	if s.model() {
+		return catalog.KindModel
+	}
+	return catalog.KindPlain
+}
+
 // framings are the heads of answers with a body in their framing.
 var framings = map[string]func(kind string, pieces []string) (head, body string){
 	"with a length": func(kind string, pieces []string) (string, string) {
@@ -158,10 +166,7 @@
 	t.Helper()
 	services := map[string]string{}
 	for n, s := range cases {
-		services[fmt.Sprint("s", n)] = catalog.KindPlain
-		if s.model() {
-			services[fmt.Sprint("s", n)] = catalog.KindModel
-		}
+		services[fmt.Sprint("s", n)] = s.kind()
 	}
 	w := newWorld(t, services, func(a *arrival) bool {
 		var n int
--- /dev/null
+++ b/entry/joined_test.go
@@ -0,0 +1,51 @@
+package entry_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/entry"
+)
+
+// joined are answers of which nothing can be taken: a head stops and another one follows, or the
+// target speaks of another protocol.
+var joined = map[string]string{
+	"in a header":       "HTTP/1.1 200 OK\r\nContent-Type: textHTTP/1.1 500 X\r\nContent-Length: %d\r\n\r\n%s",
+	"in the first line": "HTTP/1.1 200 OHTTP/1.1 503 X\r\nContent-Length: %d\r\n\r\n%s",
+	"other protocol":    "HTTP/1.1 101 X\r\nX-Length: %d\r\n\r\n%s",
+}
+
+// A target stopped in the head of a success and wrote a failure after it: the caller got the text of
+// the failure as a 200. A change of protocols that nobody asked for was passed on as an answer.
+func TestHeadThatGoesOnAsAnotherIsNoAnswer(t *testing.T) {
+	for name, text := range joined {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			callers := []string{"order", "named order", "lookup", "stream", "completion"}
+			services := map[string]string{}
+			for n, caller := range callers {
+				services[fmt.Sprint("s", n)] = stopped{caller: caller}.kind()
+			}
+			w := newWorld(t, services, func(a *arrival) bool {
+				body := "bad"
+				if len(a.request.Body()) > len("order") {
+					body = events(0)[0] + "data: [DONE]\n\n"
+				}
+				a.write(fmt.Sprintf(text, len(body), body))
+				return false
+			})
+			for n, caller := range callers {
+				t.Run(caller, func(t *testing.T) {
+					t.Parallel()
+					r := stopped{caller: caller}.play(w, n)
+					require.Equal(t, fasthttp.StatusBadGateway, r.status, r.body)
+					require.Equal(t, entry.OutcomeUnknown, r.outcome)
+					require.NotContains(t, r.body, "bad")
+				})
+			}
+		})
+	}
+}
--- a/entry/model.go
+++ b/entry/model.go
@@ -144,7 +144,7 @@
 // receive reads the head of the answer.
 func (s *stream) receive() (*part, *problem) {
 	s.response = &fasthttp.Response{}
-	err := s.line.Receive(s.response, s.service.First.Duration)
+	err := receive(s.line, s.response, s.service.First.Duration)
 	if err != nil {
 		return nil, s.lost(err)
 	}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -95,7 +95,7 @@
 func (g *passage) receive() error {
 	g.response = &fasthttp.Response{}
 	g.response.SkipBody = g.request.Header.IsHead()
-	if err := g.line.Receive(g.response, g.service.First.Duration); err != nil {
+	if err := receive(g.line, g.response, g.service.First.Duration); err != nil {
 		return err
 	}
 	g.head = time.Since(g.begun)
