A model's answer without a length that stops is not passed on as a whole one

Callers of the product's own interface who asked a model for several alternatives or tools (answers that are passed on as they are) got 200 with an empty or short body and its length, as if it were whole, if the engine's answer had no length and its connection was closed after the head or within the body. Cause: such an answer ends with its connection, so its end can't be told from a break, and the entry gave what had come a length. An answer of a model says itself where it ends: events with [DONE], JSON as a whole value. Without a length it is now held until that has come; else the engine broke off, and the request goes to another engine or ends with 502 unknown.

Ruled out: streams and answers that the entry puts together itself (they want [DONE]). Not changed: plain services, where nothing but the connection tells the end.

--- a/entry/plain.go
+++ b/entry/plain.go
@@ -7,15 +7,19 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tidwall/gjson"
 	"github.com/valyala/fasthttp"
 
+	"github.com/cassiachute/cassiachute/catalog"
+	"github.com/cassiachute/cassiachute/fault"
 	"github.com/cassiachute/cassiachute/link"
 	"github.com/cassiachute/cassiachute/wire"
 )
 
 const (
-	heldBytes = 256 << 10 // an answer up to this size is complete before it is passed on
-	copyBytes = 16 << 10
+	heldBytes     = 256 << 10 // an answer up to this size is complete before it is passed on
+	maxWholeBytes = 16 << 20  // of an answer that has to be complete before
+	copyBytes     = 16 << 10
 )
 
 // hopHeaders are headers that concern one connection only.
@@ -107,13 +111,38 @@
 		return nil
 	}
 	var buf bytes.Buffer
-	_, err := io.CopyN(&buf, g.body, heldBytes)
+	limit := int64(heldBytes)
+	if g.endsItself() {
+		limit = maxWholeBytes
+	}
+	_, err := io.CopyN(&buf, g.body, limit)
 	g.held = buf.Bytes()
-	if errors.Is(err, io.EOF) {
-		g.complete = true
-		return nil
+	g.complete = errors.Is(err, io.EOF)
+	switch {
+	case err != nil && !g.complete:
+		return err
+	case g.endsItself() && !(g.complete && ended(&g.response.Header, g.held)):
+		return fault.Mark(errEnded, link.ErrBroken)
+	}
+	return nil
+}
+
+// endsItself returns whether only the body tells whether it is whole: the answer of a model that has
+// no length ends with its connection, which may have broken.
+func (g *passage) endsItself() bool {
+	return !g.body.Framed() && g.service.Kind == catalog.KindModel && g.response.StatusCode() == fasthttp.StatusOK
+}
+
+// ended returns whether the body of a model's answer has its end. One of another type has none.
+func ended(header *fasthttp.ResponseHeader, body []byte) bool {
+	kind := bytes.ToLower(header.ContentType())
+	switch {
+	case bytes.HasPrefix(kind, []byte("text/event-stream")):
+		return bytes.HasSuffix(bytes.ReplaceAll(body, []byte("\r"), nil), []byte("[DONE]\n\n"))
+	case bytes.HasPrefix(kind, []byte("application/json")):
+		return gjson.ValidBytes(body)
 	}
-	return err
+	return true
 }
 
 // end returns the report of the present attempt: the time in its slot.
