Test: a long answer that stops is cut, and an order whose answer stopped runs once

Sound in the product's own interface: answers over the 256 KB that are held (length, chunked in three places, reset without a length), and a named order that comes again after a head that stopped (409 unknown, not run).

--- /dev/null
+++ b/entry/long_test.go
@@ -0,0 +1,69 @@
+package entry_test
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/catalog"
+	"github.com/cassiachute/cassiachute/entry"
+)
+
+// MIXED: an answer that is longer than what is held of one stops. The caller sees that it is cut.
+func TestLongAnswerThatStopsIsCut(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 40<<10)
+	for name, c := range map[string]struct {
+		text   string
+		resets bool
+	}{
+		"with a length":           {fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long[1:]), false},
+		"chunked, no last part":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.TrimSuffix(chunked([]string{long}), "0\r\n\r\n"), false},
+		"chunked, in the end":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.TrimSuffix(chunked([]string{long}), "\r\n"), false},
+		"chunked, in a part":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.TrimSuffix(chunked([]string{long}), "f\r\n0\r\n\r\n"), false},
+		"without a length, reset": {"HTTP/1.1 200 OK\r\n\r\n" + long, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, map[string]string{"s0": catalog.KindPlain, "s1": catalog.KindPlain}, func(a *arrival) bool {
+				a.write(c.text)
+				if c.resets {
+					time.Sleep(10 * headPause) // what was written is read before
+					_ = a.conn.(*net.TCPConn).SetLinger(0)
+				}
+				return false
+			})
+			for n, caller := range []string{"lookup", "order"} {
+				require.False(t, stopped{caller: caller}.play(w, n).whole, caller)
+				require.Equal(t, 1, w.sent(fmt.Sprint("r", n)))
+			}
+		})
+	}
+}
+
+// TWICE: an order whose answer stopped in its head comes again. It is told that it may have run, and
+// does not run.
+func TestOrderWhoseAnswerStoppedRunsOnce(t *testing.T) {
+	w := newWorld(t, map[string]string{"s0": catalog.KindPlain}, func(a *arrival) bool {
+		a.write("HTTP/1.1 200 OK\r\nContent-Le")
+		return false
+	})
+	send := func(id string) result {
+		return w.do(fasthttp.MethodPost, "/services/s0/x", id, entry.HeaderOrder+": o1\r\n", "order")
+	}
+	first := send("r0")
+	require.Equal(t, fasthttp.StatusBadGateway, first.status)
+	require.Equal(t, entry.OutcomeUnknown, first.outcome)
+	for n := range 3 {
+		id := fmt.Sprint("again", n)
+		r := send(id)
+		require.Equal(t, fasthttp.StatusConflict, r.status, r.body)
+		require.Equal(t, entry.OutcomeUnknown, r.outcome)
+		require.Zero(t, w.sent(id))
+	}
+	require.Equal(t, 1, w.sent("r0"))
+}
