Test: a head that stops at the target that is asked beside a silent one is no answer

Lookups and streams; the head of the other target is closed, reset, gone on with or stays silent after every ninth byte. The caller gets one whole answer, or a failure that promises nothing.

--- /dev/null
+++ b/gateway/head_beside_test.go
@@ -0,0 +1,81 @@
+package gateway_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/gateway"
+	"github.com/cassiachute/cassiachute/settings"
+)
+
+// stillTime is how long the first target stands still, by path: longer than a host waits before it asks
+// another one as well.
+var stillTime = map[string]time.Duration{"/lookup/x": 900 * time.Millisecond, "/stream/x": 2 * time.Second}
+
+// MIXED, ORDER: a target stands still before its answer, and the one that is asked beside it stops in the
+// head of its own. The caller gets one whole answer, or none that looks whole.
+func TestHeadThatStopsBesideASilentTarget(t *testing.T) {
+	for path, still := range stillTime {
+		for _, end := range []string{"closed", "reset", "goes on", "is silent"} {
+			t.Run(path[1:len(path)-2]+" "+end, func(t *testing.T) {
+				t.Parallel()
+				var mu sync.Mutex
+				sends, asked := map[string]int{}, 0
+				script := func(a *arrival) bool {
+					id := a.header("X-Attempt-Id")
+					mu.Lock()
+					sends[id]++
+					first := sends[id] == 1
+					if !first {
+						asked++
+					}
+					mu.Unlock()
+					head, body := a.sizedHead(0)
+					if first {
+						closed(a.conn, still)
+						a.write(head + body)
+						return false
+					}
+					var cut int
+					_, _ = fmt.Sscanf(id, "r%d", &cut)
+					cut = min(cut, len(head)-1)
+					if end == "is silent" {
+						a.write(head[:cut])
+						closed(a.conn, waitLimit)
+						return false
+					}
+					return stoppedHead{path, 0, cut, end}.stopsAt(a)
+				}
+				var targets []*scripted
+				for n := range headTargets {
+					targets = append(targets, newScripted(t, fmt.Sprintf("p%d", n), "plain", script), newScripted(t, fmt.Sprintf("m%d", n), "model", script))
+				}
+				w := newWorldWith(t, func(s *gateway.Settings) {
+					keysLast(s)
+					s.Fixed = settings.Amount(1000)
+				}, targets...)
+				var all sync.WaitGroup
+				for cut := 0; cut < 160; cut += 9 {
+					all.Go(func() {
+						id := fmt.Sprintf("r%d", cut)
+						r := w.do(call{path: path, key: "key1", id: id, deadline: 3 * time.Second})
+						if r.err == nil && r.status == fasthttp.StatusOK {
+							require.Equal(t, wantWhole(path, id), r.body)
+							return
+						}
+						require.True(t, r.err != nil || r.status >= fasthttp.StatusInternalServerError && r.status != fasthttp.StatusServiceUnavailable, "%d %s", r.status, r.body)
+					})
+				}
+				all.Wait()
+				mu.Lock()
+				defer mu.Unlock()
+				require.Positive(t, asked, "no other target was asked")
+			})
+		}
+	}
+}
