--- a/entry/plain.go
+++ b/entry/plain.go
@@ -121,7 +121,7 @@
 	switch {
 	case err != nil && !g.complete:
 		return err
-	case g.endsItself() && !(g.complete && ended(&g.response.Header, g.held)):
+	case g.endsItself() && (!g.complete || !ended(&g.response.Header, g.held)):
 		return fault.Mark(errEnded, link.ErrBroken)
 	}
 	return nil
