--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,12 +15,19 @@
 )
 
 const (
-	hosts  = 3
-	length = 12 * time.Second
+	hosts      = 3
+	length     = 12 * time.Second
+	stopLength = 3 * time.Second // of a play whose last stops take some seconds more
 )
 
 // play plays a seed in a test, with the gateway of this source.
 func play(t *testing.T, seed uint64, faults ...soak.Fault) *soak.Report {
+	t.Helper()
+	return playFor(t, length, seed, faults...)
+}
+
+// playFor plays a seed for a time.
+func playFor(t *testing.T, length time.Duration, seed uint64, faults ...soak.Fault) *soak.Report {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -48,6 +55,16 @@
 		soak.FaultStop, soak.FaultTerm, soak.FaultHangup))
 }
 
+// Gateways are told to stop in turn, one of them again soon after its start, while callers go
+// on on their connections, open others, send and read slowly and have long streams.
+func TestSoakOfStops(t *testing.T) {
+	knownred.Skip(t)
+	r := playFor(t, stopLength, 246, soak.FaultTerm, soak.FaultRoll, soak.FaultConfig, soak.FaultHangup)
+	requireKept(t, r)
+	require.Greater(t, r.Stops, 2*hosts)
+	require.Zero(t, r.Killed)
+}
+
 // Sound targets stand still beside changes of the configuration.
 func TestSoakOfPauses(t *testing.T) {
 	knownred.Skip(t)
