--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -152,6 +152,7 @@
 	return late
 }
 
+// isClosed returns whether a loop has ended.
 func isClosed(end <-chan struct{}) bool {
 	select {
 	case <-end:
