gateway: the log tells which requests could have ended a target

Ruled out: by the new fields, targets that end by themselves (B3) and reports that are late (B2) as the cause. Change: target-crashed has parts, begun, born and took; answered has parts; crashed_requests_total counts by begun. detectCrash moves to crash.go. No decision changes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -18,7 +18,6 @@
 
 const (
 	dialTimeout         = 300 * time.Millisecond // to connect to a target
-	crashProbeTimeout   = 150 * time.Millisecond // to connect again to a target that broke off, to tell a crash from a broken connection
 	silenceAimFactor    = 2                      // a target is silent if its answer has not begun after this many times the route's aim,
 	silenceExpectFactor = 4                      // after this many times the expected response time,
 	minSilence          = 250 * time.Millisecond // and after at least this long
@@ -59,6 +58,7 @@
 	hedgeBackoff time.Duration // delay before the next try to send the request to another target as well
 	stallExcused bool          // the wait was already extended once because this host stalled
 	slotOwner    string        // address of the host that granted the slot, empty for this host
+	begun        bool          // the first event or the whole answer came
 	finished     bool          // finish was called
 }
 
@@ -189,29 +189,6 @@
 	}
 }
 
-// detectCrash returns whether a target that closed its connection can't be reached any more. If
-// so, it counts a crash against the request.
-func (a *attempt) detectCrash() bool {
-	x := a.exchange
-	address, ok := x.gateway.address(a.choice.Target)
-	if !ok {
-		return false
-	}
-	ctx, cancel := link.WithLimit(x.gateway.ctx, x.gateway.core.timeoutWithLag(crashProbeTimeout))
-	defer cancel()
-	conn, err := x.gateway.pool.Get(ctx, address, true)
-	if err == nil {
-		x.gateway.pool.Put(address, conn)
-		return false
-	}
-	if x.gateway.ctx.Err() != nil {
-		return false
-	}
-	x.gateway.pool.CloseIdle(address)
-	x.gateway.record.targetCrashed(x, x.gateway.core.countCrash(x.digest))
-	return true
-}
-
 // finish ends the attempt with an outcome. It closes the connection, which cancels what still
 // runs on it, unless the answer is complete and the connection can be reused.
 func (a *attempt) finish(o placement.Outcome) {
@@ -251,6 +228,7 @@
 // since the request was sent.
 func (a *attempt) recordFirst() time.Duration {
 	took := time.Since(a.sentAt)
+	a.begun = true
 	a.exchange.gapCount, a.exchange.gapTotal = 0, 0
 	a.heldLoad = a.exchange.gateway.core.onFirstEvent(a.exchange, a.choice, took)
 	return took
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -109,7 +109,7 @@
 		Hex("part", binary.BigEndian.AppendUint64(nil, x.ask.Chain.LongestPrefix())).Int("shared", x.ask.Chain.SharedTokens()).
 		Int("unread", x.choice.Load.Prompt).Int("queue", x.choice.QueuedTokens).Float64("expected", milliseconds(x.choice.ExpectedTime)).
 		Float64("limit", milliseconds(x.choice.QueueLimit)).Float64("ahead", milliseconds(x.choice.QueueTime)).
-		Stringer("standing", x.choice.Standing).Float64("waited", milliseconds(x.waited)).
+		Stringer("standing", x.choice.Standing).Float64("waited", milliseconds(x.waited)).Str("parts", formatParts(x.call.Parts)).
 		Uint64("arrived", x.version).Uint64("revision", revision).Float64("age", milliseconds(x.gateway.core.configAge()))
 }
 
@@ -203,13 +203,6 @@
 		Str("last", x.lastEvent).Send()
 }
 
-// targetCrashed records a target that crashed while it ran a request. count is the crashes of
-// the request so far.
-func (r *recorder) targetCrashed(x *exchange, count uint8) {
-	r.log.Warn().Str("event", eventCrash).Str("request", x.call.ID).Str("target", x.target).
-		Uint64("digest", x.digest).Uint8("crashes", count).Send()
-}
-
 // malformedRequest records a request that could not be parsed.
 func (r *recorder) malformedRequest(reason string, err error) {
 	r.metrics.refusals.WithLabelValues(reason).Inc()
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -77,6 +77,14 @@
 	return true
 }
 
+// StartedAt returns the start time of a listed target's process, zero if it is not known.
+func (b *Board) StartedAt(target string) time.Time {
+	if r := b.targets[target]; r != nil {
+		return r.target.StartedAt
+	}
+	return time.Time{}
+}
+
 // expireDepartures drops departures older than departureLifetime.
 func (b *Board) expireDepartures(now time.Time) {
 	for target, d := range b.departures {
