--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -295,6 +295,7 @@
 // call describes a request of a caller.
 type call struct {
 	path, key, id string
+	parts         string // of the prompt, as ID:TOKENS entries
 	deadline      time.Duration
 }
 
@@ -318,6 +319,9 @@
 	if c.key != "" {
 		request.Header.Set("X-Key", c.key)
 	}
+	if c.parts != "" {
+		request.Header.Set("X-Prompt-Prefix", c.parts)
+	}
 	if c.deadline > 0 {
 		request.Header.Set("X-Deadline-Ms", fmt.Sprint(c.deadline.Milliseconds()))
 	}
