gateway: what requests have in common is held when it crashes targets

Cause: crashes were counted against the whole request. The cause is a part of the prompt that requests share which are all different, so no count got past 2, and nothing was refused. Sound requests that the target had begun to answer were counted as well. Change: package quarantine. After a crash each trait (part of the prompt but the last, and the request as a whole) of a request without an answer is suspected, until a request with it is answered anywhere. A request that lacks another trait which explains the same crashes goes on: it tells the two apart. Hosts send each other crashes, answers to suspected traits and probes at once, and held traits with their news. Requests at a target when their trait is held are ended before they crash it. What is refused so doesn't count as asked by its team.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -7,13 +7,15 @@
 
 	"github.com/cassiachute/cassiachute/placement"
 	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/quarantine"
 	"github.com/cassiachute/cassiachute/route"
 )
 
 // arrival is what is known of a request when it is admitted or refused, before it has an exchange.
 type arrival struct {
 	ask           placement.Request
-	resumesStream bool // it continues a stream that was admitted before
+	resumesStream bool               // it continues a stream that was admitted before
+	traits        []quarantine.Trait // of the request, nil if no trait is held
 }
 
 // newArrival returns the arrival of a request of a team.
@@ -27,11 +29,14 @@
 	}
 }
 
-// admit returns a problem if the team of a request is over its quota or this host is overloaded.
-// A refused request counts as demand of its team.
+// admit returns a problem if the request is kept from targets, its team is over its quota or this host
+// is overloaded. A refused request counts as demand of its team, unless no target may run it.
 func (c *core) admit(now time.Time, a *arrival) *problem {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if p := c.traitProblem(now, a.traits); p != nil {
+		return p
+	}
 	p := c.checkArrival(now, a)
 	if p != nil {
 		c.board.RecordRefused(now, &a.ask)
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -117,7 +117,6 @@
 	}
 	a.recordFirst()
 	a.finish(placement.Done)
-	a.exchange.gateway.core.clearCrashes(a.exchange.digest)
 	return nil
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -197,6 +197,7 @@
 	}
 	a.finished = true
 	x := a.exchange
+	x.endProbe()
 	if a.conn != nil {
 		x.untrackConn(a.conn)
 		a.conn.SetTimeoutFunc(nil)
@@ -228,7 +229,7 @@
 // since the request was sent.
 func (a *attempt) recordFirst() time.Duration {
 	took := time.Since(a.sentAt)
-	a.begun = true
+	a.begun, a.exchange.probes = true, nil
 	a.exchange.gapCount, a.exchange.gapTotal = 0, 0
 	a.heldLoad = a.exchange.gateway.core.onFirstEvent(a.exchange, a.choice, took)
 	return took
@@ -271,7 +272,7 @@
 		if p != nil {
 			return nil, p
 		}
-		if p := x.checkSend(); p != nil {
+		if p := x.clearToSend(); p != nil {
 			x.returnSlot(choice)
 			return nil, p
 		}
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -5,7 +5,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cassiachute/cassiachute/placement"
+	"github.com/cassiachute/cassiachute/quarantine"
 	"github.com/cassiachute/cassiachute/retry"
 	"github.com/cassiachute/cassiachute/rotation"
 	"github.com/cassiachute/cassiachute/route"
@@ -17,9 +20,6 @@
 // earlier process of this host, whose requests other hosts may still hold.
 const sequenceBits = 20
 
-// crashLimit is the number of target crashes from which on a request is refused.
-const crashLimit = 3
-
 // core holds the routing state of the host and makes all decisions under one lock. No I/O
 // happens under the lock: messages to other hosts are queued and sent after it is released.
 type core struct {
@@ -27,17 +27,20 @@
 	table      atomic.Pointer[route.Table] // configuration in force, nil before the first
 	configAsOf atomic.Int64                // time since boot, in ns, at which the table was last known to be current
 
-	mu           sync.Mutex
-	board        *placement.Board
-	suspects     *retry.Suspects
-	crashReports map[uint64]uint8            // crash counts by request digest, sent with the state of this host
-	allowances   map[string]*retry.Allowance // retry allowances by service
-	exchanges    map[uint64]*exchange        // requests in progress, by number
-	lastNumber   uint64                      // number given out last, to an exchange, a lease or a queued remote request
-	lag          *placement.LagDetector
-	rotation     *rotation.Host
-	times        *activityTimes
-	peakHosts    int // most hosts of the fleet that were alive at once
+	heldTraits atomic.Int64 // traits that are held in quarantine
+
+	mu         sync.Mutex
+	board      *placement.Board
+	quarantine *quarantine.Table
+	answered   []uint64                    // suspected traits that requests of this host were answered with, to be told to the other hosts
+	released   []quarantine.Change         // what changed by these answers, to be logged
+	allowances map[string]*retry.Allowance // retry allowances by service
+	exchanges  map[uint64]*exchange        // requests in progress, by number
+	lastNumber uint64                      // number given out last, to an exchange, a lease or a queued remote request
+	lag        *placement.LagDetector
+	rotation   *rotation.Host
+	times      *activityTimes
+	peakHosts  int // most hosts of the fleet that were alive at once
 
 	self            uint64                          // number of this host
 	post            func(to uint64, m wire.Message) // sends a message to another host
@@ -57,8 +60,7 @@
 	return &core{
 		settings:        s,
 		board:           placement.NewBoard(s.Place),
-		suspects:        retry.NewSuspects(),
-		crashReports:    map[uint64]uint8{},
+		quarantine:      quarantine.NewTable(xxhash.Sum64String(s.Peer.String())),
 		allowances:      map[string]*retry.Allowance{},
 		exchanges:       map[uint64]*exchange{},
 		lag:             placement.NewLagDetector(s.MaxLag.Or(defaultLag)),
@@ -179,6 +181,7 @@
 	c.mu.Lock()
 	defer c.unlockAndSend()
 	now := time.Now()
+	c.recordAnswer(now, x)
 	if choice.SlotID != 0 {
 		return c.onLeaseFirstEvent(now, x, choice, took)
 	}
@@ -254,40 +257,6 @@
 	c.peakHosts = max(c.peakHosts, c.board.Peers()+1)
 }
 
-// countCrash adds a target crash to a request and returns its crashes so far.
-func (c *core) countCrash(digest uint64) uint8 {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	count := c.suspects.Count(now, digest) + 1
-	c.suspects.RaiseCount(now, digest, count)
-	c.crashReports[digest] = count
-	return count
-}
-
-// raiseCrashCount raises the crashes of a request to what another host reported.
-func (c *core) raiseCrashCount(digest uint64, count uint8) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.suspects.RaiseCount(time.Now(), digest, count)
-}
-
-// crashCount returns the target crashes that are counted against a request.
-func (c *core) crashCount(digest uint64) uint8 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.suspects.Count(time.Now(), digest)
-}
-
-// clearCrashes forgets the crashes of a request that completed.
-func (c *core) clearCrashes(digest uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.suspects.Clear(digest) {
-		delete(c.crashReports, digest)
-	}
-}
-
 // activeExchanges returns the exchanges that are not over.
 func (c *core) activeExchanges() []*exchange {
 	c.mu.Lock()
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -14,14 +14,15 @@
 	maxLoggedParts    = 16                     // parts of a prompt in a log line
 )
 
-// detectCrash returns whether a target that closed its connection can't be reached any more. If
-// so, it counts a crash against the request.
+// detectCrash returns whether a target that closed its connection can't be reached any more. If so, and
+// the target had not begun to answer, the request is suspected of having crashed it.
 func (a *attempt) detectCrash() bool {
 	x := a.exchange
 	address, ok := x.gateway.address(a.choice.Target)
 	if !ok {
 		return false
 	}
+	brokenAt := time.Now()
 	ctx, cancel := link.WithLimit(x.gateway.ctx, x.gateway.core.timeoutWithLag(crashProbeTimeout))
 	defer cancel()
 	conn, err := x.gateway.pool.Get(ctx, address, true)
@@ -33,18 +34,22 @@
 		return false
 	}
 	x.gateway.pool.CloseIdle(address)
-	x.gateway.record.targetCrashed(a, x.gateway.core.countCrash(x.digest))
+	incidents := 0
+	if !a.begun {
+		incidents = x.gateway.reportCrash(a, brokenAt)
+	}
+	x.gateway.record.targetCrashed(a, incidents)
 	return true
 }
 
-// targetCrashed records a target that crashed while it had a request. count is the crashes of the
-// request so far.
-func (r *recorder) targetCrashed(a *attempt, count uint8) {
+// targetCrashed records a target that crashed while it had a request. incidents is the highest number of
+// incidents that count against a trait of the request.
+func (r *recorder) targetCrashed(a *attempt, incidents int) {
 	x := a.exchange
 	r.metrics.crashes.WithLabelValues(strconv.FormatBool(a.begun)).Inc()
 	r.log.Warn().Str("event", eventCrash).Str("request", x.call.ID).Str("target", a.choice.Target).
 		Int64("born", startTimeField(x.gateway.core.startOf(a.choice.Target))).
-		Uint64("digest", x.digest).Uint8("crashes", count).Bool("begun", a.begun).Str("parts", formatParts(x.call.Parts)).
+		Array("traits", traitNames(x.traits)).Int("crashes", incidents).Bool("begun", a.begun).Str("parts", formatParts(x.call.Parts)).
 		Float64("took", milliseconds(time.Since(a.sentAt))).Send()
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/cassiachute/cassiachute/link"
 	"github.com/cassiachute/cassiachute/placement"
 	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/quarantine"
 	"github.com/cassiachute/cassiachute/retry"
 	"github.com/cassiachute/cassiachute/route"
 )
@@ -22,7 +23,6 @@
 	maxDenialAge       = 1800 * time.Millisecond // age of the configuration up to which an unknown route or key is denied
 	staleRetryAfter    = 500 * time.Millisecond  // Retry-After when the configuration is stale or no target can be reached
 	rejectedRetryAfter = 100 * time.Millisecond  // Retry-After when targets rejected the request or this host stops
-	poisonRetryAfter   = 5 * time.Second         // Retry-After for a request that crashed several targets
 	minRemaining       = 5 * time.Millisecond    // of the caller's time; with less, no step is begun
 )
 
@@ -41,7 +41,7 @@
 	limit   time.Time // earlier of the caller's deadline and the route's timeout
 	caller  net.Conn
 	request *fasthttp.Request
-	digest  uint64                // requestDigest of the request
+	traits  []quarantine.Trait    // what may make targets crash: the parts of the prompt and the request as a whole
 	grants  chan placement.Choice // receives the target once a queued request gets a slot; holds at most one
 
 	history        retry.History // results of the sends that brought no answer
@@ -53,11 +53,14 @@
 	target         string        // last target
 	slotOwner      string        // address of the host that granted the last slot, empty for this host
 	choice         placement.Choice
-	streamBegun    bool          // the caller may have received a part of a stream
-	lastEvent      string        // ID of the last event that the caller has
-	expectedEvents uint64        // events in an answer of the longest length that the request allows, 0 if unknown
-	gapCount       int           // gaps between the events of the current attempt
-	gapTotal       time.Duration // sum of these gaps
+	probes         []quarantine.Trait // held traits that the current attempt probes
+	heldTrait      quarantine.Trait   // trait that it was refused for, 0 if it was not
+	answered       bool               // a target began to answer; guarded by the lock of the core
+	streamBegun    bool               // the caller may have received a part of a stream
+	lastEvent      string             // ID of the last event that the caller has
+	expectedEvents uint64             // events in an answer of the longest length that the request allows, 0 if unknown
+	gapCount       int                // gaps between the events of the current attempt
+	gapTotal       time.Duration      // sum of these gaps
 
 	streaming   atomic.Bool   // the server is writing an event stream to the caller
 	lastWrite   atomic.Int64  // when the caller last took an event, in ns since arrival, 0 before the first
@@ -88,7 +91,7 @@
 		Chain: placement.NewPrefixChain(placementParts(call.Parts), call.PromptTokens),
 	}
 	ctx.Request.CopyTo(x.request)
-	x.digest = requestDigest(x)
+	x.traits = requestTraits(team, x.request.Header.RequestURI(), x.request.Body(), &x.call)
 	return x
 }
 
@@ -158,16 +161,6 @@
 	return out
 }
 
-// requestDigest hashes the team, the path and the body, which stay the same when a caller sends
-// the request again.
-func requestDigest(x *exchange) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(x.team) // xxhash never returns an error
-	_, _ = d.Write(x.request.Header.RequestURI())
-	_, _ = d.Write(x.request.Body())
-	return d.Sum64()
-}
-
 // recentlyWritten returns whether the caller took an event so recently that the next write will
 // soon tell if it disconnected.
 func (x *exchange) recentlyWritten() bool {
@@ -229,6 +222,8 @@
 // abortProblem returns the answer to an exchange that was aborted.
 func (x *exchange) abortProblem() *problem {
 	switch {
+	case x.abortReason == reasonPoison:
+		return x.refusalOrFailure(notRun(reasonPoison, staleRetryAfter))
 	case x.abortReason != reasonStopping:
 		return failure(statusCallerGone, x.abortReason)
 	case x.history.MayHaveRun || x.hedge != nil || x.takeover != nil:
@@ -255,10 +250,18 @@
 		return x.refusalOrFailure(notRun(reasonStopping, rejectedRetryAfter))
 	case x.team != "" && g.core.configAge() > g.limits.Load().keyAge:
 		return x.refusalOrFailure(notRun(reasonStale, staleRetryAfter))
-	case g.core.crashCount(x.digest) >= crashLimit:
-		return x.refusalOrFailure(notRun(reasonPoison, poisonRetryAfter))
 	}
-	return nil
+	return x.refuseHeld(g.core.checkTraits(x.traits))
+}
+
+// refuseHeld returns the answer to an exchange that is kept from targets because of a trait, or nil without a
+// problem.
+func (x *exchange) refuseHeld(p *problem) *problem {
+	if p == nil {
+		return nil
+	}
+	x.heldTrait = p.trait
+	return x.refusalOrFailure(p)
 }
 
 // refusalOrFailure returns the given refusal, or a failure with its reason if a target may have
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -28,7 +28,7 @@
 			g.handlePanic(ctx, &call, x, fault)
 		}
 	}()
-	r, team, p := g.admit(&ctx.Request.Header, &call)
+	r, team, p := g.admit(&ctx.Request.Header, ctx.Request.Body(), &call)
 	if p != nil {
 		g.record.times.addSince(activityAdmit, began)
 		g.writeRefusal(ctx, &call, team, p)
@@ -68,11 +68,15 @@
 
 // admit returns the route and the team of a request, or a problem if the request may not run, the
 // team is over its quota or this host is overloaded.
-func (g *Gateway) admit(head *fasthttp.RequestHeader, call *platform.Call) (*route.Route, string, *problem) {
+func (g *Gateway) admit(head *fasthttp.RequestHeader, body []byte, call *platform.Call) (*route.Route, string, *problem) {
 	age := g.core.configAge()
 	r, team, p := g.identify(head, call, age)
 	if p == nil {
-		p = g.core.admit(time.Now(), newArrival(r, call, team))
+		a := newArrival(r, call, team)
+		if g.core.heldTraits.Load() > 0 {
+			a.traits = requestTraits(team, head.RequestURI(), body, call)
+		}
+		p = g.core.admit(time.Now(), a)
 	}
 	if p != nil {
 		p.age = age
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -272,6 +272,7 @@
 		g.record.overloadChanged(g.core.overloadState())
 	}
 	g.updateRotation(now)
+	g.reportAnswers()
 	for _, address := range g.peers.expireSilent(receivedUntil) {
 		g.record.peerChanged(address, "", false)
 	}
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -11,10 +11,9 @@
 	"github.com/cassiachute/cassiachute/wire"
 )
 
-const (
-	forgetPeerAfter    = time.Minute // without a state report; a host that the store still lists is added again
-	maxCrashesPerState = 64          // most crash counts in one state report
-)
+// forgetPeerAfter is the time without a state report after which a host is forgotten. One that the store
+// still lists is added again.
+const forgetPeerAfter = time.Minute
 
 // peerState is what is known of another host of the fleet.
 type peerState struct {
@@ -216,7 +215,7 @@
 }
 
 // buildHostState returns the part of this host's state that the core knows: loads, demand,
-// departures, pauses and crashes.
+// departures, pauses and held traits.
 func (c *core) buildHostState(now time.Time) *wire.HostState {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -238,11 +237,8 @@
 	for _, p := range n.Pauses {
 		out.Pauses = append(out.Pauses, wire.Pause{Target: p.Target, Left: toMillis(p.Until.Sub(now))})
 	}
-	for digest, count := range c.crashReports {
-		if len(out.Crashes) == maxCrashesPerState {
-			break
-		}
-		out.Crashes = append(out.Crashes, wire.Crash{Digest: digest, Count: count})
+	for _, status := range c.quarantine.State() {
+		out.HeldTraits = append(out.HeldTraits, heldTraitMessage(now, status))
 	}
 	return out
 }
@@ -274,8 +270,6 @@
 	for _, p := range m.Pauses {
 		n.Pauses = append(n.Pauses, placement.Pause{Target: p.Target, Until: now.Add(fromMillis(p.Left))})
 	}
-	for _, crash := range m.Crashes {
-		g.core.raiseCrashCount(crash.Digest, crash.Count)
-	}
+	g.mergeHeldTraits(from, now, m.HeldTraits)
 	g.core.applyPeerState(now, hostNumber(from), n)
 }
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -52,9 +52,7 @@
 // it.
 func (g *Gateway) broadcastDeparture(d *placement.Departure) {
 	m := departureMessage(time.Now(), *d)
-	for _, host := range g.peers.addresses() {
-		g.post(hostNumber(host), &m)
-	}
+	g.broadcast(&m)
 }
 
 // handleDeparture takes a departure message, which says that a target told another host that it is leaving.
--- a/gateway/outbox.go
+++ b/gateway/outbox.go
@@ -34,6 +34,13 @@
 	}
 }
 
+// broadcast sends a message to all other hosts.
+func (g *Gateway) broadcast(m wire.Message) {
+	if err := g.mesh.Send(m, g.peers.addresses()); err != nil {
+		g.record.peerFailed(err)
+	}
+}
+
 // handleMessage handles a message from another host.
 func (g *Gateway) handleMessage(from netip.AddrPort, m wire.Message) {
 	host := hostNumber(from)
@@ -50,6 +57,12 @@
 		g.handleDeparture(from, m)
 	case *wire.LeaseList:
 		g.core.receiveLeaseList(host, m)
+	case *wire.TargetCrash:
+		g.receiveTargetCrash(from, m)
+	case *wire.TraitsAnswered:
+		g.receiveTraitsAnswered(from, m)
+	case *wire.TraitsProbed:
+		g.core.receiveTraitsProbed(m)
 	}
 }
 
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/quarantine"
 )
 
 // statusCallerGone is logged if the caller disconnected, so that nobody reads the answer.
@@ -38,8 +39,9 @@
 type problem struct {
 	status     int
 	reason     string
-	retryAfter time.Duration // delay after which a retry may succeed, 0 if unknown
-	age        time.Duration // age of the configuration that decided, for the log
+	retryAfter time.Duration    // delay after which a retry may succeed, 0 if unknown
+	age        time.Duration    // age of the configuration that decided, for the log
+	trait      quarantine.Trait // what the request is refused for, with reasonPoison; 0 if it is not known
 }
 
 // notRun returns a refusal with status 503, which promises that the request has not run and will
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,356 @@
+package gateway
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/quarantine"
+	"github.com/cassiachute/cassiachute/wire"
+)
+
+// requestTraits returns what may make a request crash targets: each part of its prompt that other
+// requests may share, and the request as a whole, which its caller may send again. The last part of a
+// prompt belongs to the request alone.
+func requestTraits(team string, uri, body []byte, call *platform.Call) []quarantine.Trait {
+	shared := call.Parts[:max(0, len(call.Parts)-1)]
+	traits := make([]quarantine.Trait, 0, len(shared)+1)
+	for _, p := range shared {
+		traits = append(traits, partTrait(call.Model, p.ID))
+	}
+	return append(traits, wholeTrait(team, uri, body))
+}
+
+// partTrait identifies a part of a prompt for a model.
+func partTrait(model string, id uint64) quarantine.Trait {
+	d := xxhash.New()
+	_, _ = d.WriteString(model) // xxhash never returns an error
+	_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, id))
+	return quarantine.Trait(d.Sum64())
+}
+
+// wholeTrait identifies a request by its team, path and body, which stay the same when a caller sends it
+// again.
+func wholeTrait(team string, uri, body []byte) quarantine.Trait {
+	d := xxhash.New()
+	_, _ = d.WriteString(team) // xxhash never returns an error
+	_, _ = d.Write(uri)
+	_, _ = d.Write(body)
+	return quarantine.Trait(d.Sum64())
+}
+
+// reportedTraits returns the traits of a request that other hosts are told after a crash: the first and
+// the last ones if there are more than quarantine.MaxReportedTraits.
+func reportedTraits(traits []quarantine.Trait) []quarantine.Trait {
+	const half = quarantine.MaxReportedTraits / 2
+	if len(traits) <= quarantine.MaxReportedTraits {
+		return traits
+	}
+	return append(traits[:half:half], traits[len(traits)-half:]...)
+}
+
+// reportCrash records that a target crashed before it began to answer a request, and tells the other
+// hosts. It returns the highest number of incidents that count against a trait of the request.
+func (g *Gateway) reportCrash(a *attempt, at time.Time) int {
+	now := time.Now()
+	report := quarantine.Report{Target: a.choice.Target, At: at, SentAt: a.sentAt, Traits: reportedTraits(a.exchange.traits)}
+	g.broadcast(&wire.TargetCrash{
+		Target: report.Target, Age: toMillis(now.Sub(at)), SentAge: toMillis(now.Sub(a.sentAt)), Traits: traitsMessage(report.Traits),
+	})
+	g.applyCrash(now, &report, netip.AddrPort{})
+	return g.core.incidents(report.Traits)
+}
+
+// receiveTargetCrash records a crash that another host reports.
+func (g *Gateway) receiveTargetCrash(from netip.AddrPort, m *wire.TargetCrash) {
+	now := time.Now()
+	g.applyCrash(now, &quarantine.Report{
+		Target: m.Target, At: now.Add(-fromMillis(m.Age)), SentAt: now.Add(-fromMillis(m.SentAge)), Traits: traitsFromMessage(m.Traits),
+	}, from)
+}
+
+// applyCrash records a crash that this host or, with an address, another one has seen.
+func (g *Gateway) applyCrash(now time.Time, report *quarantine.Report, from netip.AddrPort) {
+	g.core.mu.Lock()
+	changes := g.core.quarantine.RecordCrash(now, report)
+	g.core.mu.Unlock()
+	g.applyTraitChanges(changes, from)
+}
+
+// applyTraitChanges logs which traits are held from now on or no more, and ends the requests with a trait
+// that is held now and that no target has begun to answer.
+func (g *Gateway) applyTraitChanges(changes []quarantine.Change, from netip.AddrPort) {
+	if len(changes) == 0 {
+		return
+	}
+	for _, change := range changes {
+		g.record.traitChanged(change, from)
+	}
+	for _, x := range g.core.heldExchanges(changes) {
+		x.abort(reasonPoison)
+	}
+}
+
+// heldExchanges returns the exchanges that are to be ended because traits are held since some changes. It
+// also publishes the number of held traits.
+func (c *core) heldExchanges(changes []quarantine.Change) []*exchange {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heldTraits.Store(int64(c.quarantine.Held()))
+	var list []*exchange
+	for _, x := range c.exchanges {
+		if !x.answered && c.holdsAny(now, changes, x) {
+			list = append(list, x)
+		}
+	}
+	return list
+}
+
+// holdsAny returns whether a trait that is held since some changes keeps an exchange from targets. The
+// caller holds the lock.
+func (c *core) holdsAny(now time.Time, changes []quarantine.Change, x *exchange) bool {
+	for _, change := range changes {
+		if change.Held && c.quarantine.Holds(now, change.Trait, x.traits) {
+			return true
+		}
+	}
+	return false
+}
+
+// incidents returns the highest number of incidents that count against one of some traits.
+func (c *core) incidents(traits []quarantine.Trait) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	highest := 0
+	for _, trait := range traits {
+		highest = max(highest, c.quarantine.Incidents(trait))
+	}
+	return highest
+}
+
+// checkTraits returns a problem if a request with some traits may not be sent to a target.
+func (c *core) checkTraits(traits []quarantine.Trait) *problem {
+	if c.heldTraits.Load() == 0 {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.traitProblem(time.Now(), traits)
+}
+
+// traitProblem returns a problem if a request with some traits may not be sent to a target. The caller
+// holds the lock.
+func (c *core) traitProblem(now time.Time, traits []quarantine.Trait) *problem {
+	d := c.quarantine.Check(now, traits)
+	if !d.Refused {
+		return nil
+	}
+	p := notRun(reasonPoison, d.RetryAfter)
+	p.trait = d.Trait
+	return p
+}
+
+// clearToSend returns a problem if the request may not be sent to a target now. Otherwise the send that
+// follows probes the traits of the request whose hold is over.
+func (x *exchange) clearToSend() *problem {
+	if p := x.checkSend(); p != nil {
+		return p
+	}
+	g := x.gateway
+	if g.core.heldTraits.Load() == 0 {
+		return nil
+	}
+	if p := g.core.beginProbe(x); p != nil {
+		return x.refuseHeld(p)
+	}
+	if len(x.probes) > 0 {
+		g.broadcast(&wire.TraitsProbed{Traits: traitsMessage(x.probes)})
+		g.record.traitsProbed(x)
+	}
+	return nil
+}
+
+// beginProbe lets an exchange probe the traits whose hold is over. It returns a problem if one of its
+// traits is held, or probed by another request.
+func (c *core) beginProbe(x *exchange) *problem {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.traitProblem(now, x.traits); p != nil {
+		return p
+	}
+	x.probes = c.quarantine.Check(now, x.traits).Probes
+	c.quarantine.BeginProbe(now, x.probes)
+	return nil
+}
+
+// endProbe ends the probe of an attempt that had no result.
+func (x *exchange) endProbe() {
+	if len(x.probes) == 0 {
+		return
+	}
+	c := x.gateway.core
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.quarantine.EndProbe(x.probes)
+	x.probes = nil
+}
+
+// receiveTraitsProbed records that another host probes some traits.
+func (c *core) receiveTraitsProbed(m *wire.TraitsProbed) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.quarantine.BeginProbe(time.Now(), traitsFromMessage(m.Traits))
+}
+
+// recordAnswer records that a target began to answer a request. The caller holds the lock.
+func (c *core) recordAnswer(now time.Time, x *exchange) {
+	x.answered = true
+	cleared, changes := c.quarantine.RecordAnswer(now, x.traits)
+	c.answered = append(c.answered, traitsMessage(cleared)...)
+	c.released = append(c.released, changes...)
+}
+
+// takeAnswered returns the suspected traits that requests of this host were answered with since the last
+// call, and what changed by that.
+func (c *core) takeAnswered() ([]uint64, []quarantine.Change) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	traits, changes := c.answered, c.released
+	c.answered, c.released = nil, nil
+	return traits, append(changes, c.quarantine.Tick(time.Now())...)
+}
+
+// reportAnswers tells the other hosts of suspected traits that requests of this host were answered with.
+func (g *Gateway) reportAnswers() {
+	traits, changes := g.core.takeAnswered()
+	for len(traits) > 0 {
+		n := min(len(traits), maxAnsweredPerMessage)
+		g.broadcast(&wire.TraitsAnswered{Traits: traits[:n]})
+		traits = traits[n:]
+	}
+	g.applyTraitChanges(changes, netip.AddrPort{})
+}
+
+// maxAnsweredPerMessage is the largest number of traits in one message.
+const maxAnsweredPerMessage = 1024
+
+// receiveTraitsAnswered records that requests of another host were answered.
+func (g *Gateway) receiveTraitsAnswered(from netip.AddrPort, m *wire.TraitsAnswered) {
+	g.core.mu.Lock()
+	_, changes := g.core.quarantine.RecordAnswer(time.Now(), traitsFromMessage(m.Traits))
+	g.core.mu.Unlock()
+	g.applyTraitChanges(changes, from)
+}
+
+// mergeHeldTraits records what another host knows of held traits.
+func (g *Gateway) mergeHeldTraits(from netip.AddrPort, now time.Time, list []wire.HeldTrait) {
+	if len(list) == 0 {
+		return
+	}
+	var changes []quarantine.Change
+	g.core.mu.Lock()
+	for _, m := range list {
+		changes = append(changes, g.core.quarantine.Merge(now, statusFromMessage(now, m))...)
+	}
+	g.core.mu.Unlock()
+	g.applyTraitChanges(changes, from)
+}
+
+// heldTraitMessage returns the message that tells other hosts of a trait.
+func heldTraitMessage(now time.Time, s quarantine.Status) wire.HeldTrait {
+	return wire.HeldTrait{
+		Trait: uint64(s.Trait), Incidents: uint8(min(s.Incidents, maxReportedIncidents)),
+		CrashAge: ageField(now, s.LastCrash), AnsweredAge: ageField(now, s.AnsweredAt),
+	}
+}
+
+// maxReportedIncidents is the largest number of incidents that a message can carry.
+const maxReportedIncidents = 255
+
+// ageField returns the age of an event as messages carry it: in milliseconds and at least 1, or 0 if there
+// was none.
+func ageField(now, at time.Time) uint32 {
+	if at.IsZero() {
+		return 0
+	}
+	return max(1, toMillis(now.Sub(at)))
+}
+
+// timeOfAge returns the time of an event whose age a message carries, zero if there was none.
+func timeOfAge(now time.Time, age uint32) time.Time {
+	if age == 0 {
+		return time.Time{}
+	}
+	return now.Add(-fromMillis(age))
+}
+
+// statusFromMessage returns what another host knows of a trait.
+func statusFromMessage(now time.Time, m wire.HeldTrait) quarantine.Status {
+	return quarantine.Status{
+		Trait: quarantine.Trait(m.Trait), Incidents: int(m.Incidents),
+		LastCrash: timeOfAge(now, m.CrashAge), AnsweredAt: timeOfAge(now, m.AnsweredAge),
+	}
+}
+
+// traitsMessage returns traits as messages carry them.
+func traitsMessage(traits []quarantine.Trait) []uint64 {
+	list := make([]uint64, 0, len(traits))
+	for _, trait := range traits {
+		list = append(list, uint64(trait))
+	}
+	return list
+}
+
+// traitsFromMessage returns the traits that a message carries.
+func traitsFromMessage(list []uint64) []quarantine.Trait {
+	traits := make([]quarantine.Trait, 0, len(list))
+	for _, trait := range list {
+		traits = append(traits, quarantine.Trait(trait))
+	}
+	return traits
+}
+
+// traitName returns a trait as log lines show it, empty for none.
+func traitName(trait quarantine.Trait) string {
+	if trait == 0 {
+		return ""
+	}
+	return strconv.FormatUint(uint64(trait), 16)
+}
+
+// traitNames lists traits for the log, at most maxLoggedParts of them.
+type traitNames []quarantine.Trait
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (l traitNames) MarshalZerologArray(a *zerolog.Array) {
+	for _, trait := range l[:min(len(l), maxLoggedParts)] {
+		a.Str(traitName(trait))
+	}
+}
+
+// traitChanged records that a trait is held or not held any more, since this host or, with an address,
+// another one has seen something.
+func (r *recorder) traitChanged(change quarantine.Change, from netip.AddrPort) {
+	event, name := r.log.Info(), eventReleased
+	if change.Held {
+		event, name = r.log.Warn(), eventHeld
+	}
+	event = event.Str("event", name).Str("trait", traitName(change.Trait)).Int("crashes", change.Incidents).
+		Float64("hold", milliseconds(change.Hold)).Bool("evicted", change.Evicted)
+	if from.IsValid() {
+		event = event.Stringer("peer", from)
+	}
+	event.Send()
+}
+
+// traitsProbed records that a request is sent to find out whether its traits still crash targets.
+func (r *recorder) traitsProbed(x *exchange) {
+	r.log.Info().Str("event", eventProbed).Str("request", x.call.ID).Array("traits", traitNames(x.probes)).Send()
+}
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -40,6 +40,9 @@
 	eventAttempt      = "attempt-failed"
 	eventResumed      = "resumed"
 	eventCrash        = "target-crashed"
+	eventHeld         = "trait-held"
+	eventReleased     = "trait-released"
+	eventProbed       = "trait-probed"
 	eventMalformed    = "malformed"
 	eventOverload     = "host-overloaded"
 	eventRelief       = "host-relieved"
@@ -109,7 +112,7 @@
 		Hex("part", binary.BigEndian.AppendUint64(nil, x.ask.Chain.LongestPrefix())).Int("shared", x.ask.Chain.SharedTokens()).
 		Int("unread", x.choice.Load.Prompt).Int("queue", x.choice.QueuedTokens).Float64("expected", milliseconds(x.choice.ExpectedTime)).
 		Float64("limit", milliseconds(x.choice.QueueLimit)).Float64("ahead", milliseconds(x.choice.QueueTime)).
-		Stringer("standing", x.choice.Standing).Float64("waited", milliseconds(x.waited)).Str("parts", formatParts(x.call.Parts)).
+		Stringer("standing", x.choice.Standing).Float64("waited", milliseconds(x.waited)).Str("parts", formatParts(x.call.Parts)).Str("trait", traitName(x.heldTrait)).
 		Uint64("arrived", x.version).Uint64("revision", revision).Float64("age", milliseconds(x.gateway.core.configAge()))
 }
 
@@ -136,7 +139,7 @@
 	r.metrics.refusals.WithLabelValues(p.reason).Inc()
 	r.log.Warn().Str("event", eventRefused).Str("request", call.ID).Stringer("caller", caller).Str("team", team).
 		Bytes("path", head.RequestURI()).Int("prompt", call.PromptTokens).Int("output", call.MaxOutput).Int("status", p.status).Str("reason", p.reason).
-		Float64("age", milliseconds(p.age)).Float64("retry", milliseconds(p.retryAfter)).Send()
+		Str("trait", traitName(p.trait)).Float64("age", milliseconds(p.age)).Float64("retry", milliseconds(p.retryAfter)).Send()
 }
 
 // attemptFailed records a failed send of a request to a target.
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -27,6 +27,7 @@
 	src      bytes.Reader
 	rd       *bufio.Reader
 	head     fasthttp.RequestHeader
+	body     []byte // of the request whose head was read
 	response fasthttp.Response
 	wr       *bufio.Writer
 }
@@ -92,7 +93,7 @@
 		}
 	}()
 	call = platform.DecodeCall(&s.head)
-	_, team, p = s.gateway.admit(&s.head, &call)
+	_, team, p = s.gateway.admit(&s.head, s.body, &call)
 	return call, team, p
 }
 
@@ -108,7 +109,11 @@
 	}
 	length := s.head.ContentLength()
 	chunked := length == -1
-	return !chunked && s.rd.Buffered()+s.src.Len() == max(0, length)
+	if chunked || s.rd.Buffered()+s.src.Len() != max(0, length) {
+		return false
+	}
+	s.body = request[len(request)-max(0, length):]
+	return true
 }
 
 // mayRefuse returns whether this host may currently refuse requests because it is short of processor time.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -15,7 +15,7 @@
 	targetsIdle, targetsOpened            *prometheus.Desc
 	configAge, targetsAge, peers, peerAge *prometheus.Desc
 	retriesLeft, storeCalls, droppedLines *prometheus.Desc
-	processor, activityTime               *prometheus.Desc
+	processor, activityTime, heldTraits   *prometheus.Desc
 }
 
 // newStateCollector returns the collector of a gateway.
@@ -35,6 +35,7 @@
 		storeCalls:        newDesc("store_calls_total", "Calls to the store.", "kind"),
 		processor:         newDesc("processor_seconds_total", "Processor time of the process."),
 		activityTime:      newDesc("busy_seconds_total", "Time spent on each kind of work.", "activity"),
+		heldTraits:        newDesc("held_traits", "Traits whose requests are kept from targets."),
 		droppedLines:      newDesc("log_lines_dropped_total", "Log lines that were dropped.", "event"),
 	}
 }
@@ -74,6 +75,7 @@
 	reads, writes := g.client.Calls()
 	counter(s.storeCalls, float64(reads), "read")
 	counter(s.storeCalls, float64(writes), "write")
+	gauge(s.heldTraits, float64(g.core.heldTraits.Load()))
 	counter(s.processor, processorTime().Seconds())
 	for a := range activityCount {
 		counter(s.activityTime, g.record.times.total(a).Seconds(), a.String())
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -241,13 +241,12 @@
 	s.concluded = true
 	if reason == "" {
 		s.attempt.finish(placement.Done)
-		x.gateway.core.clearCrashes(x.digest)
 		x.gateway.lengths.observe(x.route.Name, s.firstEventAfter, time.Since(x.arrived), x.eventsPassed())
 		x.gateway.record.streamed(x, s, "")
 		return io.EOF
 	}
 	outcome := placement.Failed
-	if reason == reasonCallerGone || reason == reasonStopping {
+	if reason == reasonCallerGone || reason == reasonStopping || reason == reasonPoison {
 		outcome = placement.CallerLeft
 	}
 	s.attempt.finish(outcome)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -113,10 +113,10 @@
 	return err
 }
 
-// Send sends the state of this host to several hosts. A failure to send to one host does not keep
+// Send sends a message to several hosts. A failure to send to one host does not keep
 // it from the others; the first error is returned.
-func (s *Socket) Send(state *wire.HostState, hosts []netip.AddrPort) error {
-	body, err := encodeDatagram(state)
+func (s *Socket) Send(m wire.Message, hosts []netip.AddrPort) error {
+	body, err := encodeDatagram(m)
 	if err != nil {
 		return err
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -32,9 +32,9 @@
 	done := receiver.Run(ctx)
 	state := &wire.HostState{
 		Boot: 1, Number: 2, Revision: 3, Place: "p",
-		Loads:   []wire.TargetLoad{{Target: "i-1", PromptTokens: 4, Running: 5, MemoryTokens: 6}},
-		Demands: []wire.TeamDemand{{Service: "s", Team: "t", Received: 7, Asked: 8}},
-		Crashes: []wire.Crash{{Digest: 9, Count: 1}},
+		Loads:      []wire.TargetLoad{{Target: "i-1", PromptTokens: 4, Running: 5, MemoryTokens: 6}},
+		Demands:    []wire.TeamDemand{{Service: "s", Team: "t", Received: 7, Asked: 8}},
+		HeldTraits: []wire.HeldTrait{{Trait: 9, Incidents: 1}},
 	}
 	require.NoError(t, sender.Send(state, []netip.AddrPort{receiver.Address()}))
 	select {
--- /dev/null
+++ b/quarantine/record.go
@@ -0,0 +1,106 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// evidence is a crash of a target that had a request with a trait and had not begun to answer it.
+type evidence struct {
+	crash  *crash
+	sentAt time.Time // when the last such request was sent to the target
+}
+
+// record is what is known of one trait.
+type record struct {
+	answeredAt time.Time  // when a request with the trait was last answered after it was suspected
+	evidence   []evidence // crashes since then, the oldest first
+	reported   int        // incidents since then that are known without their crashes, such as those that another host reports
+	reportedAt time.Time  // when the last of these was
+	settled    int        // incidents when the hold was last determined
+	probeUntil time.Time  // until when a probe keeps other requests back
+}
+
+// suspected reports whether there is any evidence since the trait was last answered.
+func (r *record) suspected() bool { return len(r.evidence) > 0 || r.reported > 0 }
+
+// addEvidence adds a crash, or a request of another host to a crash that is known.
+func (r *record) addEvidence(c *crash, sentAt time.Time) {
+	for n := range r.evidence {
+		if e := &r.evidence[n]; e.crash == c {
+			if sentAt.After(e.sentAt) {
+				e.sentAt = sentAt
+			}
+			return
+		}
+	}
+	at, _ := slices.BinarySearchFunc(r.evidence, c, func(e evidence, c *crash) int { return e.crash.at.Compare(c.at) })
+	r.evidence = slices.Insert(r.evidence, at, evidence{crash: c, sentAt: sentAt})
+	if len(r.evidence) > maxEvidence {
+		r.reported, r.reportedAt = r.incidents(), r.lastCrash()
+		r.evidence = slices.Delete(r.evidence, 0, 1)
+	}
+}
+
+// incidents returns the number of crashes that came one after the other: the request was sent after
+// the crash before. Targets that crash at the same moment, and requests that were on their way to
+// several targets, count once.
+func (r *record) incidents() int {
+	return max(r.reported, r.seenIncidents())
+}
+
+// seenIncidents returns the number of incidents whose crashes are known.
+func (r *record) seenIncidents() int {
+	count := 0
+	var last time.Time
+	for _, e := range r.evidence {
+		if count == 0 || e.sentAt.After(last) {
+			count++
+			last = e.crash.at
+		}
+	}
+	return count
+}
+
+// lastCrash returns the time of the last crash.
+func (r *record) lastCrash() time.Time {
+	last := r.reportedAt
+	if n := len(r.evidence); n > 0 && r.evidence[n-1].crash.at.After(last) {
+		last = r.evidence[n-1].crash.at
+	}
+	return last
+}
+
+// heldUntil returns the time until which a host refuses requests with the trait.
+func (r *record) heldUntil(self uint64, trait Trait) time.Time {
+	hold := min(maxHold.Seconds(), firstHold.Seconds()*math.Pow(holdGrowth, float64(r.incidents()-holdIncidents)))
+	hold *= 1 + holdJitter*hostFraction(self, trait)
+	return r.lastCrash().Add(time.Duration(hold * float64(time.Second)))
+}
+
+// answer records that a request with the trait was answered.
+func (r *record) answer(at time.Time) {
+	r.answeredAt = at
+	r.evidence, r.reported, r.settled, r.probeUntil = nil, 0, 0, time.Time{}
+}
+
+// expired reports whether the record says nothing of the present any more.
+func (r *record) expired(now time.Time) bool {
+	last := r.lastCrash()
+	if r.answeredAt.After(last) {
+		last = r.answeredAt
+	}
+	return now.Sub(last) > suspicionLifetime
+}
+
+// hostFraction maps a host and a trait to the range from 0 to 1.
+func hostFraction(host uint64, trait Trait) float64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], host)
+	binary.LittleEndian.PutUint64(buf[8:], uint64(trait))
+	return float64(xxhash.Sum64(buf[:])) / math.MaxUint64
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -41,7 +41,11 @@
 
 	KindDeparture Kind = 26
 
-	kindLimit = 27 // one more than the highest kind
+	KindTargetCrash    Kind = 27
+	KindTraitsAnswered Kind = 28
+	KindTraitsProbed   Kind = 29
+
+	kindLimit = 30 // one more than the highest kind
 )
 
 // kindNames holds the name of each kind, as metrics show it.
@@ -52,7 +56,7 @@
 	KindCrashReport: "suspect", KindOrderRequest: "claim", KindOrderResponse: "claimed", KindHostState: "news",
 	KindQuery: "query", KindReply: "reply", KindSlotRequest: "enquiry", KindSlotResponse: "verdict",
 	KindLeaseUpdate: "progress", KindLeaseList: "leases", KindPromptPlaced: "kept",
-	KindDeparture: "departure",
+	KindDeparture: "departure", KindTargetCrash: "crash", KindTraitsAnswered: "answered", KindTraitsProbed: "probed",
 }
 
 // String returns the name of the kind, or "unknown".
@@ -383,6 +387,10 @@
 	KindPromptPlaced:   func() Message { return &PromptPlaced{} },
 
 	KindDeparture: func() Message { return &Departure{} },
+
+	KindTargetCrash:    func() Message { return &TargetCrash{} },
+	KindTraitsAnswered: func() Message { return &TraitsAnswered{} },
+	KindTraitsProbed:   func() Message { return &TraitsProbed{} },
 }
 
 // newMessage returns an empty message of a kind, or nil if the kind is unknown.
--- a/wire/news.go
+++ b/wire/news.go
@@ -14,7 +14,7 @@
 	Place      string       // place of the sender
 	Loads      []TargetLoad // by target
 	Demands    []TeamDemand // by service and team
-	Crashes    []Crash      // by request
+	HeldTraits []HeldTrait  // properties of requests that crash targets
 	NotReady   bool         // the sender signals the load balancer to open no new connections
 	Departures []Departure  // targets that are shutting down
 	Pauses     []Pause      // targets that asked for a pause
@@ -43,14 +43,52 @@
 	Asked    uint32 // service asked for in cost units
 }
 
-// Crash counts the targets that crashed while they ran a request.
-type Crash struct {
+// HeldTrait reports that requests with some property are kept from targets because it crashes them, or
+// that a request with it was answered.
+type HeldTrait struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Digest uint64 // hash of the team, the path and the body of the request
-	Count  uint8  // number of crashes
+	Trait       uint64 // hash that identifies the property
+	Incidents   uint8  // crashes that came one after the other, 0 if a request was answered since
+	CrashAge    uint32 // milliseconds since the last crash, 0 if there is none
+	AnsweredAge uint32 // milliseconds since a request was answered, 0 if none was
 }
 
+// TargetCrash reports a request that a crashed target had and had not begun to answer.
+type TargetCrash struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Target  string   // identity of the target
+	Age     uint32   // milliseconds since the crash
+	SentAge uint32   // milliseconds since the request was sent to the target
+	Traits  []uint64 // properties of the request
+}
+
+// Kind returns KindTargetCrash.
+func (*TargetCrash) Kind() Kind { return KindTargetCrash }
+
+// TraitsAnswered reports that targets began to answer requests with properties that were suspected of
+// crashing targets.
+type TraitsAnswered struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Traits []uint64
+}
+
+// Kind returns KindTraitsAnswered.
+func (*TraitsAnswered) Kind() Kind { return KindTraitsAnswered }
+
+// TraitsProbed reports that the sender sends a request to a target to find out whether its properties
+// still crash targets. Until it has a result, no other host sends one.
+type TraitsProbed struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Traits []uint64
+}
+
+// Kind returns KindTraitsProbed.
+func (*TraitsProbed) Kind() Kind { return KindTraitsProbed }
+
 // Departure reports that a target announced its shutdown in a response.
 type Departure struct {
 	_msgpack struct{} `msgpack:",as_array"`
