gateway: a team above its share is refused with 429

Callers saw: 503 alike for a team that floods and for a service that is out of order, so that a router in front can't tell which. Change: refusals for a team's quota, and for want of room where the team is above its share, have status 429; all others stay 503. Both promise the same, with the same Retry-After.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -48,7 +48,7 @@
 // a stream is never refused for its quota. The caller holds the lock.
 func (c *core) checkArrival(now time.Time, a *arrival) *problem {
 	if admitted, after := c.board.Admit(now, &a.ask); !admitted && !a.resumesStream {
-		return notRun(reasonQuota, after)
+		return overShare(reasonQuota, after)
 	}
 	if c.overloaded(now, a.ask.Service, a.ask.Team) {
 		return notRun(reasonOverloaded, c.overloadWait(now))
--- a/gateway/admit_test.go
+++ b/gateway/admit_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/placement"
 	"github.com/cassiachute/cassiachute/route"
@@ -40,6 +41,7 @@
 		}
 		refused++
 		require.Equal(t, reasonQuota, refusal.reason)
+		require.Equal(t, fasthttp.StatusTooManyRequests, refusal.status)
 		require.Greater(t, refusal.retryAfter, time.Second)
 		require.LessOrEqual(t, refusal.retryAfter, 3*time.Second)
 		resumed := arrivalOf("flood", seed)
@@ -52,3 +54,21 @@
 		require.Nil(t, c.admit(now, arrivalOf("", seed)))
 	}
 }
+
+// A team above its share was refused with the same status as when the service is out of order, so its callers
+// took the refusal for an outage and turned to other hosts. It gets 429, and an entitled team gets 503.
+func TestTeamAboveItsShareIsToldSo(t *testing.T) {
+	refusalOf := func(reason placement.Reason, standing placement.Standing) *problem {
+		return unplaced(placement.Choice{Reason: reason, Standing: standing, RetryAfter: time.Second})
+	}
+	for _, standing := range []placement.Standing{placement.AboveEntitledShare, placement.AboveEvenShare} {
+		require.Equal(t, overShare("full", time.Second), refusalOf(placement.ReasonFull, standing))
+	}
+	require.Equal(t, notRun("full", time.Second), refusalOf(placement.ReasonFull, placement.Entitled))
+	require.Equal(t, notRun("no-target", time.Second), refusalOf(placement.ReasonNoTarget, placement.AboveEvenShare))
+	var response fasthttp.Response
+	overShare(reasonQuota, 1500*time.Millisecond).write(&response, "r1")
+	require.Equal(t, fasthttp.StatusTooManyRequests, response.StatusCode())
+	require.Equal(t, "1.500", string(response.Header.Peek(fasthttp.HeaderRetryAfter)))
+	require.True(t, response.ConnectionClose())
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -293,7 +293,7 @@
 		x.ask.Elapsed = time.Since(x.arrived)
 		s := x.gateway.core.nextStep(x)
 		if s.exhausted {
-			return last, x.refusalOrFailure(notRun(string(last.Reason), last.RetryAfter))
+			return last, x.refusalOrFailure(unplaced(last))
 		}
 		choice, p := x.awaitStep(s)
 		if p != nil || choice.Target != "" {
@@ -301,7 +301,7 @@
 		}
 		x.ask.PreferredQueue = max(x.ask.PreferredQueue, choice.QueueTime)
 		if last = choice; s.final || x.chooseBefore > 0 && sinceBoot() > x.chooseBefore {
-			return last, x.refusalOrFailure(notRun(string(last.Reason), last.RetryAfter))
+			return last, x.refusalOrFailure(unplaced(last))
 		}
 	}
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/valyala/fasthttp"
 )
 
 // metricsNamespace is the prefix of all metric names.
@@ -101,7 +100,7 @@
 		return outcomeServed
 	case reason == reasonCallerGone:
 		return outcomeCallerLeft
-	case status == fasthttp.StatusServiceUnavailable:
+	case isRefusal(status):
 		return outcomeRefused
 	default:
 		return outcomeFailed
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/cassiachute/cassiachute/placement"
 	"github.com/cassiachute/cassiachute/platform"
 	"github.com/cassiachute/cassiachute/quarantine"
 )
@@ -50,6 +51,25 @@
 	return &problem{status: fasthttp.StatusServiceUnavailable, reason: reason, retryAfter: retry}
 }
 
+// overShare returns a refusal with status 429 of a team that asks for more than its share. It promises the same
+// as a refusal with status 503, and tells the caller that others are served meanwhile.
+func overShare(reason string, retry time.Duration) *problem {
+	return &problem{status: fasthttp.StatusTooManyRequests, reason: reason, retryAfter: retry}
+}
+
+// unplaced returns the refusal of a request for which no target was chosen.
+func unplaced(c placement.Choice) *problem {
+	if c.Reason == placement.ReasonFull && c.Standing != placement.Entitled {
+		return overShare(string(c.Reason), c.RetryAfter)
+	}
+	return notRun(string(c.Reason), c.RetryAfter)
+}
+
+// isRefusal returns whether a status that this host answers with promises that the request has not run.
+func isRefusal(status int) bool {
+	return status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests
+}
+
 // failure returns a problem that does not promise that the request has not run.
 func failure(status int, reason string) *problem { return &problem{status: status, reason: reason} }
 
@@ -63,7 +83,7 @@
 		seconds := strconv.FormatFloat(p.retryAfter.Seconds(), 'f', 3, 64)
 		response.Header.Set(fasthttp.HeaderRetryAfter, seconds)
 	}
-	if p.status == fasthttp.StatusServiceUnavailable {
+	if isRefusal(p.status) {
 		response.SetConnectionClose()
 	}
 	response.Header.SetContentType("text/plain")
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -42,7 +42,7 @@
 	Verdicts   []Verdict
 	Requests   int
 	Served     int    // requests with a complete answer with status 200
-	Refused    int    // requests with a complete answer with status 503
+	Refused    int    // requests with a complete answer with status 503 or 429
 	Incomplete int    // requests without a complete answer, including excused ones
 	Excused    int    // requests that failed or have no complete answer for an accepted reason
 	Stops      int    // planned stops of processes
@@ -130,7 +130,7 @@
 		switch {
 		case !s.Complete:
 			r.Incomplete++
-		case s.Status == 503:
+		case s.Status == 503 || s.Status == 429:
 			r.Refused++
 		case s.Status == 200:
 			r.Served++
