gateway: the bytes of all large answers are bounded together

Another operator's report: a replica sent a body without end, the machine kept all of it and ran out of memory. Here each answer was bounded (16 MiB, in a buffer that doubles), but not all of them together. Cause: a bound for each of many holders is none for the process. Change: heldBytes counts what large answers hold beyond 16 KiB each. Over an eighth of the host's memory the largest answer of the target whose answers hold most is given up: 502 at once or another target, a failure of that target, a line answer-oversized. Bytes stay counted until the server has written the answer. Conclusion: a flood of one target costs the others neither memory nor their large answers.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/link"
@@ -16,7 +17,6 @@
 const (
 	maxHeadTime     = 500 * time.Millisecond // from the first byte of the head of an answer to its end, if the request can go elsewhere
 	maxDrainTime    = 100 * time.Millisecond // to read the rest of an answer that is not passed on
-	maxHeldBytes    = 16 << 20               // body of an answer that is passed on as a whole
 	maxDrainedBytes = 16 << 10               // body of a rejection or of an extra answer
 	maxExtraAnswers = 3                      // answers to other requests that are discarded per attempt
 )
@@ -97,18 +97,30 @@
 // result, or the error of a body that is broken or too large.
 func (a *attempt) readBody(result error) error {
 	a.conn.SetWait(max(minRemaining, a.exchange.remaining()))
-	var buf bytes.Buffer
-	n, err := io.Copy(&buf, io.LimitReader(a.body, maxHeldBytes))
-	if err == nil && n == maxHeldBytes {
-		err = errInvalidAnswer
-	}
+	holder := a.exchange.gateway.held.newHolder(a.choice.Target, a.conn.Close)
+	body, err := holder.readAll(a.body)
 	if err != nil {
+		holder.release()
+		if errors.Is(err, errOversized) {
+			a.exchange.gateway.record.answerOversized(a)
+		}
 		return err
 	}
-	a.fullBody = buf.Bytes()
+	a.fullBody, a.holder = body, holder
 	return result
 }
 
+// passOn sets the whole answer as that to the caller. A large body is held until it is written.
+func (a *attempt) passOn(response *fasthttp.Response) {
+	response.SkipBody = a.response.SkipBody
+	if len(a.fullBody) <= freeHeldBytes || response.SkipBody {
+		a.holder.release()
+		response.SetBodyRaw(a.fullBody)
+		return
+	}
+	response.SetBodyStream(heldBody{Reader: bytes.NewReader(a.fullBody), holder: a.holder}, len(a.fullBody))
+}
+
 // readWhole reads the whole answer and finishes the attempt.
 func (a *attempt) readWhole() error {
 	if err := a.readBody(nil); err != nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -52,6 +52,7 @@
 	body         *link.Body // body of the answer, while it is read
 	isStream     bool       // the answer is an event stream
 	fullBody     []byte     // body of the answer, if it was read completely
+	holder       *holder    // of fullBody
 	sentAt       time.Time
 	extraAnswers int           // answers to other requests that came before the one to this request
 	lastActivity time.Time     // when the target last sent something that counts
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -147,8 +147,7 @@
 		return
 	}
 	platform.CopyAnswer(&ctx.Response.Header, &a.response.Header)
-	ctx.Response.SkipBody = a.response.SkipBody
-	ctx.Response.SetBodyRaw(a.fullBody)
+	a.passOn(&ctx.Response)
 	if g.stopping() {
 		ctx.SetConnectionClose()
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,7 @@
 	mesh           *mesh.Socket
 	peers          *peerTable
 	lengths        durationTracker
+	held           *heldBytes // bytes of answers that are held
 	storeCache     storeCache
 	targetsMu      sync.Mutex               // serializes updates of the list of targets
 	decodedTargets map[string]decodedTarget // decoded entries of the list, by key, guarded by targetsMu
@@ -90,6 +91,7 @@
 		settings: s, log: zerolog.Nop(), core: newCore(s), droppedLines: func() map[string]uint64 { return nil },
 		client:  platform.NewClient(s.Store, platform.WithTimeout(storeTimeout)),
 		peers:   newPeerTable(s.Peer),
+		held:    newHeldBytes(&s),
 		listing: route.NewListing(s.Heartbeat.Or(defaultHeartbeat)),
 		lengths: durationTracker{routes: map[string]routeDurations{}}, cancelSends: func() {},
 		decodedTargets: map[string]decodedTarget{},
--- /dev/null
+++ b/gateway/held_test.go
@@ -0,0 +1,172 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/gateway"
+	"github.com/cassiachute/cassiachute/settings"
+)
+
+const (
+	hostMemory     = 128 << 20            // of the host whose gateway is tested, in bytes
+	collectorLimit = hostMemory / 4 * 3   // of the garbage collector, as the program sets it
+	heapInterval   = 2 * time.Millisecond // between two looks at the heap
+	floodCallers   = 60
+	floodCallTimes = 3 // calls of each caller, one after the other
+)
+
+// limitMemory sets the memory of the host in the settings of a gateway.
+func limitMemory(s *gateway.Settings) {
+	keepKeysValid(s)
+	s.Memory = settings.OptionalNumber(hostMemory >> 20)
+}
+
+// watchHeap measures the heap until the returned function is called, which returns its largest size in bytes.
+// The garbage collector has the limits that the program sets on a host with this memory.
+func watchHeap(t testing.TB) func() uint64 {
+	previousLimit, previousPercent := debug.SetMemoryLimit(collectorLimit), debug.SetGCPercent(200)
+	t.Cleanup(func() {
+		debug.SetMemoryLimit(previousLimit)
+		debug.SetGCPercent(previousPercent)
+	})
+	runtime.GC()
+	stop, peak := make(chan struct{}), make(chan uint64)
+	go func() {
+		largest := uint64(0)
+		for {
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			largest = max(largest, m.HeapAlloc)
+			select {
+			case <-stop:
+				peak <- largest
+				return
+			case <-time.After(heapInterval):
+			}
+		}
+	}()
+	return func() uint64 {
+		close(stop)
+		return <-peak
+	}
+}
+
+// endlessBodies holds the heads of answers whose bodies do not end, and the form of a piece of the body.
+var endlessBodies = map[string]struct{ head, piece string }{
+	"no length":   {"", strings.Repeat("z", 64<<10)},
+	"huge length": {"Content-Length: 1000000000000\r\n", strings.Repeat("z", 64<<10)},
+	"chunks":      {"Transfer-Encoding: chunked\r\n", "10000\r\n" + strings.Repeat("z", 64<<10) + "\r\n"},
+}
+
+// flood returns a script that answers each request with a body that does not end.
+func flood(head, piece string) func(a *arrival) bool {
+	return func(a *arrival) bool {
+		fmt.Fprintf(a.conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Seal: s\r\n%s\r\n", a.header("X-Attempt-Id"), head)
+		return a.writeUntilClosed(piece, 0)
+	}
+}
+
+// A faulty target answers every lookup with bytes without end. Each answer was bounded, but not all of them
+// together, so the host ran out of memory and the requests of all its callers ended with it.
+func TestEndlessBodiesStayWithinTheMemoryOfTheHost(t *testing.T) {
+	sound := strings.Repeat("s", 1000)
+	for name, body := range endlessBodies {
+		t.Run(name, func(t *testing.T) {
+			w := newTestEnvWith(t, limitMemory, newScriptedTarget(t, "a", "plain", flood(body.head, body.piece)),
+				newScriptedTarget(t, "b", "plain", func(a *arrival) bool {
+					a.answer(fasthttp.StatusOK, sound)
+					return true
+				}))
+			peak := watchHeap(t)
+			var wg sync.WaitGroup
+			results := make(chan result, floodCallers*floodCallTimes)
+			for n := range floodCallers {
+				wg.Go(func() {
+					for i := range floodCallTimes {
+						results <- w.do(call{path: "/lookup/x", id: fmt.Sprintf("r%d-%d", n, i), deadline: time.Second})
+					}
+				})
+			}
+			wg.Wait()
+			heap := peak()
+			close(results)
+			served, late := 0, 0
+			for r := range results {
+				switch {
+				case r.err == nil && r.status == fasthttp.StatusOK && r.body == sound:
+					served++
+				case r.err != nil || r.status == fasthttp.StatusGatewayTimeout:
+					late++
+				}
+			}
+			t.Logf("heap %d MiB, %d of %d served, %d late", heap>>20, served, floodCallers*floodCallTimes, late)
+			require.Less(t, heap, uint64(hostMemory))
+			require.Positive(t, served)
+			require.Zero(t, late, "what is too large is told at once")
+		})
+	}
+}
+
+// While a target floods, a large answer of another target is passed on whole, and what was held is given back.
+func TestLargeAnswerIsServedBesideFlood(t *testing.T) {
+	large := strings.Repeat("s", 4<<20)
+	w := newTestEnvWith(t, limitMemory, newScriptedTarget(t, "a", "plain", flood("", endlessBodies["no length"].piece)), newScriptedTarget(t, "b", "model", func(a *arrival) bool {
+		half := len(large) / 2
+		fmt.Fprintf(a.conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: sound\r\nX-Replica-Seal: s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", len(large), large[:half])
+		time.Sleep(300 * time.Millisecond) // the flood goes on meanwhile
+		_, _ = io.WriteString(a.conn, large[half:])
+		return true
+	}))
+	var wg sync.WaitGroup
+	for n := range 40 {
+		wg.Go(func() { w.do(call{path: "/order/x", id: fmt.Sprint("r", n), deadline: time.Second}) })
+	}
+	r := w.do(call{path: "/once/x", key: "key1", id: "sound"})
+	require.NoError(t, r.err)
+	require.Equal(t, fasthttp.StatusOK, r.status, r.body[:min(len(r.body), 100)])
+	require.Equal(t, len(large), len(r.body))
+	wg.Wait()
+	w.waitUntil(func() bool { return w.heldMetric() == 0 })
+	require.Contains(t, w.logs.String(), `"event":"answer-oversized"`)
+}
+
+// heldMetric returns the bytes of answers that the gateway says to hold, -1 if it does not tell.
+func (w *testEnv) heldMetric() float64 {
+	_, body := w.get(w.metrics, "/metrics")
+	for line := range strings.Lines(body) {
+		if value, ok := strings.CutPrefix(line, "cassia_gateway_held_bytes "); ok {
+			held, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+			require.NoError(w.t, err)
+			return held
+		}
+	}
+	return -1
+}
+
+// An answer of the largest size is passed on, and one byte more is too large.
+func TestAnswerOfTheLargestSizeIsServed(t *testing.T) {
+	const largest = 16 << 20
+	w := newTestEnvWith(t, limitMemory, newScriptedTarget(t, "a", "plain", func(a *arrival) bool {
+		size, err := strconv.Atoi(a.header("X-Attempt-Id"))
+		require.NoError(t, err)
+		a.answer(fasthttp.StatusOK, strings.Repeat("s", size))
+		return true
+	}))
+	r := w.do(call{path: "/order/x", id: strconv.Itoa(largest)})
+	require.NoError(t, r.err)
+	require.Len(t, r.body, largest)
+	r = w.do(call{path: "/order/x", id: strconv.Itoa(largest + 1)})
+	require.NoError(t, r.err)
+	require.Equal(t, fasthttp.StatusBadGateway, r.status)
+}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -27,6 +27,7 @@
 		return err
 	}
 	g.limits.Store(newLimits(&s))
+	g.held.setMemory(&s)
 	g.shortenStop()
 	g.core.reload(s)
 	return nil
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -56,6 +56,7 @@
 	eventExhausted    = "descriptors-exhausted"
 	eventAvailable    = "descriptors-available"
 	eventExtraAnswer  = "extra-answer"
+	eventOversized    = "answer-oversized"
 	eventLeaving      = "target-leaving"
 	eventPaused       = "target-paused"
 )
@@ -181,6 +182,15 @@
 		Str("other", a.answer.ID).Int("status", a.answer.Status).Send()
 }
 
+// answerOversized records an answer that was given up because it is too large, or because all answers that are
+// held together are.
+func (r *recorder) answerOversized(a *attempt) {
+	held := a.exchange.gateway.held
+	r.metrics.oversized.Inc()
+	r.log.Warn().Str("event", eventOversized).Str("request", a.exchange.call.ID).Str("target", a.choice.Target).
+		Int64("held", held.total()).Int64("limit", held.limit).Send()
+}
+
 // targetLeaving records that a target announced its shutdown, either in an answer to a request
 // of this host or, with an empty request, to another host.
 func (r *recorder) targetLeaving(d *placement.Departure, request string, peer netip.AddrPort) {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -16,6 +16,7 @@
 	configAge, targetsAge, peers, peerAge *prometheus.Desc
 	retriesLeft, storeCalls, droppedLines *prometheus.Desc
 	processor, activityTime, heldTraits   *prometheus.Desc
+	heldBytes                             *prometheus.Desc
 }
 
 // newStateCollector returns the collector of a gateway.
@@ -36,6 +37,7 @@
 		processor:         newDesc("processor_seconds_total", "Processor time of the process."),
 		activityTime:      newDesc("busy_seconds_total", "Time spent on each kind of work.", "activity"),
 		heldTraits:        newDesc("held_traits", "Traits whose requests are kept from targets."),
+		heldBytes:         newDesc("held_bytes", "Bytes of large answers that are held until they are complete and written."),
 		droppedLines:      newDesc("log_lines_dropped_total", "Log lines that were dropped.", "event"),
 	}
 }
@@ -76,6 +78,7 @@
 	counter(s.storeCalls, float64(reads), "read")
 	counter(s.storeCalls, float64(writes), "write")
 	gauge(s.heldTraits, float64(g.core.heldTraits.Load()))
+	gauge(s.heldBytes, float64(g.held.total()))
 	counter(s.processor, processorTime().Seconds())
 	for a := range activityCount {
 		counter(s.activityTime, g.record.times.total(a).Seconds(), a.String())
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -59,8 +59,7 @@
 		ctx.SetConnectionClose()
 	}
 	if a.finished {
-		ctx.Response.SkipBody = a.response.SkipBody
-		ctx.Response.SetBodyRaw(a.fullBody)
+		a.passOn(&ctx.Response)
 		g.record.answered(x, a.response.StatusCode(), "", 0)
 		g.endExchange(x)
 		return
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -41,6 +41,7 @@
 	address     netip.AddrPort // for callers
 	ready       netip.AddrPort // for readiness checks
 	peer        netip.AddrPort // for messages of other gateways
+	metrics     netip.AddrPort
 	stop        context.CancelFunc
 	done        chan error
 	version     uint64 // version of the configuration that was written last
@@ -101,7 +102,8 @@
 	}
 	s := w.settings("host1", storeAddress)
 	s.Listen, s.Ready = w.address, w.ready
-	w.peer = s.Peer
+	s.Metrics = loopback.Address()
+	w.peer, w.metrics = s.Peer, s.Metrics
 	change(&s)
 	g, err := gateway.New(s, gateway.WithLog(zerolog.New(w.logs)))
 	require.NoError(t, err)
