gateway: bytes of events that are not whole count as held

An engine whose events do not end: each stream keeps up to 1 MiB of an event that is not whole, and an engine has up to 128 slots. Change: the buffer of a stream counts as the bytes of large answers do; the largest of the target that holds most is given up, and its stream goes on elsewhere or breaks. Conclusion: answers are bounded; bodies of callers are next.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -62,6 +62,7 @@
 // endExchange releases what the gateway holds for an exchange whose answer is complete or given up.
 func (g *Gateway) endExchange(x *exchange) {
 	x.cancelHedges()
+	x.releaseEvents()
 	g.core.unregister(x)
 	g.inFlight.Add(-1)
 }
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -161,6 +161,19 @@
 	}
 }
 
+// holdEvents prepares to hold what comes of a stream of a target until it is a whole event.
+func (x *exchange) holdEvents(a *attempt) {
+	x.releaseEvents()
+	x.eventHolder = x.gateway.held.newHolder(a.choice.Target, a.conn.Close)
+}
+
+// releaseEvents gives back what is held of a stream.
+func (x *exchange) releaseEvents() {
+	if x.eventHolder != nil {
+		x.eventHolder.release()
+	}
+}
+
 // heldBody is the body of an answer on its way to the caller. Its bytes are held until the server has written
 // them.
 type heldBody struct {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -106,6 +106,7 @@
 func (s *streamBody) readFirst() error {
 	x := s.exchange
 	s.events = eventParser{}
+	x.holdEvents(s.attempt)
 	if err := s.readEvents(); err != nil {
 		return err
 	}
@@ -144,6 +145,11 @@
 		if !ok {
 			return errEventOrder
 		}
+		if !x.eventHolder.resize(int64(cap(s.events.partial))) {
+			s.events.partial = nil
+			x.gateway.record.answerOversized(a)
+			return errOversized
+		}
 		if len(whole) > 0 && !a.recordProgress() {
 			return link.ErrSilent // the target that took over sends these events again
 		}
