gateway: the operator's limit on request bodies is applied

Found while the bounds of endless answers were looked for on the side of callers: the configuration's largest body was read and never used, so any caller could send 64 MiB, of which the gateway holds three copies: more than a host of the sites has. Cause: the field was decoded and not wired. Change: the limit of the configuration in force, 64 MiB at most, when the head of a request has been read; beyond it 413 as before. Figures: TestBodyBeyondTheConfiguredLimitIsRefused fails before (no answer to the head; the server waits for the body). Conclusion: a single caller can't fill a host any more; many still can.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,7 +25,7 @@
 	readTimeout      = 30 * time.Second // to read the head and body of a caller's request
 	idleTimeout      = time.Minute      // for callers' connections before a configuration is known; longer than readTimeout, which tells waits for a request from reads of one
 	maxHeadBytes     = 64 << 10
-	maxBodyBytes     = 64 << 20
+	maxBodyBytes     = 64 << 20               // of a request, unless the configuration sets a lower limit
 	tickInterval     = 10 * time.Millisecond  // while requests are in flight
 	idleTickInterval = 50 * time.Millisecond  // while there are none
 	sweepInterval    = 150 * time.Millisecond // between checks for callers that left
@@ -207,10 +207,19 @@
 		Handler: g.handle, ErrorHandler: g.handleMalformed,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Logger: serverLogger{recorder: g.record},
-		ReadBufferSize: maxHeadBytes, MaxRequestBodySize: maxBodyBytes,
+		ReadBufferSize: maxHeadBytes, MaxRequestBodySize: maxBodyBytes, HeaderReceived: g.limitBody,
 	}
 }
 
+// limitBody returns the limit on the body of a request whose head was read, as the configuration sets it.
+func (g *Gateway) limitBody(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	table := g.core.table.Load()
+	if table == nil || table.MaxBodyBytes == 0 {
+		return fasthttp.RequestConfig{}
+	}
+	return fasthttp.RequestConfig{MaxRequestBodySize: min(maxBodyBytes, table.MaxBodyBytes)}
+}
+
 // startServers starts an HTTP server on each listener and sends their errors to served.
 func (g *Gateway) startServers(served chan<- error) {
 	handlers := []fasthttp.RequestHandler{g.handle, g.handleReady, g.metricsHandler()}
--- a/gateway/held_test.go
+++ b/gateway/held_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"runtime"
@@ -15,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/gateway"
+	"github.com/cassiachute/cassiachute/knownred"
 	"github.com/cassiachute/cassiachute/settings"
 )
 
@@ -201,3 +203,52 @@
 	t.Logf("heap %d MiB, %d arrived", heap>>20, len(w.targets[0].received()))
 	require.Less(t, heap, uint64(hostMemory))
 }
+
+// The operator's limit on the body of a request was not applied, so one caller could fill a host that is small.
+func TestBodyBeyondTheConfiguredLimitIsRefused(t *testing.T) {
+	const limit = 1 << 20
+	w := newTestEnv(t, newScriptedTarget(t, "a", "plain", func(a *arrival) bool {
+		a.answer(fasthttp.StatusOK, fmt.Sprint(len(a.request.Body())))
+		return true
+	}))
+	w.configure(func(d *configDocument) { d.Limits.MaxBody = limit })
+	w.waitUntil(func() bool { return w.logContains(`"revision":2`) })
+	r := w.do(call{path: "/order/x", id: "r1", body: strings.Repeat("b", limit)})
+	require.NoError(t, r.err)
+	require.Equal(t, fmt.Sprint(limit), r.body)
+	conn := w.dial(fmt.Sprintf("POST /order/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r2\r\nContent-Length: %d\r\n\r\n", limit+1))
+	var response fasthttp.Response
+	require.NoError(t, response.Read(bufio.NewReader(conn)))
+	require.Equal(t, fasthttp.StatusRequestEntityTooLarge, response.StatusCode())
+}
+
+// Many callers send large bodies at once, each within the limit.
+func TestLargeBodiesOfCallersStayWithinTheMemoryOfTheHost(t *testing.T) {
+	knownred.Skip(t)
+	w := newTestEnvWith(t, limitMemory, newScriptedTarget(t, "a", "plain", func(a *arrival) bool {
+		a.request.SwapBody(nil) // the test keeps all arrivals
+		a.answer(fasthttp.StatusOK, "")
+		return true
+	}))
+	w.configure(func(d *configDocument) { d.Limits.MaxBody = 4 << 20 })
+	w.waitUntil(func() bool { return w.logContains(`"revision":2`) })
+	body := strings.Repeat("b", 64<<10)
+	peak := watchHeap(t)
+	var wg sync.WaitGroup
+	for n := range floodCallers {
+		wg.Go(func() {
+			conn := w.dial(fmt.Sprintf("POST /order/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r%d\r\nContent-Length: %d\r\n\r\n", n, 4<<20))
+			for range 64 {
+				if _, err := io.WriteString(conn, body); err != nil {
+					return // refused
+				}
+			}
+			var response fasthttp.Response
+			_ = response.Read(bufio.NewReader(conn)) // served or refused
+		})
+	}
+	wg.Wait()
+	heap := peak()
+	t.Logf("heap %d MiB, %d arrived", heap>>20, len(w.targets[0].received()))
+	require.Less(t, heap, uint64(hostMemory))
+}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -223,6 +224,7 @@
 // configLimits are the limits in a configDocument.
 type configLimits struct {
 	IdleTimeout int `json:"idleTimeoutMs,omitempty"`
+	MaxBody     int `json:"maxBodyBytes,omitempty"`
 }
 
 // configRoute is a route in a configDocument.
@@ -298,6 +300,7 @@
 type call struct {
 	path, key, id string
 	parts         string // of the prompt, as ID:TOKENS entries
+	body          string // in place of a short one that is made of the id
 	deadline      time.Duration
 }
 
@@ -317,7 +320,7 @@
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.Header.Set("X-Attempt-Id", c.id)
 	request.Header.Set("X-Token-Count", "100,40")
-	request.SetBodyString("body of " + c.id)
+	request.SetBodyString(cmp.Or(c.body, "body of "+c.id))
 	if c.key != "" {
 		request.Header.Set("X-Key", c.key)
 	}
