placement: a target that starts again is a new one

A target that crashed and came back under the id that it had was avoided for up to four seconds more and counted its failures on, though failures belong to the process that ended. Change: one function, restarted, forgets all that belongs to the process. Conclusion: targets that a request ended are taken back at once, under a new id or the old one.

--- a/placement/board.go
+++ b/placement/board.go
@@ -125,9 +125,17 @@
 	}
 }
 
+// restarted forgets what is known of an earlier process of the target: its cached prompts, its pauses and its
+// failures. Its load stays until the requests of this host have ended.
+func (r *targetRecord) restarted() {
+	r.cache.clear()
+	r.pausedUntil, r.fullUntil = time.Time{}, time.Time{}
+	r.health, r.suspendedForSilence = newHealth(), false
+}
+
 // SetTargets replaces the list of targets. A target that is no longer listed gets no new requests;
 // its record is kept until its requests of this host have ended. After a restart, the target starts
-// without cached prompts and without a pause.
+// as a new one.
 func (b *Board) SetTargets(targets []route.Target) {
 	present := map[string]bool{}
 	prefixes := prefixesPerTarget(len(targets))
@@ -140,10 +148,7 @@
 		}
 		r.cache.resize(prefixes)
 		if !r.target.StartedAt.Equal(t.StartedAt) {
-			r.cache.clear()
-		}
-		if !r.target.StartedAt.Equal(t.StartedAt) {
-			r.pausedUntil, r.fullUntil = time.Time{}, time.Time{}
+			r.restarted()
 		}
 		t.Leaving = t.Leaving || b.departed(&t)
 		r.target = t
