gateway: held traits outlive the processes that know them

All hosts start again (a release, a loss of power) and know nothing of the crashes: requests with the part end targets once more, until each host has seen it again. Cause: the evidence was in memory only; other hosts tell a host that starts, but nobody tells all of them. Change: a host that has seen the crashes itself writes a trait that is held for over a second to the table traits of the store, and removes it when a request of its own is answered. Each host reads the table once as it starts, until that succeeds. Rows are believed for two hours. Most holds end sooner than a second and cost no call. Conclusion: what is held is forgotten only with the store.

--- a/gateway/core.go
+++ b/gateway/core.go
@@ -32,11 +32,13 @@
 	mu         sync.Mutex
 	board      *placement.Board
 	quarantine *quarantine.Table
-	answered   []uint64                    // suspected traits that requests of this host were answered with, to be told to the other hosts
-	released   []quarantine.Change         // what changed by these answers, to be logged
-	allowances map[string]*retry.Allowance // retry allowances by service
-	exchanges  map[uint64]*exchange        // requests in progress, by number
-	lastNumber uint64                      // number given out last, to an exchange, a lease or a queued remote request
+	answered   []uint64                       // suspected traits that requests of this host were answered with, to be told to the other hosts
+	released   []quarantine.Change            // what changed by these answers, to be logged
+	toSave     map[quarantine.Trait]time.Time // traits that are held since a time and that the store is to be told of
+	toRemove   map[quarantine.Trait]bool      // traits that were saved and are not held any more
+	allowances map[string]*retry.Allowance    // retry allowances by service
+	exchanges  map[uint64]*exchange           // requests in progress, by number
+	lastNumber uint64                         // number given out last, to an exchange, a lease or a queued remote request
 	lag        *placement.LagDetector
 	rotation   *rotation.Host
 	times      *activityTimes
@@ -61,6 +63,8 @@
 		settings:        s,
 		board:           placement.NewBoard(s.Place),
 		quarantine:      quarantine.NewTable(xxhash.Sum64String(s.Peer.String())),
+		toSave:          map[quarantine.Trait]time.Time{},
+		toRemove:        map[quarantine.Trait]bool{},
 		allowances:      map[string]*retry.Allowance{},
 		exchanges:       map[uint64]*exchange{},
 		lag:             placement.NewLagDetector(s.MaxLag.Or(defaultLag)),
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"strings"
@@ -8,11 +9,13 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
-	"github.com/cassiachute/cassiachute/knownred"
+	"github.com/cassiachute/cassiachute/gateway"
 	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/standin/loopback"
 )
 
 const (
@@ -148,7 +151,6 @@
 // everything else and come at two hosts in turn, so none of them comes twice. They were all passed on, and each
 // ended a target.
 func TestPartOfPromptThatCrashesTargetsIsRefused(t *testing.T) {
-	knownred.Skip(t)
 	w, targets := newCrashEnv(t, 3, hasPart("dead"))
 	second, _, settings := w.startSecond(keepKeysValid)
 	w.waitUntil(func() bool {
@@ -189,3 +191,45 @@
 	require.Equal(w.t, wantEvents(3), r.body)
 	require.LessOrEqual(w.t, poison, 1)
 }
+
+// restart stops the gateway and starts another one at other addresses, with the same store.
+func (w *testEnv) restart() {
+	w.t.Helper()
+	w.stop()
+	require.NoError(w.t, <-w.done)
+	s := w.ownSettings
+	s.Listen, s.Ready, s.Peer, s.Metrics = loopback.Address(), loopback.Address(), loopback.Address(), loopback.Address()
+	w.address, w.ready, w.peer, w.metrics = s.Listen, s.Ready, s.Peer, s.Metrics
+	g, err := gateway.New(s, gateway.WithLog(zerolog.New(w.logs)))
+	require.NoError(w.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	w.t.Cleanup(stop)
+	w.gateway, w.stop = g, stop
+	go func() { w.done <- g.Run(ctx) }()
+	w.waitUntil(func() bool {
+		status, _ := w.get(w.ready, platform.PathReady)
+		return status == fasthttp.StatusOK
+	})
+}
+
+// All hosts started again and knew nothing of the crashes, so requests with the part went on to crash targets. What
+// is held for long is in the store.
+func TestHeldPartIsKnownAfterAllHostsStartAgain(t *testing.T) {
+	w, targets := newCrashEnv(t, 3, hasPart("dead"))
+	deadly := func(n int) result {
+		r := w.do(call{path: "/stream/x", key: "key1", id: fmt.Sprintf("d%d", n), parts: fmt.Sprintf("aa:40,dead:20,%x:10", 0xf000+n)})
+		w.waitUntilBack(targets)
+		return r
+	}
+	w.waitUntil(func() bool { return deadly(int(time.Now().UnixNano()%1e6)).body == "poison" })
+	w.serveSoundRequest(w, 1)
+	w.waitUntil(func() bool { return w.logContains(`"event":"trait-saved"`) })
+	_, before := crashCounts(targets)
+	w.restart()
+	for n := range 5 {
+		require.Equal(t, "poison", deadly(n).body)
+		w.serveSoundRequest(w, n)
+	}
+	_, after := crashCounts(targets)
+	require.Equal(t, before, after)
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -62,7 +62,7 @@
 	g.broadcast(&wire.TargetCrash{
 		Target: report.Target, Age: toMillis(now.Sub(at)), SentAge: toMillis(now.Sub(a.sentAt)), Traits: traitsMessage(report.Traits),
 	})
-	g.applyCrash(now, &report, netip.AddrPort{})
+	g.applyCrash(now, &report, noPeer)
 	return g.core.incidents(report.Traits)
 }
 
@@ -74,6 +74,9 @@
 	}, from)
 }
 
+// noPeer stands for this host where the address of another one is due.
+var noPeer netip.AddrPort
+
 // applyCrash records a crash that this host or, with an address, another one has seen.
 func (g *Gateway) applyCrash(now time.Time, report *quarantine.Report, from netip.AddrPort) {
 	g.core.mu.Lock()
@@ -91,6 +94,9 @@
 	for _, change := range changes {
 		g.record.traitChanged(change, from)
 	}
+	if !from.IsValid() {
+		g.core.noteForStore(time.Now(), changes)
+	}
 	for _, x := range g.core.heldExchanges(changes) {
 		x.abort(reasonPoison)
 	}
@@ -251,7 +257,7 @@
 		g.broadcast(&wire.TraitsAnswered{Traits: traits[:n]})
 		traits = traits[n:]
 	}
-	g.applyTraitChanges(changes, netip.AddrPort{})
+	g.applyTraitChanges(changes, noPeer)
 	if known := g.core.vouches(); len(known) > 0 {
 		g.broadcast(&wire.TraitsKnown{Traits: traitsMessage(known)})
 	}
@@ -369,6 +375,11 @@
 	event.Send()
 }
 
+// traitSaved records that the store was told of a held trait or, without crashes, that it is not held any more.
+func (r *recorder) traitSaved(trait quarantine.Trait, crashes int) {
+	r.log.Info().Str("event", eventSaved).Str("trait", traitName(trait)).Int("crashes", crashes).Send()
+}
+
 // traitsProbed records that a request is sent to find out whether its traits still crash targets.
 func (r *recorder) traitsProbed(x *exchange) {
 	r.log.Info().Str("event", eventProbed).Str("request", x.call.ID).Array("traits", traitNames(x.probes)).Send()
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -43,6 +43,7 @@
 	eventHeld         = "trait-held"
 	eventReleased     = "trait-released"
 	eventProbed       = "trait-probed"
+	eventSaved        = "trait-saved"
 	eventMalformed    = "malformed"
 	eventOverload     = "host-overloaded"
 	eventRelief       = "host-relieved"
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -98,14 +98,8 @@
 	return w.client.Feed(platform.TableOperator, w.configVersion, w.feedWait())
 }
 
-// recordRead records the result of a read of the store in log and metrics. An error that comes while this
-// host stops is left out, since it says nothing about the store.
-func (w *watcher) recordRead(part string, err error) {
-	if err != nil && w.gateway.ctx.Err() != nil {
-		return
-	}
-	w.gateway.record.storeRead(part, err)
-}
+// recordRead records the result of a read of the store in log and metrics.
+func (w *watcher) recordRead(part string, err error) { w.gateway.recordStoreCall(part, err) }
 
 // feedWait returns how long a feed waits at the store for a change.
 func (w *watcher) feedWait() time.Duration {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -67,6 +67,7 @@
 	Held      bool
 	Incidents int
 	Hold      time.Duration // for which requests with the trait are refused
+	HeldFor   time.Duration // since it was held first, if it is not held any more
 	Evicted   bool          // it was forgotten because too many traits are held
 }
 
@@ -278,12 +279,13 @@
 			t.addRelease(trait, r.answeredAt)
 		}
 		r.settled = 0
-		return []Change{{Trait: trait, Incidents: incidents}}
+		return []Change{{Trait: trait, Incidents: incidents, HeldFor: now.Sub(r.heldSince)}}
 	case incidents < holdIncidents || wasHeld && incidents == r.settled:
 		return nil
 	}
 	r.settled, r.probeUntil = incidents, time.Time{}
 	if !wasHeld {
+		r.heldSince = now
 		t.addVouch(now, trait)
 	}
 	changes := []Change{{Trait: trait, Held: true, Incidents: incidents, Hold: max(0, t.heldUntil(trait, r).Sub(now))}}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -99,7 +99,7 @@
 	recordCrashes(table, crashAt("a", 0, 1, 2), crashAt("b", time.Second, 1, 2))
 	cleared, changes := table.RecordAnswer(start.Add(2*time.Second), []quarantine.Trait{1, 5})
 	require.Equal(t, []quarantine.Trait{1}, cleared)
-	require.Equal(t, []quarantine.Change{{Trait: 1}}, changes)
+	require.Equal(t, []quarantine.Change{{Trait: 1, HeldFor: time.Second}}, changes)
 	require.False(t, refused(table, 2*time.Second, 1))
 	require.True(t, refused(table, 2*time.Second, 1, 2))
 	table.RecordCrash(start.Add(2*time.Second), crashAt("c", 1500*time.Millisecond, 1))
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -21,6 +21,7 @@
 	evidence   []evidence // crashes since then, the oldest first
 	reported   int        // incidents since then that are known without their crashes, such as those that another host reports
 	reportedAt time.Time  // when the last of these was
+	heldSince  time.Time  // when it was held first since then
 	settled    int        // incidents when the hold was last determined
 	probeUntil time.Time  // until when a probe keeps other requests back
 }
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -22,11 +22,7 @@
 func (t *Table) State() []Status {
 	var list []Status
 	for _, trait := range t.held.Keys() {
-		record, _ := t.held.Peek(trait)
-		s := Status{
-			Trait: trait, Incidents: record.incidents(), LastCrash: record.lastCrash(), AnsweredAt: record.answeredAt, Known: t.known.Contains(trait),
-		}
-		if s.convincing() {
+		if s, ok := t.HeldStatus(trait); ok {
 			list = append(list, s)
 		}
 	}
@@ -37,6 +33,19 @@
 	return list[:min(len(list), maxStatuses)]
 }
 
+// HeldStatus returns what this host knows of a trait. It returns false unless hosts that saw none of the
+// crashes have to hold the trait as well.
+func (t *Table) HeldStatus(trait Trait) (Status, bool) {
+	record, ok := t.held.Peek(trait)
+	if !ok {
+		return Status{}, false
+	}
+	s := Status{
+		Trait: trait, Incidents: record.incidents(), LastCrash: record.lastCrash(), AnsweredAt: record.answeredAt, Known: t.known.Contains(trait),
+	}
+	return s, s.convincing()
+}
+
 // convincing reports whether a host that saw none of the crashes is to hold the trait. One that requests
 // were answered with before is held by others for the fewest incidents only until the next answer, which
 // may come before they hear of it.
