entry, host: messages that crash engines are held, not only whole requests

The same cause in the product's own interface: crashes were counted by a digest of team and body. Requests whose first message crashes engines, and whose question is new each time, ended engine after engine. Cause: as in the gateway; and a request whose answer had begun was counted too. Change: host uses the quarantine of the gateway. Traits are each message of a chat but the last, the known prefixes of a plain prompt, and the request as a whole. Checked on arrival and as the grant is confirmed; refusals have the time that is left as Retry-After. Open: a host of the own interface that starts is not told what is held, and nothing is saved there. Conclusion: one mechanism for both interfaces.

--- a/entry/call.go
+++ b/entry/call.go
@@ -10,10 +10,12 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
+	"github.com/tidwall/gjson"
 	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/catalog"
 	"github.com/cassiachute/cassiachute/dispatch"
+	"github.com/cassiachute/cassiachute/quarantine"
 )
 
 const (
@@ -37,7 +39,8 @@
 	class          uint8
 	deadline       time.Time
 	idempotencyKey string
-	digest         uint64 // hash of the team, service, method, URI and body
+	digest         uint64             // hash of the team, service, method, URI and body
+	traits         []quarantine.Trait // what may make targets crash: the messages but the last, and the request as a whole
 	arrived        time.Time
 }
 
@@ -162,6 +165,28 @@
 	_, _ = d.Write(ctx.RequestURI())
 	_, _ = d.Write(ctx.PostBody())
 	c.digest = d.Sum64()
+	c.traits = []quarantine.Trait{quarantine.Trait(c.digest)}
+}
+
+// addPromptTraits adds what the prompt may have in common with others that crash targets: each message of a chat
+// but the last, or the prefixes of a plain prompt.
+func (c *requestInfo) addPromptTraits(body []byte, prefixes []uint32) {
+	messages := gjson.GetBytes(body, "messages").Array()
+	for _, m := range messages[:max(0, len(messages)-1)] {
+		c.traits = append(c.traits, c.traitOf(m.Raw))
+	}
+	if len(messages) > 0 {
+		return
+	}
+	for _, hash := range prefixes {
+		c.traits = append(c.traits, quarantine.Trait(hash))
+	}
+}
+
+// traitOf returns the trait of a text for the service of the request.
+func (c *requestInfo) traitOf(text string) quarantine.Trait {
+	key := binary.BigEndian.AppendUint32(nil, c.service.Service.Number)
+	return quarantine.Trait(xxhash.Sum64(append(key, text...)))
 }
 
 // prefixHashes returns one hash for each prefix of the prompt in promptPrefixSizes, shortest first. The
--- a/entry/core.go
+++ b/entry/core.go
@@ -137,28 +137,31 @@
 	x.slotResults <- slotResult{target: row, grant: s.Grant}
 }
 
-// submit queues a request for a slot. It returns false if the request has crashed too many targets
-// and is refused.
-func (c *eventLoop) submit(x *exchange, request intake.Request) bool {
-	accepted := true
+// submit queues a request for a slot. It returns how long the request is to be kept from targets because it
+// may crash them, 0 if it is queued.
+func (c *eventLoop) submit(x *exchange, request intake.Request) time.Duration {
+	retry := time.Duration(0)
 	c.postAndWait(func(now time.Time, h *host.Host) {
-		if h.Poisonous(now, x.info.digest) {
-			accepted = false
+		if retry = h.RetryAfterCrash(now, x.info.traits); retry > 0 {
 			return
 		}
-		request.RanOnCrashedTarget = h.IsSuspected(now, x.info.digest)
+		request.RanOnCrashedTarget = h.IsSuspected(x.info.traits)
 		x.id = h.Submit(now, request)
 		c.exchanges[x.id] = x
 	})
-	return accepted
+	return retry
 }
 
 // confirmGrant marks the attempt of an exchange as begun and returns whether its grant was still
-// valid.
-func (c *eventLoop) confirmGrant(x *exchange, grant uint64) bool {
-	valid := false
-	c.postAndWait(func(now time.Time, h *host.Host) { valid = h.Begin(now, x.id, grant) })
-	return valid
+// valid. retry is positive if the request is to be kept from targets because it may crash them.
+func (c *eventLoop) confirmGrant(x *exchange, grant uint64) (valid bool, retry time.Duration) {
+	c.postAndWait(func(now time.Time, h *host.Host) {
+		valid = h.Begin(now, x.id, grant)
+		if valid && !h.BeginAttempt(now, x.info.traits) {
+			retry = h.RetryAfterCrash(now, x.info.traits)
+		}
+	})
+	return valid, retry
 }
 
 // requeue reports the end of an attempt and queues the exchange for another slot.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/cassiachute/cassiachute/host"
 	"github.com/cassiachute/cassiachute/intake"
 	"github.com/cassiachute/cassiachute/link"
+	"github.com/cassiachute/cassiachute/quarantine"
 	"github.com/cassiachute/cassiachute/wire"
 )
 
@@ -45,6 +46,7 @@
 	attemptStart   time.Time     // when the current attempt was sent
 	target         *catalog.TargetRow
 	firstByteTime  time.Duration // time to the first byte of the last attempt
+	answered       bool          // the target of the current attempt began to answer
 
 	mu        sync.Mutex
 	conn      *link.Conn
@@ -70,12 +72,12 @@
 // it crashed targets.
 func (x *exchange) enqueue(notPreemptible bool, hashes []uint32) *problem {
 	c := x.info
-	accepted := x.entry.loop.submit(x, intake.Request{
+	retry := x.entry.loop.submit(x, intake.Request{
 		Service: c.service.Service.Number, Team: c.team, Class: c.class, Deadline: c.deadline,
 		NotPreemptible: notPreemptible, PromptBlockHashes: hashes,
 	})
-	if !accepted {
-		return dispatchProblem(dispatch.ReasonPoison, 0, false)
+	if retry > 0 {
+		return dispatchProblem(dispatch.ReasonPoison, retry, false)
 	}
 	return nil
 }
@@ -124,9 +126,16 @@
 	if err != nil {
 		return nil, x.retryOrFail(o.target, wire.RequestEnd{Outcome: wire.OutcomeConnectionLost})
 	}
-	if !x.entry.loop.confirmGrant(x, o.grant) {
+	valid, retry := x.entry.loop.confirmGrant(x, o.grant)
+	if !valid || retry > 0 {
 		x.entry.pool.Put(o.target.Address, conn)
+	}
+	switch {
+	case !valid:
 		return nil, nil
+	case retry > 0:
+		x.entry.loop.finish(x, wire.RequestEnd{Outcome: wire.OutcomeCanceled})
+		return nil, dispatchProblem(dispatch.ReasonPoison, retry, x.mayHaveRun)
 	}
 	x.mu.Lock()
 	x.conn = conn
@@ -134,7 +143,7 @@
 		conn.Close()
 	}
 	x.mu.Unlock()
-	x.target, x.attemptStart, x.firstByteTime = o.target, time.Now(), 0
+	x.target, x.attemptStart, x.firstByteTime, x.answered = o.target, time.Now(), 0, false
 	return conn, nil
 }
 
@@ -225,26 +234,40 @@
 	return true
 }
 
-// recordCrash counts a crash against the request. It returns a problem if the request is refused
-// because of it.
+// recordCrash suspects the request of a crash, unless its target had begun to answer it. It returns a problem
+// if the request is refused because of it.
 func (x *exchange) recordCrash(end wire.RequestEnd) *problem {
-	poisonous := false
+	if x.answered {
+		return nil
+	}
+	retry := time.Duration(0)
+	report := &quarantine.Report{Target: x.target.Name, At: time.Now(), SentAt: x.attemptStart, Traits: quarantine.Reported(x.info.traits)}
 	x.entry.loop.postAndWait(func(now time.Time, h *host.Host) {
-		poisonous = h.RecordCrash(now, x.info.digest)
+		if h.RecordCrash(now, report) {
+			retry = h.RetryAfterCrash(now, x.info.traits)
+		}
 		h.MarkSuspected(x.id)
 	})
-	if !poisonous {
+	if retry == 0 {
 		return nil
 	}
 	x.entry.loop.finish(x, end)
-	p := dispatchProblem(dispatch.ReasonPoison, 0, x.mayHaveRun)
-	return p
+	return dispatchProblem(dispatch.ReasonPoison, retry, x.mayHaveRun)
+}
+
+// recordAnswer records that the target began to answer.
+func (x *exchange) recordAnswer() {
+	if x.answered {
+		return
+	}
+	x.answered = true
+	x.entry.loop.post(func(now time.Time, h *host.Host) { h.RecordAnswer(now, x.info.traits) })
 }
 
 // succeed ends an exchange whose answer is complete.
 func (x *exchange) succeed(end wire.RequestEnd) {
 	end.Outcome = wire.OutcomeCompleted
 	end.FirstByte = uint32(x.firstByteTime.Milliseconds())
-	x.entry.loop.post(func(now time.Time, h *host.Host) { h.RecordCompletion(now, x.info.digest) })
+	x.recordAnswer()
 	x.entry.loop.finish(x, end)
 }
--- a/entry/front.go
+++ b/entry/front.go
@@ -150,7 +150,9 @@
 		wantUsage: gjson.GetBytes(body, "stream_options.include_usage").Bool(),
 	}
 	streamed := gjson.GetBytes(body, "stream").Bool()
-	if p := s.enqueue(false, c.prefixHashes(promptOf(body))); p != nil {
+	prefixes := c.prefixHashes(promptOf(body))
+	c.addPromptTraits(body, prefixes)
+	if p := s.enqueue(false, prefixes); p != nil {
 		e.refuse(ctx, c, p)
 		return
 	}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -44,23 +44,13 @@
 	return quarantine.Trait(d.Sum64())
 }
 
-// reportedTraits returns the traits of a request that other hosts are told after a crash: the first and
-// the last ones if there are more than quarantine.MaxReportedTraits.
-func reportedTraits(traits []quarantine.Trait) []quarantine.Trait {
-	const half = quarantine.MaxReportedTraits / 2
-	if len(traits) <= quarantine.MaxReportedTraits {
-		return traits
-	}
-	return append(traits[:half:half], traits[len(traits)-half:]...)
-}
-
 // reportCrash records that a target crashed before it began to answer a request, and tells the other
 // hosts. It returns the highest number of incidents that count against a trait of the request.
 func (g *Gateway) reportCrash(a *attempt, at time.Time) int {
 	now := time.Now()
-	report := quarantine.Report{Target: a.choice.Target, At: at, SentAt: a.sentAt, Traits: reportedTraits(a.exchange.traits)}
+	report := quarantine.Report{Target: a.choice.Target, At: at, SentAt: a.sentAt, Traits: quarantine.Reported(a.exchange.traits)}
 	g.broadcast(&wire.TargetCrash{
-		Target: report.Target, Age: toMillis(now.Sub(at)), SentAge: toMillis(now.Sub(a.sentAt)), Traits: traitsMessage(report.Traits),
+		Target: report.Target, Age: toMillis(now.Sub(at)), SentAge: toMillis(now.Sub(a.sentAt)), Traits: quarantine.Numbers(report.Traits),
 	})
 	g.applyCrash(now, &report, noPeer)
 	return g.core.incidents(report.Traits)
@@ -70,7 +60,7 @@
 func (g *Gateway) receiveTargetCrash(from netip.AddrPort, m *wire.TargetCrash) {
 	now := time.Now()
 	g.applyCrash(now, &quarantine.Report{
-		Target: m.Target, At: now.Add(-fromMillis(m.Age)), SentAt: now.Add(-fromMillis(m.SentAge)), Traits: traitsFromMessage(m.Traits),
+		Target: m.Target, At: now.Add(-fromMillis(m.Age)), SentAt: now.Add(-fromMillis(m.SentAge)), Traits: quarantine.Traits(m.Traits),
 	}, from)
 }
 
@@ -176,7 +166,7 @@
 		return x.refuseHeld(p)
 	}
 	if len(x.probes) > 0 {
-		g.broadcast(&wire.TraitsProbed{Traits: traitsMessage(x.probes)})
+		g.broadcast(&wire.TraitsProbed{Traits: quarantine.Numbers(x.probes)})
 		g.record.traitsProbed(x)
 	}
 	return nil
@@ -212,14 +202,14 @@
 func (c *core) receiveTraitsProbed(m *wire.TraitsProbed) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.quarantine.BeginProbe(time.Now(), traitsFromMessage(m.Traits))
+	c.quarantine.BeginProbe(time.Now(), quarantine.Traits(m.Traits))
 }
 
 // recordAnswer records that a target began to answer a request. The caller holds the lock.
 func (c *core) recordAnswer(now time.Time, x *exchange) {
 	x.answered = true
 	cleared, changes := c.quarantine.RecordAnswer(now, x.traits)
-	c.answered = append(c.answered, traitsMessage(cleared)...)
+	c.answered = append(c.answered, quarantine.Numbers(cleared)...)
 	c.released = append(c.released, changes...)
 	x.released = x.released || len(changes) > 0
 }
@@ -228,7 +218,7 @@
 func (c *core) receiveTraitsKnown(m *wire.TraitsKnown) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.quarantine.RecordKnown(traitsFromMessage(m.Traits))
+	c.quarantine.RecordKnown(quarantine.Traits(m.Traits))
 }
 
 // takeAnswered returns the suspected traits that requests of this host were answered with since the last
@@ -259,7 +249,7 @@
 	}
 	g.applyTraitChanges(changes, noPeer)
 	if known := g.core.vouches(); len(known) > 0 {
-		g.broadcast(&wire.TraitsKnown{Traits: traitsMessage(known)})
+		g.broadcast(&wire.TraitsKnown{Traits: quarantine.Numbers(known)})
 	}
 }
 
@@ -269,7 +259,7 @@
 // receiveTraitsAnswered records that requests of another host were answered.
 func (g *Gateway) receiveTraitsAnswered(from netip.AddrPort, m *wire.TraitsAnswered) {
 	g.core.mu.Lock()
-	_, changes := g.core.quarantine.RecordAnswer(time.Now(), traitsFromMessage(m.Traits))
+	_, changes := g.core.quarantine.RecordAnswer(time.Now(), quarantine.Traits(m.Traits))
 	g.core.mu.Unlock()
 	g.applyTraitChanges(changes, from)
 }
@@ -324,24 +314,6 @@
 	}
 }
 
-// traitsMessage returns traits as messages carry them.
-func traitsMessage(traits []quarantine.Trait) []uint64 {
-	list := make([]uint64, 0, len(traits))
-	for _, trait := range traits {
-		list = append(list, uint64(trait))
-	}
-	return list
-}
-
-// traitsFromMessage returns the traits that a message carries.
-func traitsFromMessage(list []uint64) []quarantine.Trait {
-	traits := make([]quarantine.Trait, 0, len(list))
-	for _, trait := range list {
-		traits = append(traits, quarantine.Trait(trait))
-	}
-	return traits
-}
-
 // traitName returns a trait as log lines show it, empty for none.
 func traitName(trait quarantine.Trait) string {
 	if trait == 0 {
--- a/host/host.go
+++ b/host/host.go
@@ -16,6 +16,7 @@
 	"github.com/cassiachute/cassiachute/intake"
 	"github.com/cassiachute/cassiachute/ledger"
 	"github.com/cassiachute/cassiachute/order"
+	"github.com/cassiachute/cassiachute/quarantine"
 	"github.com/cassiachute/cassiachute/retry"
 	"github.com/cassiachute/cassiachute/roster"
 	"github.com/cassiachute/cassiachute/wire"
@@ -95,7 +96,7 @@
 	shards        map[wire.Shard]*dispatch.Shard // shards owned here
 	owners        map[wire.Shard]netip.AddrPort  // last known owner of each shard
 	intake        *intake.Table
-	suspects      *retry.Suspects // requests that ran on targets that crashed
+	quarantine    *quarantine.Table // what makes targets crash
 	orders        *order.Table
 	placeHash     uint32                   // hash of the name of this host's place
 	links         map[netip.AddrPort]*link // by peer
@@ -125,7 +126,7 @@
 		owners:       map[wire.Shard]netip.AddrPort{},
 		links:        map[netip.AddrPort]*link{},
 		retryBudgets: map[uint32]*retry.Budget{},
-		suspects:     retry.NewSuspects(),
+		quarantine:   quarantine.NewTable(xxhash.Sum64String(config.Self.String())),
 		seeds:        config.Seeds,
 		placeHash:    uint32(xxhash.Sum64String(config.Place)),
 	}
--- a/host/receive.go
+++ b/host/receive.go
@@ -59,8 +59,8 @@
 		h.applySnapshot(now, m)
 	case *wire.ConfigSteps:
 		h.applySteps(now, from, m)
-	case *wire.CrashReport:
-		h.handleCrashReport(now, from, m)
+	case *wire.TargetCrash, *wire.TraitsAnswered, *wire.TraitsProbed:
+		h.handleTraitMessage(now, from, m)
 	case *wire.OrderRequest:
 		h.handleOrderRequest(now, from, m)
 	case *wire.OrderResponse:
--- a/host/suspect.go
+++ b/host/suspect.go
@@ -2,78 +2,105 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/cassiachute/cassiachute/quarantine"
 	"github.com/cassiachute/cassiachute/wire"
 )
 
-// MaxCrashes is the number of target crashes after which the request that was
-// running on the targets is refused.
-const MaxCrashes = 2
-
-// RecordCrash records that a target crashed while it ran a request, and tells the
-// other hosts. digest identifies the request by its team and body. It reports
-// whether the request is refused from now on.
-func (h *Host) RecordCrash(now time.Time, digest uint64) bool {
+// RecordCrash records that a target crashed before it began to answer a request, and tells the other
+// hosts. It reports whether requests with the traits of the request are refused from now on.
+func (h *Host) RecordCrash(now time.Time, r *quarantine.Report) bool {
 	h.setTime(now)
-	count := h.suspects.Count(now, digest) + 1
-	h.suspects.RaiseCount(now, digest, count)
-	h.broadcastCrashReport(&wire.CrashReport{Digest: digest, Crashes: count}, netip.AddrPort{})
-	return count >= MaxCrashes
+	h.quarantine.RecordCrash(now, r)
+	h.broadcastTraits(&wire.TargetCrash{
+		Target: r.Target, Age: milliseconds(now.Sub(r.At)), SentAge: milliseconds(now.Sub(r.SentAt)), Traits: quarantine.Numbers(r.Traits),
+	})
+	return h.quarantine.Check(now, r.Traits).Refused
 }
 
-// Poisonous reports whether a request is refused because MaxCrashes targets
-// crashed while they ran it.
-func (h *Host) Poisonous(now time.Time, digest uint64) bool {
-	return h.suspects.Count(now, digest) >= MaxCrashes
+// RetryAfterCrash returns how long a request with some traits is to be kept from targets, because these
+// crash targets; 0 if it may be sent.
+func (h *Host) RetryAfterCrash(now time.Time, traits []quarantine.Trait) time.Duration {
+	if d := h.quarantine.Check(now, traits); d.Refused {
+		return d.RetryAfter
+	}
+	return 0
+}
+
+// BeginAttempt reports whether a request with some traits may be sent to a target now. If it probes a trait
+// whose hold is over, the other hosts are told to wait for the result.
+func (h *Host) BeginAttempt(now time.Time, traits []quarantine.Trait) bool {
+	h.setTime(now)
+	d := h.quarantine.Check(now, traits)
+	if d.Refused {
+		return false
+	}
+	if len(d.Probes) > 0 {
+		h.quarantine.BeginProbe(now, d.Probes)
+		h.broadcastTraits(&wire.TraitsProbed{Traits: quarantine.Numbers(d.Probes)})
+	}
+	return true
 }
 
-// IsSuspected reports whether a target crashed while it ran a request.
-func (h *Host) IsSuspected(now time.Time, digest uint64) bool {
-	return h.suspects.Count(now, digest) > 0
+// IsSuspected reports whether a target crashed while it had a request with one of some traits, which was
+// not answered since.
+func (h *Host) IsSuspected(traits []quarantine.Trait) bool {
+	return slices.ContainsFunc(traits, func(t quarantine.Trait) bool { return h.quarantine.Incidents(t) > 0 })
 }
 
-// RecordCompletion clears a request of suspicion, as it ran to its end, and tells the
-// other hosts if it was suspected.
-func (h *Host) RecordCompletion(now time.Time, digest uint64) {
+// RecordAnswer clears the traits of a request that a target began to answer, and tells the other hosts if
+// they were suspected.
+func (h *Host) RecordAnswer(now time.Time, traits []quarantine.Trait) {
 	h.setTime(now)
-	if h.suspects.Count(now, digest) == 0 {
-		return
+	if cleared, _ := h.quarantine.RecordAnswer(now, traits); len(cleared) > 0 {
+		h.broadcastTraits(&wire.TraitsAnswered{Traits: quarantine.Numbers(cleared)})
 	}
-	h.suspects.Clear(digest)
-	h.broadcastCrashReport(&wire.CrashReport{Digest: digest, Cleared: true}, netip.AddrPort{})
 }
 
-// handleCrashReport applies a peer's report about a suspected request and passes it
-// on if it is new to this host.
-func (h *Host) handleCrashReport(now time.Time, from netip.AddrPort, m *wire.CrashReport) {
-	if m.Cleared {
-		if h.suspects.Clear(m.Digest) {
-			h.broadcastCrashReport(m, from)
-		}
-		return
+// handleTraitMessage handles what a peer reports about traits. A host that leads its place passes on what
+// comes from another place.
+func (h *Host) handleTraitMessage(now time.Time, from netip.AddrPort, message wire.Message) {
+	switch m := message.(type) {
+	case *wire.TargetCrash:
+		h.quarantine.RecordCrash(now, &quarantine.Report{
+			Target: m.Target, At: now.Add(-time.Duration(m.Age) * time.Millisecond), SentAt: now.Add(-time.Duration(m.SentAge) * time.Millisecond),
+			Traits: quarantine.Traits(m.Traits),
+		})
+	case *wire.TraitsAnswered:
+		h.quarantine.RecordAnswer(now, quarantine.Traits(m.Traits))
+	case *wire.TraitsProbed:
+		h.quarantine.BeginProbe(now, quarantine.Traits(m.Traits))
 	}
-	if h.suspects.RaiseCount(now, m.Digest, m.Crashes) {
-		h.broadcastCrashReport(m, from)
+	if !slices.Contains(h.roster.Present(), from) {
+		h.sendToPlace(message)
 	}
 }
 
-// broadcastCrashReport sends a report about a request that is suspected of crashing targets
-// to the hosts of this place and the leading host of each other place, except the
-// host that it came from.
-func (h *Host) broadcastCrashReport(m *wire.CrashReport, except netip.AddrPort) {
-	for _, peer := range h.roster.Present() {
-		if peer != except {
-			h.send(peer, m)
-		}
-	}
+// broadcastTraits sends a message about traits to the hosts of this place and the leading host of each other
+// place.
+func (h *Host) broadcastTraits(m wire.Message) {
+	h.sendToPlace(m)
 	for _, r := range h.roster.Rosters() {
-		if head, ok := h.roster.Head(r.Place); ok && head != except {
+		if head, ok := h.roster.Head(r.Place); ok {
 			h.send(head, m)
 		}
 	}
 }
 
+// sendToPlace sends a message to the other hosts of this place.
+func (h *Host) sendToPlace(m wire.Message) {
+	for _, peer := range h.roster.Present() {
+		if peer != h.config.Self {
+			h.send(peer, m)
+		}
+	}
+}
+
+// milliseconds returns a duration in milliseconds as messages carry it, 0 if it is negative.
+func milliseconds(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
+
 // MarkSuspected marks a request of this host's callers as suspected of crashing
 // targets, so that it does not share a target with other suspected requests.
 func (h *Host) MarkSuspected(id uint64) { h.intake.MarkSuspect(id) }
--- a/integration/call_test.go
+++ b/integration/call_test.go
@@ -48,6 +48,35 @@
 	if err != nil {
 		return result{err: err}
 	}
+	return f.streamModel(h, id, "/v1/completions", body, onToken)
+}
+
+// chatBody is a request of the chat API.
+type chatBody struct {
+	Model    string        `json:"model"`
+	Messages []chatMessage `json:"messages"`
+	Stream   bool          `json:"stream"`
+}
+
+// chatMessage is one message in a chatBody.
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// streamChat sends a streamed chat request with a system message and a user message.
+func (f *fleet) streamChat(h *host, id, system, user string) result {
+	body, err := json.Marshal(chatBody{
+		Model: "model", Stream: true, Messages: []chatMessage{{Role: "system", Content: system}, {Role: "user", Content: user}},
+	})
+	if err != nil {
+		return result{err: err}
+	}
+	return f.streamModel(h, id, "/v1/chat/completions", body, nil)
+}
+
+// streamModel sends a request for a stream to a path of the API.
+func (f *fleet) streamModel(h *host, id, path string, body []byte, onToken func(tokens int)) result {
 	conn, err := link.NewPool(nil).Get(context.Background(), h.settings.Listen, true)
 	if err != nil {
 		return result{err: err}
@@ -55,7 +84,7 @@
 	defer conn.Close()
 	request, response := &fasthttp.Request{}, &fasthttp.Response{}
 	request.Header.SetMethod(fasthttp.MethodPost)
-	request.SetRequestURI("http://" + h.settings.Listen.String() + "/v1/completions")
+	request.SetRequestURI("http://" + h.settings.Listen.String() + path)
 	request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+keyOf("red"))
 	request.Header.Set(entry.HeaderRequestID, id)
 	request.SetBody(body)
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -301,6 +301,12 @@
 		}
 		return true
 	})
+	require.LessOrEqual(t, f.crashedTargets(), 3)
+	streams.Wait()
+}
+
+// crashedTargets returns how many targets have ended.
+func (f *fleet) crashedTargets() int {
 	crashed := 0
 	for _, target := range f.targets {
 		select {
@@ -309,8 +315,30 @@
 		default:
 		}
 	}
-	require.LessOrEqual(t, crashed, 3)
-	streams.Wait()
+	return crashed
+}
+
+// TestMessageThatCrashesEnginesIsRefused sends requests whose first message crashes every engine that runs
+// them. The rest of each request is new, so none comes twice. After a few of them, all hosts must refuse such
+// requests, and requests with another first message must be served.
+func TestMessageThatCrashesEnginesIsRefused(t *testing.T) {
+	config := smallConfig()
+	config.poison, config.engines = poisonWord, 9
+	f := startFleet(t, config)
+	refused := 0
+	for n := range 16 {
+		h := f.hosts[n%len(f.hosts)]
+		if r := f.streamChat(h, fmt.Sprint("poison", n), "you are a "+poisonWord+" now", fmt.Sprint("question ", n)); r.code == "poison" {
+			refused++
+		}
+	}
+	crashed := f.crashedTargets()
+	t.Logf("%d of 16 refused, %d engines crashed", refused, crashed)
+	require.LessOrEqual(t, crashed, 5)
+	require.GreaterOrEqual(t, refused, 11)
+	f.eventually("another first message is served", func() bool {
+		return f.streamChat(f.hosts[0], "sound", "you are a tile now", "question").status == fasthttp.StatusOK
+	})
 }
 
 // TestPausedOwnerServesAgainAfterTakeover pauses the owner of a shard until another
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -52,6 +52,24 @@
 // identity is a hash.
 type Trait uint64
 
+// Numbers returns traits as plain numbers, as messages carry them.
+func Numbers(traits []Trait) []uint64 {
+	list := make([]uint64, 0, len(traits))
+	for _, trait := range traits {
+		list = append(list, uint64(trait))
+	}
+	return list
+}
+
+// Traits returns the traits with some numbers.
+func Traits(numbers []uint64) []Trait {
+	list := make([]Trait, 0, len(numbers))
+	for _, number := range numbers {
+		list = append(list, Trait(number))
+	}
+	return list
+}
+
 // Report describes a crash of a target, as seen by a host whose request the target had not begun to
 // answer.
 type Report struct {
@@ -102,6 +120,16 @@
 // Empty reports whether no trait is held, so that no request is refused.
 func (t *Table) Empty() bool { return t.held.Len() == 0 }
 
+// Reported returns the traits of a request that count after a crash: the first and the last ones if there are more
+// than MaxReportedTraits.
+func Reported(traits []Trait) []Trait {
+	const half = MaxReportedTraits / 2
+	if len(traits) <= MaxReportedTraits {
+		return traits
+	}
+	return append(traits[:half:half], traits[len(traits)-half:]...)
+}
+
 // RecordCrash records a report of this or another host and returns what changed.
 func (t *Table) RecordCrash(now time.Time, r *Report) []Change {
 	c := t.crash(r.Target, r.At)
--- a/retry/history_test.go
+++ b/retry/history_test.go
@@ -93,16 +93,3 @@
 	require.False(t, allowance.Spend(now.Add(9*time.Second), 1))
 	require.True(t, allowance.Spend(now.Add(11*time.Second), 1))
 }
-
-// TestSuspectsExpireAndClear checks that the crash count of a request can only be raised, that it
-// expires, and that it is cleared once the request ran to its end.
-func TestSuspectsExpireAndClear(t *testing.T) {
-	suspects := retry.NewSuspects()
-	now := time.Unix(5000, 0)
-	require.True(t, suspects.RaiseCount(now, 1, 2))
-	require.False(t, suspects.RaiseCount(now, 1, 2))
-	require.Equal(t, uint8(2), suspects.Count(now, 1))
-	require.Zero(t, suspects.Count(now.Add(time.Hour), 1))
-	require.True(t, suspects.Clear(1))
-	require.False(t, suspects.Clear(1))
-}
--- a/wire/message.go
+++ b/wire/message.go
@@ -281,7 +281,8 @@
 	Bodies [][]byte // JSON of the catalog steps, in order
 }
 
-// CrashReport reports how many targets crashed while they ran a request.
+// CrashReport reports how many targets crashed while they ran a request. Hosts of earlier versions send it; it is
+// decoded and has no effect.
 type CrashReport struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
