entry: the bytes of large answers are bounded together, as in the gateway

The same report of endless bodies, at the product's own interface: answers of models without length or chunks were read up to 32 MiB each, in a buffer that doubles, with no bound for all of them. Cause: as in the gateway; the bound was of each answer. Ruled out: answers with a length or chunks, which are passed on after their first bytes. Change: the bound is a package of its own, held, that both interfaces use. Chunks in place of a buffer that doubles. Requests that are forwarded unparsed have the traits of their prompt, too. Conclusion: one bound for both interfaces; bodies of callers are still open.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/catalog"
+	"github.com/cassiachute/cassiachute/held"
 	"github.com/cassiachute/cassiachute/host"
 	"github.com/cassiachute/cassiachute/link"
 	"github.com/cassiachute/cassiachute/platform"
@@ -41,6 +42,7 @@
 	workers   pond.Pool
 	metrics   *metrics
 	prompts   promptMeans
+	held      *held.Budget // bytes of answers that are held
 	view      atomic.Pointer[catalog.View]
 	ready     atomic.Bool
 	stopping  atomic.Bool
@@ -120,6 +122,7 @@
 	for _, p := range e.settings.Peers {
 		config.Seeds = append(config.Seeds, host.Seed{Address: p.Address, Place: p.Place})
 	}
+	e.held = held.NewBudget(e.settings.Memory)
 	h := host.New(config)
 	e.view.Store(h.View())
 	e.loop = newEventLoop(h, time.Now, e.execute)
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -255,8 +255,8 @@
 	return dispatchProblem(dispatch.ReasonPoison, retry, x.mayHaveRun)
 }
 
-// recordAnswer records that the target began to answer.
-func (x *exchange) recordAnswer() {
+// markAnswered records that the target began to answer.
+func (x *exchange) markAnswered() {
 	if x.answered {
 		return
 	}
@@ -268,6 +268,6 @@
 func (x *exchange) succeed(end wire.RequestEnd) {
 	end.Outcome = wire.OutcomeCompleted
 	end.FirstByte = uint32(x.firstByteTime.Milliseconds())
-	x.recordAnswer()
+	x.markAnswered()
 	x.entry.loop.finish(x, end)
 }
--- a/entry/front.go
+++ b/entry/front.go
@@ -92,11 +92,13 @@
 		e.refuse(ctx, c, p)
 		return
 	}
+	prefixes := c.prefixHashes(promptOf(body))
+	c.addPromptTraits(body, prefixes)
 	if !canCollect(body) {
 		e.forward(ctx, c, false)
 		return
 	}
-	e.serveStream(ctx, c, chat, body)
+	e.serveStream(ctx, c, chat, body, prefixes)
 }
 
 // checkBody checks the method and the fields of a completion request that the entry host reads.
@@ -137,8 +139,8 @@
 }
 
 // serveStream serves a completion from the event stream of an engine, as a stream or as one JSON
-// answer.
-func (e *Entry) serveStream(ctx *fasthttp.RequestCtx, c *requestInfo, chat bool, body []byte) {
+// answer. prefixes are the hashes of the prefixes of its prompt.
+func (e *Entry) serveStream(ctx *fasthttp.RequestCtx, c *requestInfo, chat bool, body []byte, prefixes []uint32) {
 	prepared, err := streamBody(append([]byte(nil), body...))
 	if err != nil {
 		e.refuse(ctx, c, notRunProblem(fasthttp.StatusBadRequest, "bad_body", "", "the body can't be prepared"))
@@ -150,8 +152,6 @@
 		wantUsage: gjson.GetBytes(body, "stream_options.include_usage").Bool(),
 	}
 	streamed := gjson.GetBytes(body, "stream").Bool()
-	prefixes := c.prefixHashes(promptOf(body))
-	c.addPromptTraits(body, prefixes)
 	if p := s.enqueue(false, prefixes); p != nil {
 		e.refuse(ctx, c, p)
 		return
--- a/entry/model.go
+++ b/entry/model.go
@@ -285,7 +285,7 @@
 	if text != "" {
 		s.passedTokens++
 		s.attemptTokens++
-		s.recordAnswer()
+		s.markAnswered()
 	}
 	if f := gjson.GetBytes(data, "choices.0.finish_reason").String(); f != "" {
 		s.finishReason = f
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -6,12 +6,12 @@
 	"io"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/tidwall/gjson"
 	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/catalog"
 	"github.com/cassiachute/cassiachute/fault"
+	"github.com/cassiachute/cassiachute/held"
 	"github.com/cassiachute/cassiachute/link"
 	"github.com/cassiachute/cassiachute/wire"
 )
@@ -34,8 +34,9 @@
 	conn     *link.Conn
 	response *fasthttp.Response
 	body     *link.Body
-	buffered []byte // first bytes of the body
-	complete bool   // buffered is the whole body
+	buffered []byte       // first bytes of the body
+	held     *held.Answer // holds buffered
+	complete bool         // buffered is the whole body
 }
 
 // mayRepeatMethod returns whether requests with the method are idempotent and may run more than
@@ -82,6 +83,7 @@
 		return true, g.handleBrokenAttempt(err, g.attemptReport())
 	}
 	if g.overloaded() {
+		g.releaseHeld()
 		g.releaseConn(g.conn, g.complete)
 		return true, g.retryOrFail(g.target, wire.RequestEnd{Outcome: wire.OutcomeRejected})
 	}
@@ -113,23 +115,32 @@
 		g.complete = true
 		return nil
 	}
-	var buf bytes.Buffer
-	limit := int64(bufferBytes)
+	limit := bufferBytes
 	if g.endsWithConnection() {
 		limit = maxUnframedBytes
 	}
-	_, err := io.CopyN(&buf, g.body, limit)
-	g.buffered = buf.Bytes()
-	g.complete = errors.Is(err, io.EOF)
+	g.held = g.entry.held.NewAnswer(g.target.Name, g.conn.Close)
+	var err error
+	g.buffered, err = g.held.ReadAll(io.LimitReader(g.body, int64(limit)), limit)
+	g.complete = g.body.Complete()
 	switch {
-	case err != nil && !g.complete:
+	case err != nil:
+		g.releaseHeld()
 		return err
 	case g.endsWithConnection() && (!g.complete || !hasEnd(&g.response.Header, g.buffered)):
+		g.releaseHeld()
 		return fault.Mark(errAnswerEnded, link.ErrBroken)
 	}
 	return nil
 }
 
+// releaseHeld gives back what the answer holds, if it is not on its way to the caller.
+func (g *forwardedRequest) releaseHeld() {
+	if g.held != nil {
+		g.held.Release()
+	}
+}
+
 // endsWithConnection returns whether the end of a model's answer shows only in its content:
 // without a length or chunks the body ends with the connection, which may have broken.
 func (g *forwardedRequest) endsWithConnection() bool {
@@ -163,16 +174,27 @@
 	}
 	g.entry.setInfoHeaders(ctx, g.exchange)
 	if g.complete {
-		ctx.Response.SkipBody = g.response.SkipBody
-		ctx.SetBody(g.buffered)
+		g.writeWhole(&ctx.Response)
 		return
 	}
 	ctx.SetBodyStreamWriter(g.copyRest)
 }
 
+// writeWhole writes a complete answer. A large one is held until the server has written it.
+func (g *forwardedRequest) writeWhole(response *fasthttp.Response) {
+	response.SkipBody = g.response.SkipBody
+	if response.SkipBody || len(g.buffered) <= held.FreeBytes {
+		g.releaseHeld()
+		response.SetBody(g.buffered)
+		return
+	}
+	response.SetBodyStream(held.NewBody(g.buffered, g.held), len(g.buffered))
+}
+
 // copyRest passes a long answer on. If the answer breaks off, the connection of the caller is
 // closed, so that it does not take the answer for complete.
 func (g *forwardedRequest) copyRest(w *bufio.Writer) {
+	defer g.releaseHeld()
 	_, err := w.Write(g.buffered)
 	if err == nil {
 		_, err = io.CopyBuffer(w, g.body, make([]byte, copyBytes))
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -42,6 +42,7 @@
 	Routes       []Route           `json:"routes"`   // addresses to connect to in place of others
 	Policy       string            `json:"policy"`   // name of the dispatch policy, "fair" if not given
 	WithoutPeers bool              `json:"alone"`    // dispatch without peers, as a baseline for comparisons
+	Memory       float64           `json:"memory"`   // memory limit of the process in MiB, 0 if it is not known
 	Grace        settings.Duration `json:"grace"`    // time for the load balancer to notice a shutdown
 	Silence      settings.Duration `json:"silence"`  // longest time for which a peer may leave messages unacknowledged
 	Level        string            `json:"level"`    // lowest level of log lines
@@ -68,6 +69,7 @@
 	c.Require(len(s.Secret) >= minSecretBytes, "secret", "must have at least %d characters", minSecretBytes)
 	c.RequirePositive(s.Grace, "grace")
 	c.RequirePositive(s.Silence, "silence")
+	c.Require(s.Memory >= 0, "memory", "must not be negative")
 	_, ok := policyByName(s.Policy)
 	c.Require(ok, "policy", "no policy %q", s.Policy)
 	for _, p := range s.Peers {
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -28,6 +28,7 @@
 
 const (
 	waitTimeout   = 20 * time.Second // how long to wait for the host to be ready, and for an answer
+	hostMemory    = 128 << 20        // bytes
 	replicas      = 2                // targets of each service
 	silentTimeout = time.Second      // silence of a target after which the host gives up its answer
 )
@@ -70,6 +71,7 @@
 	hostSettings := entry.NewSettings()
 	hostSettings.Place, hostSettings.Secret, hostSettings.Platform = "place1", "secret-of-the-peers", addressOf(store)
 	hostSettings.Listen, hostSettings.Peer, hostSettings.Status = loopback.Address(), loopback.Address(), loopback.Address()
+	hostSettings.Memory = hostMemory >> 20
 	hostSettings.Grace = settings.Duration{Duration: time.Millisecond}
 	set := catalog.NewSet()
 	set.Places["place1"], set.Teams["team1"] = catalog.Place{}, catalog.Team{}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -1,13 +1,13 @@
 package gateway
 
 import (
-	"bytes"
 	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/cassiachute/cassiachute/held"
 	"github.com/cassiachute/cassiachute/link"
 	"github.com/cassiachute/cassiachute/placement"
 	"github.com/cassiachute/cassiachute/platform"
@@ -17,6 +17,7 @@
 const (
 	maxHeadTime     = 500 * time.Millisecond // from the first byte of the head of an answer to its end, if the request can go elsewhere
 	maxDrainTime    = 100 * time.Millisecond // to read the rest of an answer that is not passed on
+	maxHeldBytes    = 16 << 20               // body of an answer that is passed on as a whole
 	maxDrainedBytes = 16 << 10               // body of a rejection or of an extra answer
 	maxExtraAnswers = 3                      // answers to other requests that are discarded per attempt
 )
@@ -97,28 +98,28 @@
 // result, or the error of a body that is broken or too large.
 func (a *attempt) readBody(result error) error {
 	a.conn.SetWait(max(minRemaining, a.exchange.remaining()))
-	holder := a.exchange.gateway.held.newHolder(a.choice.Target, a.conn.Close)
-	body, err := holder.readAll(a.body)
+	answer := a.exchange.gateway.held.NewAnswer(a.choice.Target, a.conn.Close)
+	body, err := answer.ReadAll(a.body, maxHeldBytes)
 	if err != nil {
-		holder.release()
-		if errors.Is(err, errOversized) {
+		answer.Release()
+		if errors.Is(err, held.ErrTooLarge) {
 			a.exchange.gateway.record.answerOversized(a)
 		}
 		return err
 	}
-	a.fullBody, a.holder = body, holder
+	a.fullBody, a.heldBody = body, answer
 	return result
 }
 
 // passOn sets the whole answer as that to the caller. A large body is held until it is written.
 func (a *attempt) passOn(response *fasthttp.Response) {
 	response.SkipBody = a.response.SkipBody
-	if len(a.fullBody) <= freeHeldBytes || response.SkipBody {
-		a.holder.release()
+	if len(a.fullBody) <= held.FreeBytes || response.SkipBody {
+		a.heldBody.Release()
 		response.SetBodyRaw(a.fullBody)
 		return
 	}
-	response.SetBodyStream(heldBody{Reader: bytes.NewReader(a.fullBody), holder: a.holder}, len(a.fullBody))
+	response.SetBodyStream(held.NewBody(a.fullBody, a.heldBody), len(a.fullBody))
 }
 
 // readWhole reads the whole answer and finishes the attempt.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/fault"
+	"github.com/cassiachute/cassiachute/held"
 	"github.com/cassiachute/cassiachute/link"
 	"github.com/cassiachute/cassiachute/placement"
 	"github.com/cassiachute/cassiachute/platform"
@@ -49,10 +50,10 @@
 	conn         *link.Conn
 	response     *fasthttp.Response
 	answer       platform.Answer
-	body         *link.Body // body of the answer, while it is read
-	isStream     bool       // the answer is an event stream
-	fullBody     []byte     // body of the answer, if it was read completely
-	holder       *holder    // of fullBody
+	body         *link.Body   // body of the answer, while it is read
+	isStream     bool         // the answer is an event stream
+	fullBody     []byte       // body of the answer, if it was read completely
+	heldBody     *held.Answer // holds fullBody
 	sentAt       time.Time
 	extraAnswers int           // answers to other requests that came before the one to this request
 	lastActivity time.Time     // when the target last sent something that counts
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/cassiachute/cassiachute/held"
 	"github.com/cassiachute/cassiachute/link"
 	"github.com/cassiachute/cassiachute/placement"
 	"github.com/cassiachute/cassiachute/platform"
@@ -57,7 +58,7 @@
 	heldTrait      quarantine.Trait   // trait that it was refused for, 0 if it was not
 	answered       bool               // a target began to answer; guarded by the lock of the core
 	released       bool               // its answer showed that a held trait is sound
-	eventHolder    *holder            // holds the bytes of a stream that are not a whole event yet; nil before the first stream
+	heldEvents     *held.Answer       // holds the bytes of a stream that are not a whole event yet; nil before the first stream
 	streamBegun    bool               // the caller may have received a part of a stream
 	lastEvent      string             // ID of the last event that the caller has
 	expectedEvents uint64             // events in an answer of the longest length that the request allows, 0 if unknown
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
+	"github.com/cassiachute/cassiachute/held"
 	"github.com/cassiachute/cassiachute/link"
 	"github.com/cassiachute/cassiachute/mesh"
 	"github.com/cassiachute/cassiachute/placement"
@@ -45,7 +46,7 @@
 	mesh           *mesh.Socket
 	peers          *peerTable
 	lengths        durationTracker
-	held           *heldBytes // bytes of answers that are held
+	held           *held.Budget // bytes of answers that are held
 	storeCache     storeCache
 	targetsMu      sync.Mutex               // serializes updates of the list of targets
 	decodedTargets map[string]decodedTarget // decoded entries of the list, by key, guarded by targetsMu
@@ -91,7 +92,7 @@
 		settings: s, log: zerolog.Nop(), core: newCore(s), droppedLines: func() map[string]uint64 { return nil },
 		client:  platform.NewClient(s.Store, platform.WithTimeout(storeTimeout)),
 		peers:   newPeerTable(s.Peer),
-		held:    newHeldBytes(&s),
+		held:    held.NewBudget(float64(s.Memory)),
 		listing: route.NewListing(s.Heartbeat.Or(defaultHeartbeat)),
 		lengths: durationTracker{routes: map[string]routeDurations{}}, cancelSends: func() {},
 		decodedTargets: map[string]decodedTarget{},
--- a/gateway/held_test.go
+++ b/gateway/held_test.go
@@ -4,8 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"runtime"
-	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,12 +16,11 @@
 	"github.com/cassiachute/cassiachute/gateway"
 	"github.com/cassiachute/cassiachute/knownred"
 	"github.com/cassiachute/cassiachute/settings"
+	"github.com/cassiachute/cassiachute/standin/heap"
 )
 
 const (
-	hostMemory     = 128 << 20            // of the host whose gateway is tested, in bytes
-	collectorLimit = hostMemory / 4 * 3   // of the garbage collector, as the program sets it
-	heapInterval   = 2 * time.Millisecond // between two looks at the heap
+	hostMemory     = 128 << 20 // of the host whose gateway is tested, in bytes
 	floodCallers   = 60
 	floodCallTimes = 3 // calls of each caller, one after the other
 )
@@ -34,40 +31,6 @@
 	s.Memory = settings.OptionalNumber(hostMemory >> 20)
 }
 
-// watchHeap measures by how much the heap grows until the returned function is called, which returns its largest
-// growth in bytes. What earlier tests left behind does not count. The garbage collector has the limits that the
-// program sets on a host with this memory.
-func watchHeap(t testing.TB) func() uint64 {
-	var m runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&m)
-	before := m.HeapAlloc
-	previousLimit, previousPercent := debug.SetMemoryLimit(int64(before)+collectorLimit), debug.SetGCPercent(200)
-	t.Cleanup(func() {
-		debug.SetMemoryLimit(previousLimit)
-		debug.SetGCPercent(previousPercent)
-	})
-	stop, peak := make(chan struct{}), make(chan uint64)
-	go func() {
-		largest := uint64(0)
-		for {
-			var m runtime.MemStats
-			runtime.ReadMemStats(&m)
-			largest = max(largest, m.HeapAlloc)
-			select {
-			case <-stop:
-				peak <- largest - min(before, largest)
-				return
-			case <-time.After(heapInterval):
-			}
-		}
-	}()
-	return func() uint64 {
-		close(stop)
-		return <-peak
-	}
-}
-
 // endlessBodies holds the heads of answers whose bodies do not end, and the form of a piece of the body.
 var endlessBodies = map[string]struct{ head, piece string }{
 	"no length":   {"", strings.Repeat("z", 64<<10)},
@@ -94,7 +57,7 @@
 					a.answer(fasthttp.StatusOK, sound)
 					return true
 				}))
-			peak := watchHeap(t)
+			peak := heap.Watch(t, hostMemory)
 			var wg sync.WaitGroup
 			results := make(chan result, floodCallers*floodCallTimes)
 			for n := range floodCallers {
@@ -105,7 +68,7 @@
 				})
 			}
 			wg.Wait()
-			heap := peak()
+			used := peak()
 			close(results)
 			served, late := 0, 0
 			for r := range results {
@@ -116,8 +79,8 @@
 					late++
 				}
 			}
-			t.Logf("heap %d MiB, %d of %d served, %d late", heap>>20, served, floodCallers*floodCallTimes, late)
-			require.Less(t, heap, uint64(hostMemory))
+			t.Logf("heap %d MiB, %d of %d served, %d late", used>>20, served, floodCallers*floodCallTimes, late)
+			require.Less(t, used, uint64(hostMemory))
 			require.Positive(t, served)
 			require.Zero(t, late, "what is too large is told at once")
 		})
@@ -193,15 +156,15 @@
 		}
 	})
 	w.waitUntil(func() bool { return w.logContains(`"revision":2`) })
-	peak := watchHeap(t)
+	peak := heap.Watch(t, hostMemory)
 	var wg sync.WaitGroup
 	for n := range slots {
 		wg.Go(func() { w.do(call{path: "/once/x", key: "key1", id: fmt.Sprint("r", n), deadline: time.Second}) })
 	}
 	wg.Wait()
-	heap := peak()
-	t.Logf("heap %d MiB, %d arrived", heap>>20, len(w.targets[0].received()))
-	require.Less(t, heap, uint64(hostMemory))
+	used := peak()
+	t.Logf("heap %d MiB, %d arrived", used>>20, len(w.targets[0].received()))
+	require.Less(t, used, uint64(hostMemory))
 }
 
 // The operator's limit on the body of a request was not applied, so one caller could fill a host that is small.
@@ -233,7 +196,7 @@
 	w.configure(func(d *configDocument) { d.Limits.MaxBody = 4 << 20 })
 	w.waitUntil(func() bool { return w.logContains(`"revision":2`) })
 	body := strings.Repeat("b", 64<<10)
-	peak := watchHeap(t)
+	peak := heap.Watch(t, hostMemory)
 	var wg sync.WaitGroup
 	for n := range floodCallers {
 		wg.Go(func() {
@@ -248,7 +211,7 @@
 		})
 	}
 	wg.Wait()
-	heap := peak()
-	t.Logf("heap %d MiB, %d arrived", heap>>20, len(w.targets[0].received()))
-	require.Less(t, heap, uint64(hostMemory))
+	used := peak()
+	t.Logf("heap %d MiB, %d arrived", used>>20, len(w.targets[0].received()))
+	require.Less(t, used, uint64(hostMemory))
 }
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -27,7 +27,7 @@
 		return err
 	}
 	g.limits.Store(newLimits(&s))
-	g.held.setMemory(&s)
+	g.held.SetMemory(float64(s.Memory))
 	g.shortenStop()
 	g.core.reload(s)
 	return nil
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -186,10 +186,10 @@
 // answerOversized records an answer that was given up because it is too large, or because all answers that are
 // held together are.
 func (r *recorder) answerOversized(a *attempt) {
-	held := a.exchange.gateway.held
+	used, limit := a.exchange.gateway.held.Used()
 	r.metrics.oversized.Inc()
 	r.log.Warn().Str("event", eventOversized).Str("request", a.exchange.call.ID).Str("target", a.choice.Target).
-		Int64("held", held.total()).Int64("limit", held.limit).Send()
+		Int64("held", used).Int64("limit", limit).Send()
 }
 
 // targetLeaving records that a target announced its shutdown, either in an answer to a request
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -78,7 +78,8 @@
 	counter(s.storeCalls, float64(reads), "read")
 	counter(s.storeCalls, float64(writes), "write")
 	gauge(s.heldTraits, float64(g.core.heldTraits.Load()))
-	gauge(s.heldBytes, float64(g.held.total()))
+	held, _ := g.held.Used()
+	gauge(s.heldBytes, float64(held))
 	counter(s.processor, processorTime().Seconds())
 	for a := range activityCount {
 		counter(s.activityTime, g.record.times.total(a).Seconds(), a.String())
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/cassiachute/cassiachute/held"
 	"github.com/cassiachute/cassiachute/link"
 	"github.com/cassiachute/cassiachute/placement"
 	"github.com/cassiachute/cassiachute/platform"
@@ -145,10 +146,10 @@
 		if !ok {
 			return errEventOrder
 		}
-		if !x.eventHolder.resize(int64(cap(s.events.partial))) {
+		if !x.heldEvents.Resize(int64(cap(s.events.partial))) {
 			s.events.partial = nil
 			x.gateway.record.answerOversized(a)
-			return errOversized
+			return held.ErrTooLarge
 		}
 		if len(whole) > 0 && !a.recordProgress() {
 			return link.ErrSilent // the target that took over sends these events again
