gateway: a host that is ready knows the age of its configuration

Cause: the first configuration is put in force, and with it the host is ready; only then its age is noted. A request in between sees the uptime of the machine as the age, is over the limit, and is refused. A real fault, older than this issue: callers of a host that just started can meet it. Change: the age is noted before the first configuration; a request reads the configuration before its age. A later configuration needs no such order, since an age is known.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -70,8 +70,9 @@
 // admit returns the route and the team of a request, or a problem if the request may not run, the
 // team is over its quota or this host is overloaded.
 func (g *Gateway) admit(head *fasthttp.RequestHeader, body []byte, call *platform.Call) (*route.Route, string, *problem) {
-	age := g.core.configAge()
-	r, team, p := g.identify(head, call, age)
+	table := g.core.table.Load()
+	age := g.core.configAge() // after the table: the first one comes with its age
+	r, team, p := g.identify(head, call, table, age)
 	if p == nil {
 		a := newArrival(r, call, team)
 		if g.core.heldTraits.Load() > 0 {
@@ -85,10 +86,9 @@
 	return r, team, p
 }
 
-// identify finds the route and the team of a request in the current configuration, whose age is
+// identify finds the route and the team of a request in a configuration, nil if there is none, whose age is
 // given.
-func (g *Gateway) identify(head *fasthttp.RequestHeader, call *platform.Call, age time.Duration) (*route.Route, string, *problem) {
-	table := g.core.table.Load()
+func (g *Gateway) identify(head *fasthttp.RequestHeader, call *platform.Call, table *route.Table, age time.Duration) (*route.Route, string, *problem) {
 	if table == nil {
 		return nil, "", notRun(reasonNoConfig, staleRetryAfter)
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -69,11 +69,12 @@
 	if err != nil || v.Revision == 0 {
 		return false
 	}
+	configAsOf := sent - time.Duration(v.Age)*time.Millisecond
 	if v.Revision > q.Revision && len(v.Configuration) > 0 {
-		g.takeConfig(v.Configuration)
+		g.takeConfig(v.Configuration, configAsOf)
 	}
 	if table := g.core.table.Load(); table != nil && table.Version == v.Revision {
-		g.core.confirmConfig(sent - time.Duration(v.Age)*time.Millisecond)
+		g.core.confirmConfig(configAsOf)
 	}
 	asOf := sent - time.Duration(v.TargetsAge)*time.Millisecond
 	if v.Digest == q.Digest {
@@ -86,12 +87,15 @@
 }
 
 // takeConfig applies an encoded configuration unless it can't be decoded or is older than the
-// current one.
-func (g *Gateway) takeConfig(value []byte) {
+// current one. It was current at a time since boot.
+func (g *Gateway) takeConfig(value []byte, asOf time.Duration) {
 	table, err := platform.DecodeConfig(value)
 	if err != nil {
 		g.record.configUnreadable(err)
 		return
 	}
+	if g.core.table.Load() == nil {
+		g.core.confirmConfig(asOf) // with the first configuration the host is ready, and needs its age
+	}
 	g.applyConfig(table, value)
 }
--- a/gateway/targets_test.go
+++ b/gateway/targets_test.go
@@ -23,13 +23,13 @@
 )
 
 // newIdleGateway returns a gateway that listens and does not run.
-func newIdleGateway(t *testing.T) *Gateway {
+func newIdleGateway(t *testing.T, options ...Option) *Gateway {
 	t.Helper()
 	loopback.SkipToSharedPort(4)
 	s := NewSettings()
 	s.Name, s.Place = "host1", "place1"
 	s.Listen, s.Ready, s.Peer, s.Store = loopback.Address(), loopback.Address(), loopback.Address(), loopback.Address()
-	g, err := New(s)
+	g, err := New(s, options...)
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		for _, l := range g.listeners {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -77,7 +77,7 @@
 	w.recordRead("configuration", nil)
 	for _, row := range page.Rows {
 		if row.Key == platform.KeyConfig && !row.Removed {
-			w.gateway.takeConfig(row.Value)
+			w.gateway.takeConfig(row.Value, asked)
 		}
 	}
 	w.configVersion = page.Version
