quarantine: one copy of what hosts tell each other

Cause: gateway and host each turned reports into messages and back, and the gateway's file held four roles. Change: quarantine/message.go does it for both; ages beyond what a message carries are bounded as elsewhere. No other change of behaviour.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -238,7 +238,7 @@
 		out.Pauses = append(out.Pauses, wire.Pause{Target: p.Target, Left: toMillis(p.Until.Sub(now))})
 	}
 	for _, status := range c.quarantine.State() {
-		out.HeldTraits = append(out.HeldTraits, heldTraitMessage(now, status))
+		out.HeldTraits = append(out.HeldTraits, status.Message(now))
 	}
 	return out
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -48,20 +48,16 @@
 // hosts. It returns the highest number of incidents that count against a trait of the request.
 func (g *Gateway) reportCrash(a *attempt, at time.Time) int {
 	now := time.Now()
-	report := quarantine.Report{Target: a.choice.Target, At: at, SentAt: a.sentAt, Traits: quarantine.Reported(a.exchange.traits)}
-	g.broadcast(&wire.TargetCrash{
-		Target: report.Target, Age: toMillis(now.Sub(at)), SentAge: toMillis(now.Sub(a.sentAt)), Traits: quarantine.Numbers(report.Traits),
-	})
-	g.applyCrash(now, &report, noPeer)
+	report := &quarantine.Report{Target: a.choice.Target, At: at, SentAt: a.sentAt, Traits: quarantine.Reported(a.exchange.traits)}
+	g.broadcast(report.Message(now))
+	g.applyCrash(now, report, noPeer)
 	return g.core.incidents(report.Traits)
 }
 
 // receiveTargetCrash records a crash that another host reports.
 func (g *Gateway) receiveTargetCrash(from netip.AddrPort, m *wire.TargetCrash) {
 	now := time.Now()
-	g.applyCrash(now, &quarantine.Report{
-		Target: m.Target, At: now.Add(-fromMillis(m.Age)), SentAt: now.Add(-fromMillis(m.SentAge)), Traits: quarantine.Traits(m.Traits),
-	}, from)
+	g.applyCrash(now, quarantine.ReportOf(now, m), from)
 }
 
 // noPeer stands for this host where the address of another one is due.
@@ -272,48 +268,12 @@
 	var changes []quarantine.Change
 	g.core.mu.Lock()
 	for _, m := range list {
-		changes = append(changes, g.core.quarantine.Merge(now, statusFromMessage(now, m))...)
+		changes = append(changes, g.core.quarantine.Merge(now, quarantine.StatusOf(now, m))...)
 	}
 	g.core.mu.Unlock()
 	g.applyTraitChanges(changes, from)
 }
 
-// heldTraitMessage returns the message that tells other hosts of a trait.
-func heldTraitMessage(now time.Time, s quarantine.Status) wire.HeldTrait {
-	return wire.HeldTrait{
-		Trait: uint64(s.Trait), Incidents: uint8(min(s.Incidents, maxReportedIncidents)),
-		CrashAge: ageField(now, s.LastCrash), AnsweredAge: ageField(now, s.AnsweredAt), Known: s.Known,
-	}
-}
-
-// maxReportedIncidents is the largest number of incidents that a message can carry.
-const maxReportedIncidents = 255
-
-// ageField returns the age of an event as messages carry it: in milliseconds and at least 1, or 0 if there
-// was none.
-func ageField(now, at time.Time) uint32 {
-	if at.IsZero() {
-		return 0
-	}
-	return max(1, toMillis(now.Sub(at)))
-}
-
-// timeOfAge returns the time of an event whose age a message carries, zero if there was none.
-func timeOfAge(now time.Time, age uint32) time.Time {
-	if age == 0 {
-		return time.Time{}
-	}
-	return now.Add(-fromMillis(age))
-}
-
-// statusFromMessage returns what another host knows of a trait.
-func statusFromMessage(now time.Time, m wire.HeldTrait) quarantine.Status {
-	return quarantine.Status{
-		Trait: quarantine.Trait(m.Trait), Incidents: int(m.Incidents),
-		LastCrash: timeOfAge(now, m.CrashAge), AnsweredAt: timeOfAge(now, m.AnsweredAge), Known: m.Known,
-	}
-}
-
 // traitName returns a trait as log lines show it, empty for none.
 func traitName(trait quarantine.Trait) string {
 	if trait == 0 {
--- a/host/suspect.go
+++ b/host/suspect.go
@@ -14,9 +14,7 @@
 func (h *Host) RecordCrash(now time.Time, r *quarantine.Report) bool {
 	h.setTime(now)
 	h.quarantine.RecordCrash(now, r)
-	h.broadcastTraits(&wire.TargetCrash{
-		Target: r.Target, Age: milliseconds(now.Sub(r.At)), SentAge: milliseconds(now.Sub(r.SentAt)), Traits: quarantine.Numbers(r.Traits),
-	})
+	h.broadcastTraits(r.Message(now))
 	return h.quarantine.Check(now, r.Traits).Refused
 }
 
@@ -64,10 +62,7 @@
 func (h *Host) handleTraitMessage(now time.Time, from netip.AddrPort, message wire.Message) {
 	switch m := message.(type) {
 	case *wire.TargetCrash:
-		h.quarantine.RecordCrash(now, &quarantine.Report{
-			Target: m.Target, At: now.Add(-time.Duration(m.Age) * time.Millisecond), SentAt: now.Add(-time.Duration(m.SentAge) * time.Millisecond),
-			Traits: quarantine.Traits(m.Traits),
-		})
+		h.quarantine.RecordCrash(now, quarantine.ReportOf(now, m))
 	case *wire.TraitsAnswered:
 		h.quarantine.RecordAnswer(now, quarantine.Traits(m.Traits))
 	case *wire.TraitsProbed:
@@ -98,9 +93,6 @@
 	}
 }
 
-// milliseconds returns a duration in milliseconds as messages carry it, 0 if it is negative.
-func milliseconds(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
-
 // MarkSuspected marks a request of this host's callers as suspected of crashing
 // targets, so that it does not share a target with other suspected requests.
 func (h *Host) MarkSuspected(id uint64) { h.intake.MarkSuspect(id) }
