host: a host that starts is told what is held

The own interface: a host that starts, or was cut off, knew nothing of the crashes of before, and sent requests with a message that is held to engines again. Change: message TraitsHeld, sent to a peer that has received nothing of this host yet or was cut off. A host of an earlier version leaves a frame with an unknown kind out, as before; it is sent only while something is held. Open: nothing is saved there, so a start of all hosts at once forgets.

--- a/host/member.go
+++ b/host/member.go
@@ -59,6 +59,7 @@
 	}
 	if fresh || wasCutOff {
 		h.resyncPeer(now, peer)
+		h.sendHeldTraits(now, peer)
 	}
 	h.sendHeartbeat(now, peer)
 	if h.isRemote(peer) {
--- a/host/receive.go
+++ b/host/receive.go
@@ -61,6 +61,8 @@
 		h.applySteps(now, from, m)
 	case *wire.TargetCrash, *wire.TraitsAnswered, *wire.TraitsProbed:
 		h.handleTraitMessage(now, from, m)
+	case *wire.TraitsHeld:
+		h.mergeHeldTraits(now, m)
 	case *wire.OrderRequest:
 		h.handleOrderRequest(now, from, m)
 	case *wire.OrderResponse:
--- a/host/suspect.go
+++ b/host/suspect.go
@@ -73,6 +73,24 @@
 	}
 }
 
+// sendHeldTraits tells a host that has just started, or was cut off, what is held.
+func (h *Host) sendHeldTraits(now time.Time, peer netip.AddrPort) {
+	m := &wire.TraitsHeld{}
+	for _, s := range h.quarantine.State() {
+		m.Traits = append(m.Traits, s.Message(now))
+	}
+	if len(m.Traits) > 0 {
+		h.send(peer, m)
+	}
+}
+
+// mergeHeldTraits records what a peer knows of traits that are held.
+func (h *Host) mergeHeldTraits(now time.Time, m *wire.TraitsHeld) {
+	for _, trait := range m.Traits {
+		h.quarantine.Merge(now, quarantine.StatusOf(now, trait))
+	}
+}
+
 // broadcastTraits sends a message about traits to the hosts of this place and the leading host of each other
 // place.
 func (h *Host) broadcastTraits(m wire.Message) {
--- a/wire/message.go
+++ b/wire/message.go
@@ -45,8 +45,9 @@
 	KindTraitsAnswered Kind = 28
 	KindTraitsProbed   Kind = 29
 	KindTraitsKnown    Kind = 30
+	KindTraitsHeld     Kind = 31
 
-	kindLimit = 31 // one more than the highest kind
+	kindLimit = 32 // one more than the highest kind
 )
 
 // kindNames holds the name of each kind, as metrics show it.
@@ -58,7 +59,7 @@
 	KindQuery: "query", KindReply: "reply", KindSlotRequest: "enquiry", KindSlotResponse: "verdict",
 	KindLeaseUpdate: "progress", KindLeaseList: "leases", KindPromptPlaced: "kept",
 	KindDeparture: "departure", KindTargetCrash: "crash", KindTraitsAnswered: "answered", KindTraitsProbed: "probed",
-	KindTraitsKnown: "known",
+	KindTraitsKnown: "known", KindTraitsHeld: "held",
 }
 
 // String returns the name of the kind, or "unknown".
@@ -395,6 +396,7 @@
 	KindTraitsAnswered: func() Message { return &TraitsAnswered{} },
 	KindTraitsProbed:   func() Message { return &TraitsProbed{} },
 	KindTraitsKnown:    func() Message { return &TraitsKnown{} },
+	KindTraitsHeld:     func() Message { return &TraitsHeld{} },
 }
 
 // newMessage returns an empty message of a kind, or nil if the kind is unknown.
--- a/wire/news.go
+++ b/wire/news.go
@@ -89,6 +89,16 @@
 // Kind returns KindTraitsKnown.
 func (*TraitsKnown) Kind() Kind { return KindTraitsKnown }
 
+// TraitsHeld tells a host that has just started which properties crash targets.
+type TraitsHeld struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Traits []HeldTrait
+}
+
+// Kind returns KindTraitsHeld.
+func (*TraitsHeld) Kind() Kind { return KindTraitsHeld }
+
 // TraitsProbed reports that the sender sends a request to a target to find out whether its properties
 // still crash targets. Until it has a result, no other host sends one.
 type TraitsProbed struct {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -37,6 +37,7 @@
 		&TraitsAnswered{Traits: []uint64{1 << 60}},
 		&TraitsProbed{Traits: []uint64{1 << 60}},
 		&TraitsKnown{Traits: []uint64{1 << 60}},
+		&TraitsHeld{Traits: []HeldTrait{{Trait: 1 << 60, Incidents: 2, CrashAge: 40, AnsweredAge: 1, Known: true}}},
 	}
 }
 
