host, entry: what is held stands in the log

The own interface refused requests as poison, and nothing said since when, for how long, or that it had ended; evictions were silent. Cause: the changes that the quarantine returns were dropped. Change: they are commands of the host, which the entry logs: trait held, trait released.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -275,7 +276,8 @@
 	return total + int(e.server.GetCurrentConcurrency())
 }
 
-// logChanges logs shards that were taken or given up, and changes of the live hosts of this place.
+// logChanges logs shards that were taken or given up, changes of the live hosts of this place, and properties of
+// requests that are held for crashes of targets or are not any more.
 func (e *Entry) logChanges(c host.Commands) {
 	for _, shard := range c.Acquired {
 		e.log.Info().Uint32("service", shard.Service).Uint32("place", shard.Place).Msg("shard taken")
@@ -286,4 +288,12 @@
 	if c.Live != nil {
 		e.log.Info().Int("live", len(c.Live)).Msg("hosts of this place")
 	}
+	for _, change := range c.Traits {
+		message := "trait released"
+		if change.Held {
+			message = "trait held"
+		}
+		e.log.Warn().Str("trait", strconv.FormatUint(uint64(change.Trait), 16)).Int("crashes", change.Incidents).Dur("hold", change.Hold).
+			Bool("evicted", change.Evicted).Msg(message)
+	}
 }
--- a/host/host.go
+++ b/host/host.go
@@ -83,6 +83,7 @@
 	Acquired      []wire.Shard           // shards that this host has begun to own
 	Released      []wire.Shard           // shards that this host has ceased to own
 	Live          []netip.AddrPort       // live hosts of this place if they changed, or else nil
+	Traits        []quarantine.Change    // traits that are held from now on or no more
 }
 
 // Host is the state of one entry host and makes all its decisions. It is not
--- a/host/own.go
+++ b/host/own.go
@@ -22,7 +22,7 @@
 	h.updateMembership(now)
 	h.intake.Tick(now)
 	h.orders.Tick(now)
-	h.quarantine.Tick(now)
+	h.noteTraits(h.quarantine.Tick(now))
 	h.deliverPending()
 	share := h.roster.UsableShare(now)
 	for _, shard := range h.ownedShards() {
--- a/host/suspect.go
+++ b/host/suspect.go
@@ -13,7 +13,7 @@
 // hosts. It reports whether requests with the traits of the request are refused from now on.
 func (h *Host) RecordCrash(now time.Time, r *quarantine.Report) bool {
 	h.setTime(now)
-	h.quarantine.RecordCrash(now, r)
+	h.noteTraits(h.quarantine.RecordCrash(now, r))
 	h.broadcastTraits(r.Message(now))
 	return h.quarantine.Check(now, r.Traits).Refused
 }
@@ -52,7 +52,9 @@
 // they were suspected.
 func (h *Host) RecordAnswer(now time.Time, traits []quarantine.Trait) {
 	h.setTime(now)
-	if cleared, _ := h.quarantine.RecordAnswer(now, traits); len(cleared) > 0 {
+	cleared, changes := h.quarantine.RecordAnswer(now, traits)
+	h.noteTraits(changes)
+	if len(cleared) > 0 {
 		h.broadcastTraits(&wire.TraitsAnswered{Traits: quarantine.Numbers(cleared)})
 	}
 }
@@ -62,9 +64,10 @@
 func (h *Host) handleTraitMessage(now time.Time, from netip.AddrPort, message wire.Message) {
 	switch m := message.(type) {
 	case *wire.TargetCrash:
-		h.quarantine.RecordCrash(now, quarantine.ReportOf(now, m))
+		h.noteTraits(h.quarantine.RecordCrash(now, quarantine.ReportOf(now, m)))
 	case *wire.TraitsAnswered:
-		h.quarantine.RecordAnswer(now, quarantine.Traits(m.Traits))
+		_, changes := h.quarantine.RecordAnswer(now, quarantine.Traits(m.Traits))
+		h.noteTraits(changes)
 	case *wire.TraitsProbed:
 		h.quarantine.BeginProbe(now, quarantine.Traits(m.Traits))
 	}
@@ -87,10 +90,15 @@
 // mergeHeldTraits records what a peer knows of traits that are held.
 func (h *Host) mergeHeldTraits(now time.Time, m *wire.TraitsHeld) {
 	for _, trait := range m.Traits {
-		h.quarantine.Merge(now, quarantine.StatusOf(now, trait))
+		h.noteTraits(h.quarantine.Merge(now, quarantine.StatusOf(now, trait)))
 	}
 }
 
+// noteTraits notes changes of traits for the log.
+func (h *Host) noteTraits(changes []quarantine.Change) {
+	h.commands.Traits = append(h.commands.Traits, changes...)
+}
+
 // broadcastTraits sends a message about traits to the hosts of this place and the leading host of each other
 // place.
 func (h *Host) broadcastTraits(m wire.Message) {
--- a/host/suspect_test.go
+++ b/host/suspect_test.go
@@ -60,3 +60,25 @@
 	}
 	require.Zero(t, started.RetryAfterCrash(now, []quarantine.Trait{9}))
 }
+
+// Operators have to see which requests a host keeps from targets, and until when.
+func TestHeldAndReleasedTraitsAreReported(t *testing.T) {
+	h := host.New(host.NewConfig(netip.MustParseAddrPort("10.0.0.1:1"), 1, "place1"))
+	traits := []quarantine.Trait{7}
+	now := time.Unix(1_700_000_000, 0)
+	for range 2 {
+		now = now.Add(5 * time.Second)
+		h.RecordCrash(now, &quarantine.Report{Target: "engine1", At: now, SentAt: now.Add(-time.Second), Traits: traits})
+	}
+	changes := h.Drain().Traits
+	require.Len(t, changes, 1)
+	require.True(t, changes[0].Held)
+	require.Equal(t, 2, changes[0].Incidents)
+	require.Positive(t, changes[0].Hold)
+	now = now.Add(changes[0].Hold)
+	h.RecordAnswer(now, traits)
+	changes = h.Drain().Traits
+	require.Len(t, changes, 1)
+	require.False(t, changes[0].Held)
+	require.Empty(t, h.Drain().Traits)
+}
