gateway: who waits when a part is held is told for how long

A request that waited for a target when one of its parts came to be held was refused with Retry-After 0.5 s, while the hold lasts 10 s or more: callers came back again and again for nothing. The line in the log did not name the trait. Cause: the answer to an aborted request had a constant of its own. Found by reading the change before the landing. Change: it asks the quarantine, like a request that arrives.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -226,7 +226,7 @@
 func (x *exchange) abortProblem() *problem {
 	switch {
 	case x.abortReason == reasonPoison:
-		return x.refusalOrFailure(notRun(reasonPoison, staleRetryAfter))
+		return x.heldProblem()
 	case x.abortReason != reasonStopping:
 		return failure(statusCallerGone, x.abortReason)
 	case x.history.MayHaveRun || x.hedge != nil || x.takeover != nil:
@@ -235,6 +235,14 @@
 	return notRun(x.abortReason, rejectedRetryAfter)
 }
 
+// heldProblem returns the answer to an exchange that was aborted because one of its traits was held.
+func (x *exchange) heldProblem() *problem {
+	if p := x.refuseHeld(x.gateway.core.checkTraits(x.traits)); p != nil {
+		return p
+	}
+	return x.refusalOrFailure(notRun(reasonPoison, rejectedRetryAfter)) // it is not held any more
+}
+
 // remaining returns the time until the deadline of the exchange.
 func (x *exchange) remaining() time.Duration { return time.Until(x.limit) }
 
