quarantine: holds grow after more crashes than are remembered

Cause: a record remembers eight crashes. When one is dropped, its incidents were kept as a number that later incidents were compared with and not added to, so after a burst the count stood still. Ruled out: hosts that disagree on the time (all held 10 to 12 s), news that came late. Change: what was dropped is a number of its own, with the time up to which it counts; incidents after that add to it.

--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -92,7 +92,7 @@
 // sound. Without the crashes of all incidents it is not known.
 func (t *Table) explainedWithout(trait Trait, r *record, traits []Trait) bool {
 	incidents := r.incidents()
-	if seen, _ := r.seenIncidents(); seen < incidents {
+	if seen, _ := r.seenIncidents(time.Time{}); seen < incidents {
 		return false
 	}
 	for _, other := range t.held.Keys() {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -280,3 +280,25 @@
 	recordCrashes(table, crashAt("d", 31*time.Minute, 1))
 	require.False(t, refused(table, 31*time.Minute, 1))
 }
+
+// Many targets crash before the fleet knows why, more than a record remembers. Each probe that crashes another one
+// still makes the hold longer; probes went on every ten seconds.
+func TestHoldGrowsAfterMoreCrashesThanAreRemembered(t *testing.T) {
+	table := quarantine.NewTable(1)
+	for n := range 12 {
+		recordCrashes(table, crashAt(fmt.Sprint("t", n), time.Duration(n)*35*time.Millisecond, 7, quarantine.Trait(100+n)))
+	}
+	at := time.Second
+	require.True(t, refused(table, at, 7))
+	hold := firstHold
+	for n := range 3 {
+		require.True(t, refused(table, at+hold-2*time.Second, 7), "probe %d", n)
+		for refused(table, at, 7) {
+			at += time.Second
+		}
+		at += prefillTime
+		recordCrashes(table, crashAt(fmt.Sprint("p", n), at, 7, quarantine.Trait(200+n)))
+		hold *= 6
+	}
+	require.Equal(t, 5, table.Incidents(7))
+}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -21,6 +21,8 @@
 	evidence   []evidence // crashes since then, the oldest first
 	reported   int        // incidents since then that are known without their crashes, such as those that another host reports
 	reportedAt time.Time  // when the last of these was
+	trimmed    int        // incidents until crashes were last dropped because they were too many
+	trimmedAt  time.Time  // when the last of these was
 	heldSince  time.Time  // when it was held first since then
 	settled    int        // incidents when the hold was last determined
 	probeUntil time.Time  // until when a probe keeps other requests back
@@ -48,7 +50,7 @@
 	if len(r.evidence) <= maxEvidence {
 		return nil
 	}
-	r.reported, r.reportedAt = r.incidents(), r.lastCrash()
+	r.trimmed, r.trimmedAt = r.incidents(), r.lastCrash()
 	dropped = r.evidence[0].crash
 	r.evidence = slices.Delete(r.evidence, 0, 1)
 	return dropped
@@ -62,14 +64,17 @@
 // several targets, count once. A crash does not count if another trait that was there explains it
 // better, because more crashes speak against that one.
 func (r *record) incidents() int {
-	count, _ := r.seenIncidents()
-	return max(r.reported, count)
+	count, _ := r.seenIncidents(time.Time{})
+	since, _ := r.seenIncidents(r.trimmedAt)
+	return max(r.reported, count, r.trimmed+since)
 }
 
-// seenIncidents returns the number of incidents whose crashes are known, and the time of the last one.
-func (r *record) seenIncidents() (count int, last time.Time) {
+// seenIncidents returns the number of incidents whose crashes are known and whose requests were sent after a time, and
+// the time of the last one, or the given time.
+func (r *record) seenIncidents(after time.Time) (count int, last time.Time) {
+	last = after
 	for _, e := range r.evidence {
-		if e.crash.topScore <= r.score() && (count == 0 || e.sentAt.After(last)) {
+		if e.crash.topScore <= r.score() && (last.IsZero() || e.sentAt.After(last)) {
 			count++
 			last = e.crash.at
 		}
@@ -79,16 +84,21 @@
 
 // lastCrash returns the time of the last incident.
 func (r *record) lastCrash() time.Time {
-	if _, last := r.seenIncidents(); last.After(r.reportedAt) {
-		return last
+	_, last := r.seenIncidents(time.Time{})
+	if _, since := r.seenIncidents(r.trimmedAt); since.After(last) {
+		last = since
 	}
-	return r.reportedAt
+	if r.reportedAt.After(last) {
+		return r.reportedAt
+	}
+	return last
 }
 
 // answer records that a request with the trait was answered.
 func (r *record) answer(at time.Time) {
 	r.answeredAt = at
 	r.evidence, r.reported, r.settled, r.probeUntil = nil, 0, 0, time.Time{}
+	r.trimmed, r.trimmedAt = 0, time.Time{}
 }
 
 // expired reports whether the record says nothing of the present any more.
