--- a/review/kit/replica.go
+++ b/review/kit/replica.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,8 +26,13 @@
 	listener net.Listener
 	runs     atomic.Int64
 	handle   func(c *Call) bool
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
 }
 
+// entryLifetime is the time after which the entry of a silent replica is removed: three heartbeats.
+const entryLifetime = 3600 * time.Millisecond
+
 // Call is one request at a replica.
 type Call struct {
 	Replica *Replica
@@ -44,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Replica{ID: id, Service: service, world: w, listener: l, handle: handle}
+	r := &Replica{ID: id, Service: service, world: w, listener: l, handle: handle, conns: map[net.Conn]struct{}{}}
 	go r.accept()
 	return r, operator.PutEntry(w.Store, id, operator.Entry{
 		Service: service, Address: l.Addr().String(), Place: "zone-1", Slots: slots, State: operator.StateReady, StartedAt: time.Now().UnixMilli(),
@@ -62,6 +68,8 @@
 }
 
 func (r *Replica) serve(conn net.Conn) {
+	r.track(conn, true)
+	defer r.track(conn, false)
 	defer conn.Close()
 	rd := bufio.NewReader(conn)
 	for number := 1; ; number++ {
@@ -92,6 +100,12 @@
 	return err == nil
 }
 
+// LastEvent returns the number of the last event that the caller of a resumed stream has, 0 for a new stream.
+func (c *Call) LastEvent() int {
+	last, _ := strconv.Atoi(c.Request.Header.Get("Last-Event-Id")) // 0 without the header
+	return last
+}
+
 // Head returns the status line and headers of an answer with more header lines.
 func (c *Call) Head(status int, lines string) string {
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\n%s\r\n", status, http.StatusText(status),
@@ -103,6 +117,11 @@
 	return c.Write(c.Head(200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
 }
 
+// BeginUnframedStream writes the head of a stream that has neither a length nor chunks and ends with its connection.
+func (c *Call) BeginUnframedStream() bool {
+	return c.Write(c.Head(200, "Content-Type: text/event-stream\r\nConnection: close\r\n"))
+}
+
 // Chunk writes a chunk.
 func (c *Call) Chunk(text string) bool {
 	return c.Write(strconv.FormatInt(int64(len(text)), 16) + "\r\n" + text + "\r\n")
@@ -110,3 +129,30 @@
 
 // Event returns an event of a stream.
 func Event(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
+
+// Crash resets all connections of the replica and stops accepting, as the end of its process does. Its entry in the
+// store goes after three heartbeats.
+func (r *Replica) Crash() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+	time.AfterFunc(entryLifetime, func() { operator.DeleteEntry(r.world.Store, r.ID) })
+}
+
+// Runs returns the number of requests that the replica has run.
+func (r *Replica) Runs() int64 { return r.runs.Load() }
+
+// track adds a connection, or removes it.
+func (r *Replica) track(conn net.Conn, open bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if open {
+		r.conns[conn] = struct{}{}
+		return
+	}
+	delete(r.conns, conn)
+}
