--- a/review/kit/record.go
+++ b/review/kit/record.go
@@ -11,6 +11,8 @@
 
 // Record is the file that tells what was sent, answered and run.
 type Record struct {
+	Quiet bool // lines are not printed as well
+
 	mu    sync.Mutex
 	file  *os.File
 	began time.Time
@@ -31,7 +33,9 @@
 	defer r.mu.Unlock()
 	line := fmt.Sprintf("%8.3f ", time.Since(r.began).Seconds()) + fmt.Sprintf(format, values...) + "\n"
 	_, _ = r.file.WriteString(line)
-	fmt.Print(line)
+	if !r.Quiet {
+		fmt.Print(line)
+	}
 }
 
 // Close closes the file.
