--- a/review/kit/config.go
+++ b/review/kit/config.go
@@ -31,6 +31,6 @@
 			{Name: ServiceDesk, MaxConnections: 100},
 		},
 		Teams:  []operator.Team{{Name: Team, Keys: []string{Key}}, {Name: "team-b", Keys: []string{SecondKey}}},
-		Limits: operator.Limits{IdleTimeout: 15000},
+		Limits: operator.Limits{IdleTimeout: 15000}, // maxBodyBytes is added when it is published
 	}
 }
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -44,6 +44,9 @@
 	return exitHeld
 }
 
+// KeyLine returns the header line with the key of a team.
+func KeyLine() string { return target.HeaderKey + ": " + Key + "\r\n" }
+
 // ModelLines returns the header lines of a request to a model: its key, and a prompt that shares no part with others.
 func ModelLines(prompt, output int, part string) string {
 	return fmt.Sprintf("%s: %s\r\n%s: m\r\n%s: %d,%d\r\n%s: %x:%d\r\n", target.HeaderKey, Key, Headers.Model, target.HeaderTokens, prompt, output, Headers.Prompt, hash(part), prompt)
--- a/review/kit/world.go
+++ b/review/kit/world.go
@@ -59,7 +59,29 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &World{Store: standin.New(standin.NewConfig(), l), Record: record, dir: dir, cancel: cancel, address: l.Addr().(*net.TCPAddr).AddrPort()}
 	w.Store.Run(ctx)
-	return w, operator.Publish(w.Store, config)
+	return w, w.Publish(config)
+}
+
+// maxBodyBytes is the limit of the site for the body of a request.
+const maxBodyBytes = 4194304
+
+// Publish writes a configuration to the store, with the limit for bodies, which the operator's stand-in lacks.
+func (w *World) Publish(config operator.Config) error {
+	text, err := json.Marshal(config)
+	if err != nil {
+		return err
+	}
+	var document map[string]any
+	if err := json.Unmarshal(text, &document); err != nil {
+		return err
+	}
+	document["limits"].(map[string]any)["maxBodyBytes"] = maxBodyBytes
+	text, err = json.Marshal(document)
+	if err != nil {
+		return err
+	}
+	w.Store.Transact(platform.TransactRequest{Puts: []platform.RowItem{{Table: platform.TableOperator, Key: platform.KeyConfig, Value: text}}})
+	return nil
 }
 
 // Close ends all gateways and removes the temporary folder.
