--- a/review/1/main.go
+++ b/review/1/main.go
@@ -23,11 +23,14 @@
 	deadline   = 10 * time.Second
 )
 
-// spoiled are the events whose number the faulty replica spoils, in turn.
-var spoiled = []int{5, 1, events}
+// fault is what the faulty replica writes in place of the first bytes of an event.
+type fault struct {
+	event int
+	wrong string
+}
 
-// wrong takes the place of the first bytes of a spoiled event.
-const wrong = "xyzzy"
+// spoiled are the faults of the faulty replica, in turn. The last one turns the number 5 into 8.
+var spoiled = []fault{{5, "xyzzy"}, {1, "xyzzy"}, {events, "xyzzy"}, {5, "id: 8"}}
 
 func main() { os.Exit(kit.Main(run)) }
 
@@ -35,16 +38,16 @@
 func run(w *kit.World, trouble bool) (bool, error) {
 	var answers, faults atomic.Int64
 	answer := func(c *kit.Call, faulty bool) bool {
-		spoil := 0
+		spoil := fault{}
 		if faulty && answers.Add(1)%spoilEvery == 0 {
 			spoil = spoiled[int(faults.Add(1)-1)%len(spoiled)]
-			w.Record.Add("replica %s runs %s %s and spoils the number of event %d", c.Replica.ID, c.Request.URL.Path, c.ID, spoil)
+			w.Record.Add("replica %s runs %s %s and begins event %d with %q", c.Replica.ID, c.Request.URL.Path, c.ID, spoil.event, spoil.wrong)
 		}
 		c.BeginStream()
-		for n := 1; n <= events; n++ {
+		for n := c.LastEvent() + 1; n <= events; n++ {
 			text := kit.Event(n)
-			if n == spoil {
-				text = wrong + text[len(wrong):]
+			if n == spoil.event {
+				text = spoil.wrong + text[len(spoil.wrong):]
 			}
 			c.Chunk(text)
 			time.Sleep(step)
@@ -98,14 +101,10 @@
 	return c.Do(kit.RequestText("POST", path+"x", id, kit.ModelLines(100, events, id), "prompt", deadline), deadline)
 }
 
-// lacksPiece returns whether an event is missing in a body. Bytes that the replica wrote in place of an event
-// count as that event.
+// lacksPiece returns whether the data of an event is missing in a body, under whatever number.
 func lacksPiece(body string) bool {
-	if strings.Contains(body, wrong) {
-		return false
-	}
 	for n := 1; n <= events; n++ {
-		if !strings.Contains(body, kit.Event(n)) {
+		if !strings.Contains(body, fmt.Sprintf("data: piece %d\n", n)) {
 			return true
 		}
 	}
