--- a/review/kit/client.go
+++ b/review/kit/client.go
@@ -19,6 +19,7 @@
 	Header   http.Header
 	Body     string
 	Complete bool // the answer ended as its framing says
+	Close    bool // the connection takes no further request
 	Err      error
 }
 
@@ -61,7 +62,7 @@
 	}
 	body, err := io.ReadAll(response.Body)
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	return Answer{Status: response.StatusCode, Header: response.Header, Body: string(body), Complete: err == nil && framed, Err: err}
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: string(body), Complete: err == nil && framed, Close: response.Close, Err: err}
 }
 
 // Close closes the connection.
