--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -5,6 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/cassiachute/cassiachute/standin/target"
 )
@@ -29,6 +32,7 @@
 		return exitNotRun
 	}
 	defer w.Close()
+	go endEarly(w)
 	trouble := os.Getenv("TROUBLE") != "0"
 	w.Record.Add("disruption: %v", trouble)
 	broken, err := run(w, trouble)
@@ -44,6 +48,22 @@
 	return exitHeld
 }
 
+// maxRunTime is the time after which a case is given up.
+const maxRunTime = 100 * time.Second
+
+// endEarly ends the gateways and this program if it is told to stop or takes too long.
+func endEarly(w *World) {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-stop:
+	case <-time.After(maxRunTime):
+	}
+	w.Record.Add("given up")
+	w.Close()
+	os.Exit(exitNotRun)
+}
+
 // KeyLine returns the header line with the key of a team.
 func KeyLine() string { return target.HeaderKey + ": " + Key + "\r\n" }
 
