Log: answered says whether the last answer was framed

Cause: a complete answer that lacks its end can be told from the log only if the line says how that end was told. Ruled out: a field of the streamed lines only, since lookups may come without a length too.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -32,6 +32,7 @@
 	}
 	a.response = response
 	a.body = link.NewBody(a.conn, a.response)
+	a.exchange.framed = a.body.Framed()
 	a.answer = platform.DecodeAnswer(&a.response.Header)
 	f := a.answerFacts()
 	if f.identified() {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -60,6 +60,7 @@
 	released       bool               // its answer showed that a held trait is sound
 	heldEvents     *held.Answer       // holds the bytes of a stream that are not a whole event yet; nil before the first stream
 	streamBegun    bool               // the caller may have received a part of a stream
+	framed         bool               // the last answer had a length or chunks, so that its end could be told from a broken connection
 	lastEvent      string             // ID of the last event that the caller has
 	expectedEvents uint64             // events in an answer of the longest length that the request allows, 0 if unknown
 	gapCount       int                // gaps between the events of the current attempt
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -110,7 +110,7 @@
 	}
 	return event.Str("event", eventAnswered).Str("request", x.call.ID).Stringer("caller", x.caller.RemoteAddr()).Str("team", x.team).
 		Str("route", x.route.Name).Str("service", x.service).Str("target", x.target).
-		Int("sends", x.sends).Str("owner", x.slotOwner).Int("owners", x.ask.ReferralCount()).Int("prompt", x.ask.Chain.Total).Int("output", x.ask.MaxOutput).
+		Int("sends", x.sends).Bool("framed", x.framed).Str("owner", x.slotOwner).Int("owners", x.ask.ReferralCount()).Int("prompt", x.ask.Chain.Total).Int("output", x.ask.MaxOutput).
 		Hex("part", binary.BigEndian.AppendUint64(nil, x.ask.Chain.LongestPrefix())).Int("shared", x.ask.Chain.SharedTokens()).
 		Int("unread", x.choice.Load.Prompt).Int("queue", x.choice.QueuedTokens).Float64("expected", milliseconds(x.choice.ExpectedTime)).
 		Float64("limit", milliseconds(x.choice.QueueLimit)).Float64("ahead", milliseconds(x.choice.QueueTime)).
