link: a look at a connection consumes nothing, so that a reset is never read as an orderly end

Cause: after the freeze the timeout is handled first. It asks whether bytes are unread, by a read with MSG_PEEK; on a connection that was reset this takes the error of the socket, and the next read reports an orderly end, by which an answer without a length is complete. Ruled out: the parser (all events that were sent are there), a chunked end that is written too early (crash or freeze alone never do it). Change: looks go by poll and by the count of unread bytes, which take nothing; link.Conn returns the error of its connection for each further read, since the socket reports it once. Works because nobody but the reader can take the error now, and because the reader keeps it. The soak has answers without a length (fault 'unframed').

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -184,7 +184,7 @@
 	c.mu.Lock()
 	why, idle := c.closeReason, time.Since(c.idleSince)
 	c.mu.Unlock()
-	if why != "" && link.Readable(c.Conn) && !link.ClosedByPeer(c.Conn) {
+	if why != "" && link.HasUnread(c.Conn) {
 		c.tracker.onCrossed(c.RemoteAddr(), idle, why)
 	}
 	return c.Conn.Close()
--- a/link/line.go
+++ b/link/line.go
@@ -40,6 +40,7 @@
 	extend    func() time.Duration // called when a wait times out; returns how much longer to wait
 	received  bool                 // bytes were read in the current wait
 	timedOut  bool                 // the last read ended because the wait timed out
+	readErr   error                // the error of the read at which the connection ended or failed
 	wrote     bool                 // bytes of the last request were passed to the connection
 	requests  int                  // requests sent on this connection
 	unusable  bool                 // the connection can't carry another request
@@ -54,6 +55,9 @@
 // whether to wait longer, and loses no bytes if so.
 func (r deadlineReader) Read(p []byte) (int, error) {
 	l := r.conn
+	if l.readErr != nil {
+		return 0, l.readErr
+	}
 	for {
 		if err := l.conn.SetReadDeadline(l.deadline); err != nil {
 			return 0, err
@@ -61,7 +65,11 @@
 		n, err := l.conn.Read(p)
 		l.received = l.received || n > 0
 		l.timedOut = errors.Is(err, os.ErrDeadlineExceeded)
-		if !l.timedOut || l.extend == nil {
+		if !l.timedOut {
+			l.readErr = err // the socket reports a failure once only, then an orderly end
+			return n, err
+		}
+		if l.extend == nil {
 			return n, err
 		}
 		longer := l.extend()
@@ -187,18 +195,15 @@
 const stallThreshold = 50 * time.Millisecond
 
 // FirstBytesUnread reports whether unread bytes wait on the connection and none were read in the current
-// wait. A closed connection does not count.
-func (l *Conn) FirstBytesUnread() bool { return !l.received && l.hasUnread() }
+// wait. The end of the connection does not count.
+func (l *Conn) FirstBytesUnread() bool { return !l.received && HasUnread(l.conn) }
 
 // StalledWithUnread reports whether this process was suspended when the wait ended and unread bytes wait
 // on the connection, so that the timeout is not the target's fault.
 func (l *Conn) StalledWithUnread() bool {
-	return time.Since(l.deadline) > stallThreshold && l.hasUnread()
+	return time.Since(l.deadline) > stallThreshold && HasUnread(l.conn)
 }
 
-// hasUnread reports whether unread bytes wait on a connection that is still open.
-func (l *Conn) hasUnread() bool { return Readable(l.conn) && !ClosedByPeer(l.conn) }
-
 // HasInput reports whether bytes of a response, or the end of the connection, can be read.
 func (l *Conn) HasInput() bool { return l.reader.Buffered() > 0 || Readable(l.conn) }
 
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -139,13 +139,9 @@
 	}
 	s.Gateway = c.gateway
 	s.ExtraBytes = c.rd.Buffered() > 0
-	body := s.requestBody()
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: 100,%d\r\n%s: %d\r\n%s: %s\r\nContent-Length: %d\r\n\r\n",
-		s.Path, target.HeaderAttempt, s.ID, target.HeaderTokens, s.ExpectedEvents, target.HeaderDeadline, s.Timeout.Milliseconds(),
-		target.HeaderKey, key, len(body))
 	s.StartedAt = time.Now()
 	_ = c.conn.SetDeadline(s.StartedAt.Add(s.Timeout + answerMargin)) // on a closed connection the write fails
-	if err := c.writeRequest(head, body); err != nil {
+	if err := c.writeRequest(s.requestHead(key), s.requestBody()); err != nil {
 		c.close()
 		return nil
 	}
@@ -159,6 +155,13 @@
 	return s
 }
 
+// requestHead returns the head of the request with an API key.
+func (s *SentRequest) requestHead(key string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: 100,%d\r\n%s: %d\r\n%s: %s\r\nContent-Length: %d\r\n\r\n",
+		s.Path, target.HeaderAttempt, s.ID, target.HeaderTokens, s.ExpectedEvents, target.HeaderDeadline, s.Timeout.Milliseconds(),
+		target.HeaderKey, key, len(s.requestBody()))
+}
+
 // drawRequest returns a random request and the API key to send with it.
 func (c *caller) drawRequest() (*SentRequest, string) {
 	c.requestCount++
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -32,6 +32,8 @@
 	FaultSettingsReload FaultKind = "hangup"  // a gateway reloads its settings
 	FaultLeavingNotice  FaultKind = "leaving" // a target announces in its answers that it leaves, and comes back under a new identity
 	FaultRetryAfter     FaultKind = "retry"   // a full target says in its answers for how long it wants no request
+
+	FaultUnframedAnswer FaultKind = "unframed" // the answer of a target ends with its connection, without a length or chunks
 )
 
 // faultSchedule says how often a kind of fault is injected and how long it lasts.
@@ -60,6 +62,7 @@
 	FaultSettingsReload: {4, 1500 * ms, 0, 0},
 	FaultLeavingNotice:  {6, 5 * time.Second, 3 * time.Second, 5 * time.Second},
 	FaultRetryAfter:     {10, 2 * time.Second, time.Second, 3 * time.Second},
+	FaultUnframedAnswer: {15, 100 * ms, 0, 0},
 }
 
 // FaultKinds returns all kinds of faults, sorted by name.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -99,3 +99,9 @@
 		}
 	}
 }
+
+// Targets answer without a length and reset connections while gateways are suspended.
+func TestSoakOfUnframedAnswers(t *testing.T) {
+	knownred.Skip(t)
+	requireNoViolations(t, runSoak(t, 1, soak.FaultUnframedAnswer, soak.FaultBrokenAnswer, soak.FaultGatewayPause))
+}
--- a/soak/world.go
+++ b/soak/world.go
@@ -201,6 +201,8 @@
 		f.targets[e.Index].Stall(e.Duration)
 	case FaultRepeatedAnswer:
 		f.targets[e.Index].Arm(target.Fault{Kind: target.KindRepeat, Shape: e.Shape})
+	case FaultUnframedAnswer:
+		f.targets[e.Index].Arm(target.Fault{Kind: target.KindUnframed})
 	case FaultResumeError:
 		f.targets[e.Index].Arm(target.Fault{Kind: target.KindBreak, Position: target.PositionInEvent})
 		for n := range engineCount {
--- a/standin/target/fault.go
+++ b/standin/target/fault.go
@@ -14,6 +14,8 @@
 	KindBreak  Kind = "break"  // the target resets the connection at a position in the answer
 	KindRepeat Kind = "repeat" // the target writes the answer twice
 	KindResume Kind = "resume" // the target answers a request to resume a stream with an error
+
+	KindUnframed Kind = "unframed" // the answer has neither a length nor chunks and ends with its connection
 )
 
 // Position is a point in an answer at which a fault can occur.
