link: a connection that was reset behind unread bytes is closed

What callers saw: nothing; but a caller that sends its next request early and then resets the connection was not seen to be gone, and its request ran on at the target (GONE). Cause: ClosedByPeer asked for the end behind the last unread byte. Nobody reads the bytes of the next request before the answer is written, so the reset stayed hidden. Ruled out: treating an orderly end behind unread bytes alike: such a caller may still read. Change: a connection that failed, or that both sides ended, is closed whatever is unread.

--- a/link/peek.go
+++ b/link/peek.go
@@ -25,10 +25,16 @@
 	return err == nil && count > 0
 }
 
-// ClosedByPeer reports whether the other side closed the connection, or it failed, and no unread bytes remain.
+// ClosedByPeer reports whether the connection failed, or the other side closed it and no unread bytes remain.
 func ClosedByPeer(conn net.Conn) bool {
-	const ended = unix.POLLRDHUP | unix.POLLERR | unix.POLLHUP | unix.POLLNVAL
-	return pollConn(conn)&ended != 0 && !HasUnread(conn)
+	events := pollConn(conn)
+	switch {
+	case events&(unix.POLLERR|unix.POLLHUP|unix.POLLNVAL) != 0:
+		return true
+	case events&unix.POLLRDHUP != 0:
+		return !HasUnread(conn)
+	}
+	return false
 }
 
 // pollConn returns the poll events of a connection: unix.POLLIN if a read would not block, unix.POLLRDHUP if the
