gateway: an event that can't be read or that leaves a gap is a fault, not a comment

Cause: the parser left out each block without a usable number, as it does with comments, and took any higher number for the next one, also as the place to resume from. Ruled out: a loss between two targets (a resumed answer had to begin with the next event before, too). Change: blocks with anything but comments and fields that say nothing without data need a number; gaps are faults where numbers follow one another; after a contradicted gap a stream is not resumed. Log lines say which event after which; new line 'numbering'. TestBlocksWithoutNumberAreSkipped asked for the fault: two stricter ones replace it. directlyFollows is part of the parser now, its cases are in TestContinuationBeginsWithNextNumber. The soak's targets spoil numbers of events (fault 'spoil').

--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -26,21 +26,69 @@
 }
 
 // A resumed stream may continue only with the event whose number is one higher than that of the last
-// event, so that no event is lost or repeated. Without an earlier event, any event may follow.
-func TestDirectlyFollowsAcceptsOnlyNextNumber(t *testing.T) {
-	require.True(t, directlyFollows("3", []byte("id: 4\n\n")))
-	require.False(t, directlyFollows("3", []byte("id: 5\n\n")))
-	require.False(t, directlyFollows("3", []byte("id: 3\n\n")))
-	require.False(t, directlyFollows("x", []byte("id: 4\n\n")))
-	require.False(t, directlyFollows("3", []byte("data: 4\n\n")))
-	require.True(t, directlyFollows("", []byte("data\n\n")))
+// event, so that no event is lost or repeated. Without an earlier event, any event may follow. A service that is known
+// to leave gaps may leave one there as well.
+func TestContinuationBeginsWithNextNumber(t *testing.T) {
+	for _, c := range []struct {
+		last, text string
+		numbering  numbering
+		valid      bool
+	}{
+		{last: "3", text: "id: 4\n\n", valid: true},
+		{last: "3", text: "id: 5\n\n"},
+		{last: "3", text: "id: 5\n\n", numbering: numberingConsecutive},
+		{last: "3", text: "id: 5\n\n", numbering: numberingGapped, valid: true},
+		{last: "3", text: "id: 3\n\n"},
+		{last: "3", text: "id: 3\n\n", numbering: numberingGapped},
+		{last: "3", text: "data: 4\n\n"},
+		{last: "0", text: "id: 0\n\n"},
+		{last: "x", text: "id: 4\n\n", valid: true},
+		{last: "", text: "id: 4\n\n", valid: true},
+	} {
+		e := newEventParser(c.numbering, c.last, true)
+		events, ok := e.feed([]byte(c.text))
+		require.Equal(t, c.valid, ok, c)
+		require.Equal(t, c.valid, len(events) > 0, c)
+	}
+}
+
+// Where events are known to be numbered without gaps, one that is missing or has a wrong number ends the stream, so that
+// the events before it can be resumed after the last sure one. Elsewhere a gap is passed on, since the protocol
+// promises increasing numbers only.
+func TestGapIsInvalidWhereNumbersAreConsecutive(t *testing.T) {
+	for text, valid := range map[string]bool{
+		"id: 1\n\nid: 2\n\nid: 3\n\n": true,
+		"id: 0\n\nid: 1\n\nid: 2\n\n": true,
+		"id: 1\n\nid: 3\n\n":          false,
+		"id: 2\n\nid: 3\n\n":          false,
+		"id: 1\n\nid: 2\n\nid: 9\n\n": false,
+	} {
+		for _, n := range []numbering{numberingUnknown, numberingConsecutive, numberingGapped} {
+			e := newEventParser(n, "", true)
+			_, ok := e.feed([]byte(text))
+			require.Equal(t, valid || n != numberingConsecutive, ok, "%q %v", text, n)
+			require.Equal(t, !valid, e.gap, "%q %v", text, n)
+		}
+	}
+}
+
+// After a gap that was accepted, a lower number shows that one of the two is wrong, and nothing tells which.
+func TestLowerNumberBehindGapIsUncertain(t *testing.T) {
+	e := newEventParser(numberingUnknown, "", true)
+	_, ok := e.feed([]byte("id: 4\n\nid: 8\n\nid: 6\n\n"))
+	require.False(t, ok)
+	require.True(t, e.uncertain)
+	e = newEventParser(numberingUnknown, "", true)
+	_, ok = e.feed([]byte("id: 1\n\nid: 2\n\nid: 2\n\n"))
+	require.False(t, ok)
+	require.False(t, e.uncertain)
 }
 
-// The parser skips blocks without an event number, such as comments. If they amount to too many bytes
+// The parser skips blocks without an event, such as comments. If they amount to too many bytes
 // without an event between them, it ends the stream.
-func TestBlocksWithoutNumberAreSkipped(t *testing.T) {
+func TestBlocksWithoutEventAreSkipped(t *testing.T) {
 	var parser eventParser
-	events, ok := parser.feed([]byte("\n\n: comment\n\ndata: z\n\nid: 7\ndata: a\n\nid: x\n\n"))
+	events, ok := parser.feed([]byte("\n\n: comment\n\nretry: 500\n\nid: 7\ndata: a\n\nevent: ping\n: comment\n\n"))
 	require.True(t, ok)
 	require.Equal(t, "id: 7\ndata: a\n\n", string(events))
 	require.Equal(t, "7", parser.lastID)
@@ -53,13 +101,36 @@
 	require.False(t, ok)
 }
 
+// An event whose number or first bytes are spoiled must not be left out as if it were a comment: the stream would look
+// complete without it.
+func TestEventWithoutNumberIsInvalid(t *testing.T) {
+	const event = "id: 8\ndata: piece8\n\n"
+	blocks := []string{"data: z\n\n", "id: x\n\n", "id:\ndata: z\n\n", "id: +8\ndata: z\n\n", "x-weight-versions: 3\n\n"}
+	for at := range len("id: 8\n") {
+		blocks = append(blocks, event[:at]+"xyzzy"+event[at+5:])
+	}
+	for _, block := range blocks {
+		var parser eventParser
+		events, ok := parser.feed([]byte("id: 7\ndata: a\n\n" + block + "id: 9\n\n"))
+		require.False(t, ok, "%q", block)
+		require.Equal(t, "id: 7\ndata: a\n\n", string(events))
+	}
+}
+
 // No event follows the one with the largest 64-bit number: the number must not wrap around to 0.
 func TestLargestEventNumberHasNoSuccessor(t *testing.T) {
 	const maxNumber = "18446744073709551615"
-	require.False(t, directlyFollows(maxNumber, []byte("id: 0\n\n")))
-	require.False(t, directlyFollows(maxNumber, []byte("id: 18446744073709551616\n\n")))
-	require.True(t, directlyFollows("18446744073709551614", []byte("id: "+maxNumber+"\n\n")))
-	require.False(t, directlyFollows("3", []byte("id: -4\n\n")))
+	require.False(t, mayFollow(maxNumber, "id: 0\n\n"))
+	require.False(t, mayFollow(maxNumber, "id: 18446744073709551616\n\n"))
+	require.True(t, mayFollow("18446744073709551614", "id: "+maxNumber+"\n\n"))
+	require.False(t, mayFollow("3", "id: -4\n\n"))
+}
+
+// mayFollow returns whether an answer that continues a stream may begin with a block.
+func mayFollow(last, block string) bool {
+	e := newEventParser(numberingConsecutive, last, true)
+	_, ok := e.feed([]byte(block))
+	return ok
 }
 
 // A target that fails in the middle of a stream may write an error text or repeat events. A block that is
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,7 @@
 	mesh           *mesh.Socket
 	peers          *peerTable
 	lengths        durationTracker
+	numberings     numberingTracker
 	held           *held.Budget // bytes of answers that are held
 	storeCache     storeCache
 	targetsMu      sync.Mutex               // serializes updates of the list of targets
@@ -94,7 +95,7 @@
 		peers:   newPeerTable(s.Peer),
 		held:    held.NewBudget(float64(s.Memory)),
 		listing: route.NewListing(s.Heartbeat.Or(defaultHeartbeat)),
-		lengths: durationTracker{routes: map[string]routeDurations{}}, cancelSends: func() {},
+		lengths: durationTracker{routes: map[string]routeDurations{}}, numberings: numberingTracker{services: map[string]numberingHistory{}}, cancelSends: func() {},
 		decodedTargets: map[string]decodedTarget{},
 		boot:           uint64(time.Now().UnixMilli()),
 	}
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -60,6 +60,7 @@
 	eventOversized    = "answer-oversized"
 	eventLeaving      = "target-leaving"
 	eventPaused       = "target-paused"
+	eventNumbering    = "numbering"
 )
 
 // recorder writes the log and updates the metrics that belong to its lines. Its methods are
@@ -217,6 +218,11 @@
 		Str("last", x.lastEvent).Send()
 }
 
+// numberingChanged records what is now known of the numbers of a service's events, and the request whose stream told it.
+func (r *recorder) numberingChanged(service string, n numbering, request string) {
+	r.log.Info().Str("event", eventNumbering).Str("service", service).Stringer("numbers", n).Str("request", request).Send()
+}
+
 // malformedRequest records a request that could not be parsed.
 func (r *recorder) malformedRequest(reason string, err error) {
 	r.metrics.refusals.WithLabelValues(reason).Inc()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -20,8 +20,10 @@
 )
 
 var (
-	// errEventOrder means that an event does not follow the one before it.
-	errEventOrder = errors.New("event does not follow the one before it")
+	// errInvalidEvent means that a stream has bytes that are no event, or an event that can't follow the one before it.
+	errInvalidEvent = errors.New("invalid event")
+	// errUncertainEvent means the same, and that one of the events passed on may be wrong.
+	errUncertainEvent = errors.New("invalid event, and an earlier one may be wrong")
 	// errIncomplete means that a stream ended before it was complete.
 	errIncomplete = errors.New("stream ended before it was complete")
 )
@@ -35,6 +37,7 @@
 	pending         []byte              // whole events that the server has not read yet
 	ended           bool                // the target ended the stream
 	concluded       bool                // the outcome is recorded
+	gapObserved     bool                // a gap in the numbers of the events was recorded
 	buf             []byte              // for reads from the target
 	firstEventAfter time.Duration       // time from arrival to the first event
 	writes          int                 // number of writes to the caller
@@ -106,17 +109,13 @@
 // caller has. A stream without events is accepted only if the caller itself asked to resume one.
 func (s *streamBody) readFirst() error {
 	x := s.exchange
-	s.events = eventParser{}
+	s.events = newEventParser(x.gateway.numberings.of(x.service), x.lastEvent, x.route.Resumable)
 	x.holdEvents(s.attempt)
 	if err := s.readEvents(); err != nil {
 		return err
 	}
 	switch {
 	case len(s.pending) > 0:
-		if x.route.Resumable && isNumber(x.lastEvent) && !directlyFollows(x.lastEvent, s.pending) {
-			s.pending = nil
-			return errEventOrder
-		}
 	case x.streamBegun || x.lastEvent == "" || s.events.skippedBytes > 0:
 		s.ended = false
 		return errIncomplete
@@ -133,7 +132,7 @@
 
 // readEvents reads until whole events have come or the stream has ended. All its reads share one
 // timeout, which bytes that are not an event do not extend. The error is link.ErrSilent,
-// link.ErrBroken or errEventOrder.
+// link.ErrBroken, errInvalidEvent or errUncertainEvent.
 func (s *streamBody) readEvents() error {
 	x, a := s.exchange, s.attempt
 	a.conn.SetWait(s.eventTimeout())
@@ -143,8 +142,9 @@
 			return link.ErrSilent // the target that took over sends what was not passed on
 		}
 		whole, ok := s.events.feed(s.buf[:n])
+		s.observeGap()
 		if !ok {
-			return errEventOrder
+			return s.invalidEvent()
 		}
 		if !x.heldEvents.Resize(int64(cap(s.events.partial))) {
 			s.events.partial = nil
@@ -179,6 +179,30 @@
 	return nil
 }
 
+// observeGap records the first gap in the numbers of the stream.
+func (s *streamBody) observeGap() {
+	if s.events.gap && !s.gapObserved {
+		s.gapObserved = true
+		s.observeNumbering()
+	}
+}
+
+// observeNumbering records whether the numbers of the stream had a gap.
+func (s *streamBody) observeNumbering() {
+	x := s.exchange
+	if n, changed := x.gateway.numberings.observe(x.service, s.gapObserved); changed {
+		x.gateway.record.numberingChanged(x.service, n, x.call.ID)
+	}
+}
+
+// invalidEvent returns the error of a stream that the parser refuses.
+func (s *streamBody) invalidEvent() error {
+	if s.events.uncertain && s.writes > 0 {
+		return errors.Wrap(errUncertainEvent, s.events.problem)
+	}
+	return errors.Wrap(errInvalidEvent, s.events.problem)
+}
+
 // eventTimeout returns how long to wait for the next event before the request is sent to another
 // target as well.
 func (s *streamBody) eventTimeout() time.Duration {
@@ -247,6 +271,9 @@
 	s.concluded = true
 	if reason == "" {
 		s.attempt.finish(placement.Done)
+		if !s.gapObserved && x.eventsPassed() > 1 {
+			s.observeNumbering()
+		}
 		x.gateway.lengths.observe(x.route.Name, s.firstEventAfter, time.Since(x.arrived), x.eventsPassed())
 		x.gateway.record.streamed(x, s, "")
 		return io.EOF
@@ -301,6 +328,11 @@
 	if x.remaining() < minRemaining {
 		return reasonTimeout
 	}
+	if errors.Is(err, errUncertainEvent) {
+		s.attempt.finishFailed(err)
+		x.recordFailure(s.attempt, err)
+		return reasonTargetFailed
+	}
 	for {
 		if p := s.handleBreak(err); p != nil {
 			return p.reason
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -34,6 +34,7 @@
 	FaultRetryAfter     FaultKind = "retry"   // a full target says in its answers for how long it wants no request
 
 	FaultUnframedAnswer FaultKind = "unframed" // the answer of a target ends with its connection, without a length or chunks
+	FaultSpoiledEvent   FaultKind = "spoil"    // a target overwrites the number of an event
 )
 
 // faultSchedule says how often a kind of fault is injected and how long it lasts.
@@ -63,6 +64,7 @@
 	FaultLeavingNotice:  {6, 5 * time.Second, 3 * time.Second, 5 * time.Second},
 	FaultRetryAfter:     {10, 2 * time.Second, time.Second, 3 * time.Second},
 	FaultUnframedAnswer: {15, 100 * ms, 0, 0},
+	FaultSpoiledEvent:   {16, 300 * ms, 0, 0},
 }
 
 // FaultKinds returns all kinds of faults, sorted by name.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// Targets answer without a length and reset connections while gateways are suspended.
+// Targets answer without a length, reset connections while gateways are suspended and overwrite numbers of events.
 func TestSoakOfUnframedAnswers(t *testing.T) {
 	knownred.Skip(t)
-	requireNoViolations(t, runSoak(t, 1, soak.FaultUnframedAnswer, soak.FaultBrokenAnswer, soak.FaultGatewayPause))
+	requireNoViolations(t, runSoak(t, 1, soak.FaultUnframedAnswer, soak.FaultSpoiledEvent, soak.FaultBrokenAnswer, soak.FaultGatewayPause))
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -189,20 +189,20 @@
 	return operator.Publish(f.store, f.config)
 }
 
+// answerFaults are the faults that a target applies to one of its next answers.
+var answerFaults = map[FaultKind]target.Kind{
+	FaultAnswerPause: target.KindPause, FaultBrokenAnswer: target.KindBreak, FaultRepeatedAnswer: target.KindRepeat,
+	FaultUnframedAnswer: target.KindUnframed, FaultSpoiledEvent: target.KindSpoil,
+}
+
 // inject injects a fault.
 func (f *fleet) inject(ctx context.Context, e ScheduledFault) {
 	var err error
 	switch e.Kind {
-	case FaultAnswerPause:
-		f.targets[e.Index].Arm(target.Fault{Kind: target.KindPause, Position: e.Position, Length: e.Duration})
-	case FaultBrokenAnswer:
-		f.targets[e.Index].Arm(target.Fault{Kind: target.KindBreak, Position: e.Position})
+	case FaultAnswerPause, FaultBrokenAnswer, FaultRepeatedAnswer, FaultUnframedAnswer, FaultSpoiledEvent:
+		f.targets[e.Index].Arm(target.Fault{Kind: answerFaults[e.Kind], Position: e.Position, Shape: e.Shape, Length: e.Duration})
 	case FaultTargetStall:
 		f.targets[e.Index].Stall(e.Duration)
-	case FaultRepeatedAnswer:
-		f.targets[e.Index].Arm(target.Fault{Kind: target.KindRepeat, Shape: e.Shape})
-	case FaultUnframedAnswer:
-		f.targets[e.Index].Arm(target.Fault{Kind: target.KindUnframed})
 	case FaultResumeError:
 		f.targets[e.Index].Arm(target.Fault{Kind: target.KindBreak, Position: target.PositionInEvent})
 		for n := range engineCount {
--- a/standin/target/answer.go
+++ b/standin/target/answer.go
@@ -102,6 +102,9 @@
 	)
 }
 
+// spoiledNumber is written over the first bytes of an event by KindSpoil.
+const spoiledNumber = "xyzzy"
+
 // headerClose announces an answer that ends with its connection.
 const headerClose = "Connection: close\r\n"
 
@@ -121,7 +124,12 @@
 			return EndDropped
 		}
 		s.target.ledger.recordBegin(run)
-		if end := s.writeEvent(Event(c.id, n), unframed); end != EndDone {
+		event := Event(c.id, n)
+		if _, ok := s.target.takeFault(KindSpoil, ""); ok {
+			s.target.ledger.markFaulty(run, "")
+			event = spoiledNumber + event[len(spoiledNumber):]
+		}
+		if end := s.writeEvent(event, unframed); end != EndDone {
 			return end
 		}
 	}
--- a/standin/target/fault.go
+++ b/standin/target/fault.go
@@ -16,6 +16,7 @@
 	KindResume Kind = "resume" // the target answers a request to resume a stream with an error
 
 	KindUnframed Kind = "unframed" // the answer has neither a length nor chunks and ends with its connection
+	KindSpoil    Kind = "spoil"    // the number of an event is overwritten with letters
 )
 
 // Position is a point in an answer at which a fault can occur.
