entry: a model's event that is no data any more breaks the attempt

What callers saw: an answer of the own interface, streamed or whole, that ends as complete without a token whose event its target had spoiled. Ruled out: refusing unknown fields beside data, which the event stream format allows. Change: an event of unknown fields without data, or data that is not JSON, ends the attempt as broken; the stream goes on at another engine after the tokens that were passed on.

--- a/entry/model.go
+++ b/entry/model.go
@@ -28,6 +28,7 @@
 	doneMarker = []byte("[DONE]")
 
 	errEventTooLong = errors.New("stream event of the target is too long")
+	errEventInvalid = errors.New("stream event of the target is invalid")
 	errAnswerEnded  = errors.New("answer ended")
 )
 
@@ -233,13 +234,18 @@
 		s.finishAnswer()
 		return nil, nil
 	}
+	if !gjson.ValidBytes(data) {
+		return nil, fault.Mark(errEventInvalid, link.ErrBroken)
+	}
 	return s.recordEvent(data), nil
 }
 
 // readData returns the data of the next event. Comments and other fields count towards
-// maxEventBytes, so that a target cannot send them without end.
+// maxEventBytes, so that a target cannot send them without end. An event with unknown fields but no data is invalid,
+// since its data may be what was overwritten.
 func (s *stream) readData() ([]byte, error) {
 	var data, text []byte
+	var unknown bool
 	for size := 0; ; {
 		piece, err := s.reader.ReadSlice('\n')
 		if size += len(piece); size > maxEventBytes {
@@ -254,15 +260,29 @@
 		}
 		line := bytes.TrimRight(text, "\r\n")
 		text = text[:0]
-		if len(line) == 0 && data != nil {
-			return data, nil
-		}
-		if rest, ok := bytes.CutPrefix(line, dataPrefix); ok {
+		switch rest, isData := bytes.CutPrefix(line, dataPrefix); {
+		case isData:
 			data = append(data, bytes.TrimSpace(rest)...)
+		case len(line) > 0:
+			unknown = unknown || !isOptionalLine(line)
+		case data != nil:
+			return data, nil
+		case unknown:
+			return nil, fault.Mark(errEventInvalid, link.ErrBroken)
 		}
 	}
 }
 
+// isOptionalLine returns whether a line of an event is a comment, or a field that says nothing without data.
+func isOptionalLine(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "", "event", "id", "retry":
+		return true
+	}
+	return false
+}
+
 // recordEvent records the usage, tokens and finish reason in an event, and replaces its id by that
 // of the first attempt. It returns nil if the event is not for the caller.
 func (s *stream) recordEvent(data []byte) *streamEvent {
