--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -84,7 +84,8 @@
 		grants: make(chan placement.Choice, 1), abortSignal: make(chan struct{}), request: &fasthttp.Request{},
 		lastEvent: call.LastEvent,
 	}
-	if table := g.core.table.Load(); table != nil {
+	table := g.core.table.Load()
+	if table != nil {
 		x.version = table.Version
 	}
 	x.service = pickService(r, &call)
@@ -94,6 +95,9 @@
 		Service: x.service, Team: team, MaxOutput: call.MaxOutput, Seed: xxhash.Sum64String(call.ID), LatencyGoal: r.TargetLatency, AnswerTimeLimit: r.TimeLimit(call.Deadline),
 		Chain: placement.NewPrefixChain(placementParts(call.Parts), call.PromptTokens),
 	}
+	if table != nil {
+		x.ask.Priority = table.Priority(r, team)
+	}
 	ctx.Request.CopyTo(x.request)
 	x.traits = requestTraits(team, x.request.Header.RequestURI(), x.request.Body(), &x.call)
 	return x
--- a/gateway/guest.go
+++ b/gateway/guest.go
@@ -86,7 +86,7 @@
 	return placement.Request{
 		Service: m.Service, Team: m.Team, Chain: chain, MaxOutput: int(m.MaxOutputTokens), Remote: true,
 		LatencyGoal: fromMillis(m.FirstEventLimit), AnswerTimeLimit: fromMillis(m.ResponseLimit), Elapsed: fromMillis(m.Elapsed),
-		Excluded: m.Excluded, AnyEngine: m.AnyEngine, WantedEngine: m.Target, CachedTokens: min(int(m.CachedTokens), chain.SharedTokens()),
+		Excluded: m.Excluded, Regions: m.Regions, Priority: int(m.Priority), AnyEngine: m.AnyEngine, WantedEngine: m.Target, CachedTokens: min(int(m.CachedTokens), chain.SharedTokens()),
 	}, consistent
 }
 
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -151,6 +152,7 @@
 		CachedTokens: uint32(referral.CachedTokens), MaxOutputTokens: uint32(a.MaxOutput),
 		FirstEventLimit: toMillis(a.LatencyGoal), ResponseLimit: toMillis(a.AnswerTimeLimit), Elapsed: toMillis(a.Elapsed),
 		MayWait: referral.MayWait, AnyEngine: referral.AnyEngine, Excluded: slices.Clone(a.Excluded),
+		Regions: a.Regions, Priority: uint8(min(a.Priority, math.MaxUint8)),
 	}
 }
 
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -49,6 +49,8 @@
 	PreferredQueue  time.Duration // queue at the preferred engine, as reported by its owner
 	Alternative     string        // alternative engine named by an owner
 	CachedTokens    int           // prompt tokens that the wanted engine has cached, as far as the caller's host knows
+	Regions         []string      // regions whose targets may serve the request, empty for all
+	Priority        int           // rank of the request, 0 is the highest
 
 	preferred  preferredTargets
 	asked      []string // engines whose owners were asked
--- a/route/table.go
+++ b/route/table.go
@@ -51,6 +51,8 @@
 	Public           bool          // needs no API key
 	Resumable        bool          // a broken stream may continue at another target
 	DescribesPrompts bool          // requests describe their prompt, to find a target that has it cached
+	Priority         int           // rank of its requests, 0 is the highest
+	Regions          []string      // regions whose targets may serve it, empty for all
 }
 
 // Repeatable returns whether a request of the route may run more than once.
@@ -100,8 +102,10 @@
 // Service is a group of interchangeable targets that routes refer to by name.
 type Service struct {
 	Name        string
-	Connections int     // most connections that one target accepts from all hosts together
-	Engine      *Engine // nil for a plain service
+	Connections int           // most connections that one target accepts from all hosts together
+	Engine      *Engine       // nil for a plain service
+	ColdStart   time.Duration // time that a target stays cold after its start, 0 if targets are never cold
+	ColdRate    float64       // requests per second that a cold target can take
 }
 
 // Engine describes the inference engines that run the model of a service.
@@ -113,8 +117,10 @@
 
 // Team is a customer and the API keys by which it is recognized.
 type Team struct {
-	Name string
-	Keys []string
+	Name     string
+	Keys     []string
+	Priority *int     // rank of its requests instead of that of their route, nil if it has none
+	Regions  []string // regions whose targets may serve it, empty for all
 }
 
 // Table is one version of the configuration.
@@ -130,6 +136,7 @@
 	routesByHost   map[string][]*Route // by host name in lower case, the longest prefix first
 	servicesByName map[string]*Service
 	teamsByKey     map[string]string // name of the team that holds a key
+	teamsByName    map[string]*Team
 }
 
 // NewTable returns a copy of a table with its lookup indexes built.
@@ -137,6 +144,7 @@
 	t.routesByHost = map[string][]*Route{}
 	t.servicesByName = map[string]*Service{}
 	t.teamsByKey = map[string]string{}
+	t.teamsByName = map[string]*Team{}
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -148,7 +156,9 @@
 	for i := range t.Services {
 		t.servicesByName[t.Services[i].Name] = &t.Services[i]
 	}
-	for _, team := range t.Teams {
+	for i := range t.Teams {
+		team := &t.Teams[i]
+		t.teamsByName[team.Name] = team
 		for _, key := range team.Keys {
 			t.teamsByKey[key] = team.Name
 		}
@@ -177,6 +187,15 @@
 	return team, ok
 }
 
+// Priority returns the rank of the requests of a team on a route, 0 is the highest. The rank of the team goes
+// before that of the route.
+func (t *Table) Priority(r *Route, team string) int {
+	if member := t.teamsByName[team]; member != nil && member.Priority != nil {
+		return *member.Priority
+	}
+	return r.Priority
+}
+
 // RequiresKeys returns whether requests to routes that are not public need an API key.
 func (t *Table) RequiresKeys() bool { return len(t.Teams) > 0 }
 
--- a/wire/lease.go
+++ b/wire/lease.go
@@ -39,6 +39,8 @@
 	MayWait         bool     // the request may be queued at the owner
 	AnyEngine       bool     // engines that have not processed the shared parts are acceptable as well
 	Excluded        []string // engines at which the request failed
+	Regions         []string // regions whose targets may serve the request, empty for all
+	Priority        uint8    // rank of the request, 0 is the highest
 }
 
 // Kind returns KindSlotRequest.
