Evacuated data centres and regions that bind routes and teams

Cause: rows op/evacuate/PLACE were fed and ignored, and allowedRegions had no reader, so requests went to targets that may not get them. Change: the set of evacuated data centres travels with the replies that carry the configuration; closed targets are no candidates, no preferred engines and no capacity. Regions come from the settings. Ruled out: knowledge at owners only, datagrams of host states, cancelled streams.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -96,7 +96,7 @@
 		Chain: placement.NewPrefixChain(placementParts(call.Parts), call.PromptTokens),
 	}
 	if table != nil {
-		x.ask.Priority = table.Priority(r, team)
+		x.ask.Priority, x.ask.Regions = table.Priority(r, team), table.AllowedRegions(r, team)
 	}
 	ctx.Request.CopyTo(x.request)
 	x.traits = requestTraits(team, x.request.Header.RequestURI(), x.request.Body(), &x.call)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,6 +152,7 @@
 	g.mesh = socket
 	g.core.self, g.core.post = hostNumber(g.settings.Peer), g.post
 	g.core.lastNumber = g.boot << sequenceBits
+	g.core.board.SetRegions(g.settings.Regions)
 	g.core.board.SetHosts(placement.Host{ID: g.core.self, Place: g.settings.Place}, nil)
 	g.responder, err = mesh.NewResponder(g.settings.Peer, g.reply)
 	return err
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -23,6 +23,8 @@
 	encodedTargets []wire.TargetRow // encoded targets, nil until a host asks for them
 	digest         uint64           // of targets
 	targetsAsOf    time.Duration    // time since boot at which targets were current
+	evacuated      []string         // evacuated data centres, sorted
+	evacuatedAsOf  uint64           // version of the store at which evacuated was read, 0 before the first read
 }
 
 // setConfig stores the encoding of the configuration in force.
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -24,6 +24,7 @@
 	eventStopped      = "stopped"
 	eventReload       = "reload"
 	eventConfig       = "configuration"
+	eventEvacuated    = "evacuated"
 	eventBadConfig    = "configuration-unreadable"
 	eventTargets      = "targets"
 	eventBadTarget    = "target-unreadable"
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -28,6 +28,7 @@
 	if table.Version > q.Revision {
 		v.Configuration = g.storeCache.config
 	}
+	v.Evacuated, v.EvacuatedAsOf = g.storeCache.evacuated, g.storeCache.evacuatedAsOf
 	v.TargetsAge = ageMillis(sinceBoot() - g.storeCache.targetsAsOf)
 	v.Digest = g.storeCache.digest
 	if v.Digest != q.Digest {
@@ -76,6 +77,7 @@
 	if table := g.core.table.Load(); table != nil && table.Version == v.Revision {
 		g.core.confirmConfig(configAsOf)
 	}
+	g.updateEvacuated(v.Evacuated, v.EvacuatedAsOf)
 	asOf := sent - time.Duration(v.TargetsAge)*time.Millisecond
 	if v.Digest == q.Digest {
 		g.storeCache.confirmTargets(v.Digest, asOf)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -31,6 +31,7 @@
 	Metrics      netip.AddrPort            `json:"metrics"`   // address for metrics, which are not served if it is not set
 	Store        netip.AddrPort            `json:"store"`     // address of the platform's store
 	Seeds        []netip.AddrPort          `json:"seeds"`     // addresses of hosts that may be gateways; their ports are not used
+	Regions      map[string]string         `json:"regions"`   // region of each data centre
 	Memory       settings.OptionalNumber   `json:"memory"`    // memory limit of the process in MiB
 	Cores        settings.OptionalNumber   `json:"cores"`     // number of processors
 	Grace        settings.OptionalDuration `json:"grace"`     // time between the stop signal and the end of the process
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -16,7 +16,7 @@
 	configAge, targetsAge, peers, peerAge *prometheus.Desc
 	retriesLeft, storeCalls, droppedLines *prometheus.Desc
 	processor, activityTime, heldTraits   *prometheus.Desc
-	heldBytes                             *prometheus.Desc
+	heldBytes, evacuated                  *prometheus.Desc
 }
 
 // newStateCollector returns the collector of a gateway.
@@ -38,6 +38,7 @@
 		activityTime:      newDesc("busy_seconds_total", "Time spent on each kind of work.", "activity"),
 		heldTraits:        newDesc("held_traits", "Traits whose requests are kept from targets."),
 		heldBytes:         newDesc("held_bytes", "Bytes of large answers that are held until they are complete and written."),
+		evacuated:         newDesc("evacuated_places", "Data centres whose targets get no new requests."),
 		droppedLines:      newDesc("log_lines_dropped_total", "Log lines that were dropped.", "event"),
 	}
 }
@@ -80,6 +81,7 @@
 	gauge(s.heldTraits, float64(g.core.heldTraits.Load()))
 	held, _ := g.held.Used()
 	gauge(s.heldBytes, float64(held))
+	gauge(s.evacuated, float64(g.storeCache.evacuatedCount()))
 	counter(s.processor, processorTime().Seconds())
 	for a := range activityCount {
 		counter(s.activityTime, g.record.times.total(a).Seconds(), a.String())
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -35,6 +35,7 @@
 	rows           map[string]wire.TargetRow // list of targets, by key
 	targetsFailed  bool                      // the last read of the list of targets failed
 	feedFailures   int                       // consecutive failed feeds of the list of targets
+	evacuated      map[string]bool           // data centres that the operator evacuates
 	registered     map[string]bool           // "hosts" is set once the row of this host is written
 }
 
@@ -75,6 +76,7 @@
 		return retryDelay(role)
 	}
 	w.recordRead("configuration", nil)
+	w.applyEvacuations(page)
 	for _, row := range page.Rows {
 		if row.Key == platform.KeyConfig && !row.Removed {
 			w.gateway.takeConfig(row.Value, asked)
--- a/placement/board.go
+++ b/placement/board.go
@@ -35,6 +35,8 @@
 type targetRecord struct {
 	target              route.Target
 	key                 uint64 // hash of the target's ID
+	region              string // of its data centre, empty if it is not known
+	evacuated           bool   // its data centre is evacuated
 	owner               uint64 // ID of the host that decides about it
 	ownLoad             Load   // from requests that this host decided about
 	peerLoad            Load   // from requests that other hosts decided about
@@ -83,6 +85,8 @@
 	hosts   []Host // hosts that decide, including this one unless it resigned
 
 	departures map[string]Departure // targets that said they are leaving, by ID
+	evacuated  []string             // data centres whose targets get no new requests
+	regions    map[string]string    // region of each data centre
 
 	promisedRate float64 // cost units a second that all engines provide together, 0 if unknown
 }
@@ -152,6 +156,7 @@
 		}
 		t.Leaving = t.Leaving || b.departed(&t)
 		r.target = t
+		r.region, r.evacuated = b.regions[t.Place], b.isEvacuated(t.Place)
 	}
 	for id, r := range b.targets {
 		if present[id] {
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -102,10 +102,10 @@
 	return b.chooseEngine(now, p, a)
 }
 
-// usable reports whether a request may be sent to the target: it is neither leaving, paused,
-// suspended nor stalled, and has not failed this request before.
+// usable reports whether a request may be sent to the target: it is neither leaving, evacuated, paused,
+// suspended nor stalled, is in a region that the request allows, and has not failed this request before.
 func (r *targetRecord) usable(now time.Time, a *Request) bool {
-	return !r.target.Leaving && !r.isPaused(now, a.Remote) && r.health.usable(now) && !r.stalled(now) && !slices.Contains(a.Excluded, r.target.ID)
+	return !r.closed() && a.allows(r.region) && !r.isPaused(now, a.Remote) && r.health.usable(now) && !r.stalled(now) && !slices.Contains(a.Excluded, r.target.ID)
 }
 
 // choosePlain picks the target with the lowest share of busy slots. A burst on a service with few
@@ -364,7 +364,7 @@
 // computed once per request and again after the list of targets changes.
 func (p *pool) preferredTargets(a *Request) (first, second *targetRecord) {
 	if a.preferred.epoch != p.epoch {
-		a.preferred.first, a.preferred.second = p.rendezvous(a.Chain.LongestPrefix())
+		a.preferred.first, a.preferred.second = p.rendezvous(a)
 		a.preferred.epoch = p.epoch
 	}
 	return a.preferred.first, a.preferred.second
@@ -376,15 +376,16 @@
 	first, second *targetRecord
 }
 
-// rendezvous returns the two targets that rank highest for a prompt prefix by rendezvous hashing.
+// rendezvous returns the two targets that rank highest for the prompt prefix of a request by rendezvous hashing.
 // All hosts agree on them without communication, so that a prefix is cached at few engines.
-func (p *pool) rendezvous(prefix uint64) (first, second *targetRecord) {
+func (p *pool) rendezvous(a *Request) (first, second *targetRecord) {
+	prefix := a.Chain.LongestPrefix()
 	if prefix == 0 {
 		return nil, nil
 	}
 	var firstWeight, secondWeight uint64
 	for _, r := range p.targets {
-		if r.target.Leaving {
+		if r.closed() || !a.allows(r.region) {
 			continue
 		}
 		weight := hashPair(prefix, r.key)
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -142,7 +142,7 @@
 func (p *pool) noTargetChoice(now time.Time, remote bool) Choice {
 	c := Choice{Reason: ReasonNoTarget, RetryAfter: firstSuspension}
 	for _, r := range p.targets {
-		if r.target.Leaving || !r.isPaused(now, remote) {
+		if r.closed() || !r.isPaused(now, remote) {
 			continue
 		}
 		remaining := r.fullUntil.Sub(now)
@@ -156,17 +156,17 @@
 	return c
 }
 
-// allLeavingOrPaused reports whether all targets of a service are leaving or paused, so that
+// allLeavingOrPaused reports whether all targets of a service are leaving, evacuated or paused, so that
 // waiting is pointless.
 func (p *pool) allLeavingOrPaused(now time.Time) bool {
-	return !slices.ContainsFunc(p.targets, func(r *targetRecord) bool { return !r.target.Leaving && !r.isPaused(now, false) })
+	return !slices.ContainsFunc(p.targets, func(r *targetRecord) bool { return !r.closed() && !r.isPaused(now, false) })
 }
 
-// unpausedFraction returns the fraction of the targets, without those leaving, that are not paused.
+// unpausedFraction returns the fraction of the targets, without those leaving or evacuated, that are not paused.
 func (p *pool) unpausedFraction(now time.Time) float64 {
 	all, pausing := 0, 0
 	for _, r := range p.targets {
-		if r.target.Leaving {
+		if r.closed() {
 			continue
 		}
 		all++
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -144,11 +144,11 @@
 	return b.targets[b.Choose(now, &spill).Target]
 }
 
-// AcceptsRequests reports whether a target is listed, is not leaving and has not told this host
-// to send nothing.
+// AcceptsRequests reports whether a target is listed, is neither leaving nor evacuated and has not told this
+// host to send nothing.
 func (b *Board) AcceptsRequests(now time.Time, target string) bool {
 	r := b.targets[target]
-	return r != nil && !r.target.Leaving && !now.Before(r.pausedUntil)
+	return r != nil && !r.closed() && !now.Before(r.pausedUntil)
 }
 
 // PreferredEngine returns the preferred engine of a request and the owner of that engine. The
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -74,7 +74,7 @@
 	maxQueue := entitledFraction * queueFraction * p.tightestGoal.Seconds()
 	used, count := 0.0, 0
 	for _, r := range p.targets {
-		if r.target.Leaving || r.isPaused(now, false) || !r.health.usable(now) || r.stalled(now) {
+		if r.closed() || r.isPaused(now, false) || !r.health.usable(now) || r.stalled(now) {
 			continue
 		}
 		load := r.load()
--- a/placement/starved.go
+++ b/placement/starved.go
@@ -37,7 +37,7 @@
 func (p *pool) slotOccupancy(now time.Time) (taken float64, slots int) {
 	running := 0
 	for _, r := range p.targets {
-		if r.target.Leaving || r.isPaused(now, false) || !r.health.usable(now) || r.stalled(now) {
+		if r.closed() || r.isPaused(now, false) || !r.health.usable(now) || r.stalled(now) {
 			continue
 		}
 		slots += p.engine.Slots
--- a/route/table.go
+++ b/route/table.go
@@ -196,6 +196,31 @@
 	return r.Priority
 }
 
+// noRegion is an allowed region that no data centre is in, since regions have names.
+const noRegion = ""
+
+// AllowedRegions returns the regions whose targets may serve the requests of a team on a route, nil for all.
+// Where both the route and the team are bound to regions, a target has to be in a region of both.
+func (t *Table) AllowedRegions(r *Route, team string) []string {
+	member := t.teamsByName[team]
+	switch {
+	case member == nil || len(member.Regions) == 0:
+		return r.Regions
+	case len(r.Regions) == 0:
+		return member.Regions
+	}
+	var both []string
+	for _, region := range r.Regions {
+		if slices.Contains(member.Regions, region) {
+			both = append(both, region)
+		}
+	}
+	if len(both) == 0 {
+		return []string{noRegion}
+	}
+	return both
+}
+
 // RequiresKeys returns whether requests to routes that are not public need an API key.
 func (t *Table) RequiresKeys() bool { return len(t.Teams) > 0 }
 
--- a/wire/query.go
+++ b/wire/query.go
@@ -22,6 +22,8 @@
 	TargetsAge    uint32      // milliseconds since the list of targets was read
 	Digest        uint64      // hash of the list of targets
 	Targets       []TargetRow // empty if the Query has the same digest
+	Evacuated     []string    // evacuated places
+	EvacuatedAsOf uint64      // version of the store at which Evacuated was read, 0 if it was not
 }
 
 // Kind returns KindReply.
