warmup: cold targets get what they can take, from their owner alone

Change: package warmup limits the requests of the owner, others send nothing to a target that is cold or suspected of a restart. Suspicions travel in host states. Ruled out: shares or permits per host, broken connections as sign of a restart.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -86,7 +86,7 @@
 		return a, fault.Mark(err, errUnsent)
 	}
 	a.conn = conn
-	if !x.trackConn(conn) {
+	if x.gateway.core.grantExpired(choice.Target, x.chosenAt) || !x.trackConn(conn) {
 		a.finish(placement.NotSent)
 		return a, errUnsent
 	}
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/cassiachute/cassiachute/platform"
 )
@@ -35,7 +36,7 @@
 	if !newer || slices.Equal(before, places) {
 		return
 	}
-	g.core.board.SetEvacuated(places)
+	g.core.board.SetEvacuated(time.Now(), places)
 	g.record.evacuated(places, version)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,6 +152,7 @@
 	g.mesh = socket
 	g.core.self, g.core.post = hostNumber(g.settings.Peer), g.post
 	g.core.lastNumber = g.boot << sequenceBits
+	g.core.board.SetHeartbeat(g.settings.Heartbeat.Or(defaultHeartbeat))
 	g.core.board.SetRegions(g.settings.Regions)
 	g.core.board.SetHosts(placement.Host{ID: g.core.self, Place: g.settings.Place}, nil)
 	g.responder, err = mesh.NewResponder(g.settings.Peer, g.reply)
@@ -288,6 +289,9 @@
 	}
 	g.updateRotation(now)
 	g.reportAnswers()
+	for _, change := range g.core.takeColdChanges() {
+		g.record.targetCold(now, change)
+	}
 	for _, address := range g.peers.expireSilent(receivedUntil) {
 		g.record.peerChanged(address, "", false)
 	}
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -237,6 +237,9 @@
 	for _, p := range n.Pauses {
 		out.Pauses = append(out.Pauses, wire.Pause{Target: p.Target, Left: toMillis(p.Until.Sub(now))})
 	}
+	for _, s := range n.Suspicions {
+		out.Suspicions = append(out.Suspicions, wire.Suspicion{Target: s.Target, Age: toMillis(now.Sub(s.Since)), Left: toMillis(s.Until.Sub(now))})
+	}
 	for _, status := range c.quarantine.State() {
 		out.HeldTraits = append(out.HeldTraits, status.Message(now))
 	}
@@ -270,6 +273,9 @@
 	for _, p := range m.Pauses {
 		n.Pauses = append(n.Pauses, placement.Pause{Target: p.Target, Until: now.Add(fromMillis(p.Left))})
 	}
+	for _, s := range m.Suspicions {
+		n.Suspicions = append(n.Suspicions, placement.Suspicion{Target: s.Target, Since: now.Add(-fromMillis(s.Age)), Until: now.Add(fromMillis(s.Left))})
+	}
 	g.mergeHeldTraits(from, now, m.HeldTraits)
 	g.core.applyPeerState(now, hostNumber(from), n)
 }
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -89,15 +89,18 @@
 	slices.SortFunc(sorted, func(a, b route.Target) int { return cmp.Compare(a.ID, b.ID) })
 	d := xxhash.New()
 	for _, t := range sorted {
-		leaving := byte(0)
+		state := byte(0)
 		if t.Leaving {
-			leaving = 1
+			state = 1
+		}
+		if t.Cold > 0 {
+			state += 2
 		}
 		for _, text := range []string{t.ID, t.Service, t.Address.String(), t.Place} {
 			_, _ = d.WriteString(text) // never returns an error
 			_, _ = d.Write([]byte{0})
 		}
-		_, _ = d.Write(binary.LittleEndian.AppendUint64([]byte{leaving}, uint64(t.Slots)))
+		_, _ = d.Write(binary.LittleEndian.AppendUint64([]byte{state}, uint64(t.Slots)))
 		_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(t.StartedAt.UnixMilli())))
 	}
 	return d.Sum64()
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -25,6 +25,7 @@
 	eventReload       = "reload"
 	eventConfig       = "configuration"
 	eventEvacuated    = "evacuated"
+	eventCold         = "cold"
 	eventBadConfig    = "configuration-unreadable"
 	eventTargets      = "targets"
 	eventBadTarget    = "target-unreadable"
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -17,6 +17,7 @@
 	retriesLeft, storeCalls, droppedLines *prometheus.Desc
 	processor, activityTime, heldTraits   *prometheus.Desc
 	heldBytes, evacuated                  *prometheus.Desc
+	coldTargets, coldGrants               *prometheus.Desc
 }
 
 // newStateCollector returns the collector of a gateway.
@@ -39,6 +40,8 @@
 		heldTraits:        newDesc("held_traits", "Traits whose requests are kept from targets."),
 		heldBytes:         newDesc("held_bytes", "Bytes of large answers that are held until they are complete and written."),
 		evacuated:         newDesc("evacuated_places", "Data centres whose targets get no new requests."),
+		coldTargets:       newDesc("cold_targets", "Targets that are cold, or suspected of it.", "state"),
+		coldGrants:        newDesc("cold_decisions_total", "Decisions of this host about cold or suspected targets.", "decision"),
 		droppedLines:      newDesc("log_lines_dropped_total", "Log lines that were dropped.", "event"),
 	}
 }
@@ -81,6 +84,11 @@
 	gauge(s.heldTraits, float64(g.core.heldTraits.Load()))
 	held, _ := g.held.Used()
 	gauge(s.heldBytes, float64(held))
+	cold := g.core.coldCounts(time.Now())
+	gauge(s.coldTargets, float64(cold.Cold), "cold")
+	gauge(s.coldTargets, float64(cold.Suspected), "suspected")
+	counter(s.coldGrants, float64(cold.Granted), "granted")
+	counter(s.coldGrants, float64(cold.Refused), "refused")
 	gauge(s.evacuated, float64(g.storeCache.evacuatedCount()))
 	counter(s.processor, processorTime().Seconds())
 	for a := range activityCount {
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -80,6 +80,9 @@
 	if err != nil {
 		g.record.targetUnreadable(row.Key, err)
 	}
+	if t.Cold > 0 {
+		t.ColdUntil = time.Now().Add(t.Cold)
+	}
 	g.decodedTargets[row.Key] = decodedTarget{value: row.Value, target: t, valid: err == nil}
 	return t, err == nil
 }
--- a/placement/board.go
+++ b/placement/board.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cassiachute/cassiachute/route"
+	"github.com/cassiachute/cassiachute/warmup"
 )
 
 // Load is the work at a target, as decided by one host.
@@ -41,6 +42,7 @@
 	ownLoad             Load   // from requests that this host decided about
 	peerLoad            Load   // from requests that other hosts decided about
 	health              health
+	warmup              warmup.Limiter
 	cache               *prefixCache
 	meanEventGap        time.Duration // mean interval between events
 	lastEvent           time.Time     // time of the last event of any stream
@@ -63,6 +65,8 @@
 	engine           *route.Engine
 	prefillModel     *PrefillModel
 	answerTime       time.Duration   // mean answer time of a plain service
+	coldStart        time.Duration   // for which a target is cold after its start
+	coldRate         float64         // requests per second that a cold target can take
 	targets          []*targetRecord // sorted by target ID
 	owned            []*targetRecord // targets that this host decides about
 	epoch            uint64          // incremented whenever the list of targets changes
@@ -88,6 +92,10 @@
 	evacuated  []string             // data centres whose targets get no new requests
 	regions    map[string]string    // region of each data centre
 
+	heartbeat   time.Duration // interval at which targets renew their entries
+	lastTick    time.Time
+	coldChanges []ColdChange // that were not taken yet
+
 	promisedRate float64 // cost units a second that all engines provide together, 0 if unknown
 }
 
@@ -116,7 +124,12 @@
 		p.tightestGoal = 0
 	}
 	for i := range table.Services {
-		b.pool(table.Services[i].Name).engine = table.Services[i].Engine
+		s := &table.Services[i]
+		p := b.pool(s.Name)
+		p.engine, p.coldStart, p.coldRate = s.Engine, s.ColdStart, s.ColdRate
+	}
+	for _, r := range b.targets {
+		b.configureCold(r)
 	}
 	for i := range table.Routes {
 		r := &table.Routes[i]
@@ -142,6 +155,7 @@
 // as a new one.
 func (b *Board) SetTargets(targets []route.Target) {
 	present := map[string]bool{}
+	var turnedCold []*targetRecord
 	prefixes := prefixesPerTarget(len(targets))
 	for _, t := range targets {
 		present[t.ID] = true
@@ -151,11 +165,16 @@
 			b.targets[t.ID] = r
 		}
 		r.cache.resize(prefixes)
-		if !r.target.StartedAt.Equal(t.StartedAt) {
+		restarted := !r.target.StartedAt.Equal(t.StartedAt)
+		if restarted {
 			r.restarted()
 		}
 		t.Leaving = t.Leaving || b.departed(&t)
+		coldBefore := r.target.ColdUntil
 		r.target = t
+		if b.updateCold(r, coldBefore, restarted) {
+			turnedCold = append(turnedCold, r)
+		}
 		r.region, r.evacuated = b.regions[t.Place], b.isEvacuated(t.Place)
 	}
 	for id, r := range b.targets {
@@ -170,6 +189,9 @@
 	b.groupTargets()
 	b.assignOwners()
 	b.sumPeerLoads()
+	for _, r := range turnedCold {
+		b.noteCold(r, warmup.ReasonEntry)
+	}
 }
 
 // groupTargets sorts the targets into the pools of their services.
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -122,6 +122,9 @@
 			continue
 		}
 		usable++
+		if !r.warmup.Allows(now) {
+			continue
+		}
 		load := r.load()
 		if stale {
 			load = r.ownLoad
@@ -227,6 +230,9 @@
 // first, since most engines are full while requests flood in.
 func (s *search) evaluate(r *targetRecord) {
 	p, a := s.pool, s.ask
+	if !r.warmup.Allows(s.now) {
+		return
+	}
 	load := r.load()
 	slowdown := r.health.slowdown()
 	wait := scale(s.prefillTime(load.Prompt), slowdown)
--- a/placement/evacuation.go
+++ b/placement/evacuation.go
@@ -1,6 +1,11 @@
 package placement
 
-import "slices"
+import (
+	"slices"
+	"time"
+
+	"github.com/cassiachute/cassiachute/warmup"
+)
 
 // SetRegions sets the region of each data centre. A data centre without a region is in no allowed region.
 func (b *Board) SetRegions(byPlace map[string]string) {
@@ -11,11 +16,16 @@
 }
 
 // SetEvacuated sets the data centres whose targets get no new requests. Requests that run there continue.
-// Prompts that are cached there get other preferred engines until the data centre is used again.
-func (b *Board) SetEvacuated(places []string) {
+// Prompts that are cached there get other preferred engines until the data centre is used again. Its targets may be
+// cold then.
+func (b *Board) SetEvacuated(now time.Time, places []string) {
 	b.evacuated = slices.Clone(places)
 	for _, r := range b.targets {
+		before := r.evacuated
 		r.evacuated = b.isEvacuated(r.target.Place)
+		if before && !r.evacuated && r.warmup.Suspect(now, 0) {
+			b.noteCold(r, warmup.ReasonEvacuated)
+		}
 	}
 	for _, p := range b.pools {
 		p.epoch++
--- a/placement/evacuation_test.go
+++ b/placement/evacuation_test.go
@@ -39,7 +39,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			b, targets := newBoardOfPlaces()
-			b.SetEvacuated(c.evacuated)
+			b.SetEvacuated(now, c.evacuated)
 			for i := range targets {
 				targets[i].StartedAt = time.Unix(900, 0)
 			}
@@ -49,7 +49,7 @@
 			for _, id := range c.want {
 				require.Positive(t, sent[id], id)
 			}
-			b.SetEvacuated(nil)
+			b.SetEvacuated(now, nil)
 			if len(c.want) < len(targets) {
 				require.NotEmpty(t, fill(b, now, "model"), "the data centre is used again")
 			}
@@ -63,7 +63,7 @@
 	b, _ := newBoardOfPlaces()
 	fill(b, now, "model")
 	require.True(t, b.Wait(now, 1, smallRequest("model")))
-	b.SetEvacuated([]string{"place1", "place2", "place3"})
+	b.SetEvacuated(now, []string{"place1", "place2", "place3"})
 	require.Empty(t, b.ServeQueue(now, "model"))
 	grants := b.ExpireQueued(now)
 	require.Len(t, grants, 1)
@@ -73,18 +73,19 @@
 
 // TestPreferredEngineMovesOutOfEvacuatedPlace guards against prompts that keep waiting for an engine which gets none.
 func TestPreferredEngineMovesOutOfEvacuatedPlace(t *testing.T) {
+	now := time.Unix(1000, 0)
 	b, targets := newBoardOfPlaces()
 	request := smallRequest("model")
 	request.Chain = placement.NewPrefixChain([]placement.Part{{ID: 7, Tokens: 900}, {ID: 8, Tokens: 100}}, 1000)
 	home := b.PreferredEngine(request).Target
 	for _, target := range targets {
 		if target.ID == home {
-			b.SetEvacuated([]string{target.Place})
+			b.SetEvacuated(now, []string{target.Place})
 		}
 	}
 	require.NotEmpty(t, b.PreferredEngine(request).Target)
 	require.NotEqual(t, home, b.PreferredEngine(request).Target)
-	b.SetEvacuated(nil)
+	b.SetEvacuated(now, nil)
 	require.Equal(t, home, b.PreferredEngine(request).Target)
 }
 
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -44,6 +44,7 @@
 			candidates = b.hosts
 		}
 		r.owner = rendezvousOwner(candidates, r.key, b.self)
+		r.warmup.SetOwned(r.owner == b.self)
 	}
 	for _, p := range b.pools {
 		p.owned = p.owned[:0]
@@ -175,7 +176,7 @@
 	var best *targetRecord
 	for _, r := range p.targets {
 		load := r.load()
-		if r == preferred || !r.usable(now, a) || load.Running >= r.availableSlots(now, p.engine.Slots) || best != nil && load.Prompt >= best.load().Prompt {
+		if r == preferred || !r.usable(now, a) || !r.warmup.Allows(now) || load.Running >= r.availableSlots(now, p.engine.Slots) || best != nil && load.Prompt >= best.load().Prompt {
 			continue
 		}
 		if s.prefillTime(load.Prompt) <= p.queueLimit(a, s.standing, s.shareRatio, r) && r.hasPrefix(a.Chain) {
--- a/placement/peer.go
+++ b/placement/peer.go
@@ -62,6 +62,7 @@
 	Demands    []ServiceDemand
 	Departures []Departure
 	Pauses     []Pause
+	Suspicions []Suspicion
 }
 
 // State returns the state that this host sends to the others. It forgets teams without demand and
@@ -87,6 +88,7 @@
 		}
 	}
 	b.addNotices(now, &n)
+	b.addSuspicions(now, &n)
 	return n
 }
 
@@ -115,6 +117,9 @@
 	for _, p := range n.Pauses {
 		b.RecordPeerPause(now, p)
 	}
+	for _, s := range n.Suspicions {
+		b.applySuspicion(s)
+	}
 }
 
 // forgetPeer drops the state report of a peer.
@@ -134,6 +139,7 @@
 // Tick forgets peers whose state reports are too old, and expired departures.
 func (b *Board) Tick(now time.Time) {
 	b.expireDepartures(now)
+	b.resumeCold(now)
 	lifetime := PeerStateLifetime(len(b.peers) + 1)
 	for id, p := range b.peers {
 		if now.Sub(p.receivedAt) >= lifetime {
--- a/placement/track.go
+++ b/placement/track.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/cassiachute/cassiachute/warmup"
+)
 
 // RecordAdmitted records the arrival of a request that was admitted.
 func (b *Board) RecordAdmitted(now time.Time, a *Request) {
@@ -16,6 +20,7 @@
 		return
 	}
 	r.ownLoad.add(c.Load)
+	r.warmup.Record(now)
 	c.QueuedTokens = r.load().Prompt
 	r.cache.add(a.Chain)
 	usage := b.pool(a.Service).team(a.Team)
@@ -31,6 +36,7 @@
 	if r == nil {
 		return remaining
 	}
+	b.recordAlive(now, r, now.Add(-took))
 	if !a.Remote {
 		r.streamStarted(now)
 	}
@@ -41,6 +47,7 @@
 // RecordRemoteFirstEvent records the first event of a request that another host decided about.
 func (b *Board) RecordRemoteFirstEvent(now time.Time, a *Request, c Choice, took time.Duration) {
 	if r := b.targets[c.Target]; r != nil {
+		b.recordAlive(now, r, now.Add(-took))
 		r.streamStarted(now)
 		b.pool(a.Service).learnFirstEvent(r, c.QueuedTokens, took)
 	}
@@ -107,17 +114,20 @@
 	if !a.Remote {
 		r.streamEnded(remaining)
 	}
+	if o == Done {
+		b.recordAlive(now, r, now.Add(-took))
+	}
 	if p := b.pool(a.Service); o == Done && p.engine == nil {
 		p.answerTime += scale(took-p.answerTime, answerTimeWeight)
 	}
-	r.recordOutcome(now, o)
+	b.recordOutcome(now, r, o)
 }
 
 // RecordRemoteEnd records the end of a request that another host decided about.
 func (b *Board) RecordRemoteEnd(now time.Time, target string, remaining Load, o Outcome) {
 	if r := b.targets[target]; r != nil {
 		r.streamEnded(remaining)
-		r.recordOutcome(now, o)
+		b.recordOutcome(now, r, o)
 	}
 }
 
@@ -128,8 +138,11 @@
 	}
 }
 
-// recordOutcome updates the health of the target by the outcome of a request.
-func (r *targetRecord) recordOutcome(now time.Time, o Outcome) {
+// recordOutcome updates the health of a target by the outcome of a request.
+func (b *Board) recordOutcome(now time.Time, r *targetRecord, o Outcome) {
+	if o == Silent || o == Unreachable {
+		b.suspectCold(r, now, warmup.ReasonUnreached)
+	}
 	switch o {
 	case Done:
 		r.health.recordSuccess()
--- a/route/target.go
+++ b/route/target.go
@@ -13,6 +13,7 @@
 	Place     string        // data centre
 	Slots     int           // requests that it runs at once
 	Leaving   bool          // takes no new work
-	Cold      time.Duration // time until its cold start is over
+	Cold      time.Duration // time until its cold start is over, as of its entry
+	ColdUntil time.Time     // end of its cold start at the latest, zero if it is warm
 	StartedAt time.Time     // start of the replica, zero if unknown
 }
--- /dev/null
+++ b/warmup/warmup.go
@@ -0,0 +1,191 @@
+// Package warmup limits the requests to targets that are cold: for some time after its start a target can take only
+// a few requests per second, and crashes if it gets many more.
+//
+// A target says itself when it is cold, but that is known late. So a target that could not be reached counts as
+// suspected: it may have started again. Only the host that owns a target sends to it while it is cold or
+// suspected, and not in the first second of its ownership, in which an earlier owner may still send.
+package warmup
+
+import "time"
+
+const (
+	// Window is the span in which the requests to a cold target are counted.
+	Window = time.Second
+	// MaxGrantAge is the age at which a slot at a cold target is no longer used. One that is older, as after a
+	// suspension of the host, would fall into the window of later ones.
+	MaxGrantAge = 250 * time.Millisecond
+	// RampTime is the time over which a target that became warm returns to using all its slots.
+	RampTime = time.Second
+
+	rampFraction   = 0.25                   // fraction of the slots that is used right after a target became warm
+	periodSlack    = 500 * time.Millisecond // ends of one cold period, as heard at different times, differ by less
+	evidenceMargin = 200 * time.Millisecond // answers that arrive this soon after a suspicion may be older than it
+	maxGrants      = 64                     // grants that are remembered, which bounds the rate
+)
+
+// Reason says why a target counts as cold or suspected.
+type Reason string
+
+// Reasons of a change.
+const (
+	ReasonNone      Reason = ""
+	ReasonEntry     Reason = "entry"     // the target said that it is cold
+	ReasonUnreached Reason = "unreached" // it could not be reached, or fell silent
+	ReasonPeer      Reason = "peer"      // another host could not reach it
+	ReasonEvacuated Reason = "evacuated" // its data centre was evacuated until now
+	ReasonAlive     Reason = "alive"     // it answered a request that it had before the suspicion
+)
+
+// Limiter limits the requests to one target. Its zero value limits nothing.
+type Limiter struct {
+	rate           float64       // requests per second that the cold target can take, 0 if it is never cold
+	start          time.Duration // for which a target is cold after its start
+	coldUntil      time.Time     // as the target said
+	suspectedSince time.Time
+	suspectedUntil time.Time
+	aliveAt        time.Time // when the process that runs was last seen to have run
+	owned          bool      // this host owns the target
+	acquired       bool      // it owns the target since the last call of Allows
+	holdUntil      time.Time // end of the first second of the ownership
+	grants         []time.Time
+	refused        uint64
+	granted        uint64
+}
+
+// Configure sets for how long a target is cold after its start, and how many requests per second it can take then.
+func (l *Limiter) Configure(start time.Duration, rate float64) {
+	if rate <= 0 || start <= 0 {
+		start, rate = 0, 0
+	}
+	l.start, l.rate = start, min(rate, maxGrants)
+}
+
+// Limited reports whether the targets of the service may be cold at all.
+func (l *Limiter) Limited() bool { return l.rate > 0 }
+
+// SetOwned sets whether this host owns the target.
+func (l *Limiter) SetOwned(owned bool) {
+	l.acquired = owned && (l.acquired || !l.owned)
+	l.owned = owned
+}
+
+// Suspend begins the ownership again, after a time in which this host did not run and another one may have taken over.
+func (l *Limiter) Suspend() { l.acquired = l.owned }
+
+// SetCold sets until when the target is cold by its own word, zero if it is warm. Restarted tells that its process is
+// another one than before. SetCold reports whether a cold period began.
+func (l *Limiter) SetCold(until time.Time, restarted bool) bool {
+	begins := until.After(l.coldUntil.Add(periodSlack))
+	switch {
+	case until.IsZero():
+		l.coldUntil = time.Time{}
+		return false
+	case begins || restarted:
+		l.coldUntil = until
+		l.suspectedSince, l.suspectedUntil = time.Time{}, time.Time{}
+	case until.Before(l.coldUntil):
+		l.coldUntil = until
+	}
+	return begins
+}
+
+// Suspect records that the target could not be reached at a time and may have started again. It counts as cold while
+// it may take to say so, and for a cold start. Suspect reports whether it was not suspected until now.
+func (l *Limiter) Suspect(at time.Time, notice time.Duration) bool {
+	return l.SuspectUntil(at, at.Add(notice+l.start))
+}
+
+// SuspectUntil is Suspect with the end of the suspicion, as another host knows it.
+func (l *Limiter) SuspectUntil(at, until time.Time) bool {
+	if !l.Limited() || at.Before(l.aliveAt) {
+		return false
+	}
+	first := l.suspectedUntil.IsZero() || at.After(l.suspectedUntil)
+	if first {
+		l.suspectedSince = at
+	}
+	if until.After(l.suspectedUntil) {
+		l.suspectedUntil = until
+	}
+	return first
+}
+
+// RecordAlive records that a process which ran at a time still answers now. It ends a suspicion that began later, and
+// reports whether it did.
+func (l *Limiter) RecordAlive(now, ranAt time.Time) bool {
+	if !l.Limited() || l.suspectedSince.IsZero() || !ranAt.Before(l.suspectedSince) || now.Sub(l.suspectedSince) < evidenceMargin {
+		return false
+	}
+	ended := now.Before(l.suspectedUntil)
+	l.aliveAt = now.Add(-evidenceMargin)
+	l.suspectedSince, l.suspectedUntil = time.Time{}, time.Time{}
+	return ended
+}
+
+// Until returns when the target will be warm, zero if it is not known to be cold or suspected of it.
+func (l *Limiter) Until() time.Time {
+	if l.suspectedUntil.After(l.coldUntil) {
+		return l.suspectedUntil
+	}
+	return l.coldUntil
+}
+
+// Cold reports whether the target is cold or suspected of it.
+func (l *Limiter) Cold(now time.Time) bool { return l.Limited() && now.Before(l.Until()) }
+
+// Suspected returns for how long the target remains suspected, 0 if it is not.
+func (l *Limiter) Suspected(now time.Time) time.Duration { return max(0, l.suspectedUntil.Sub(now)) }
+
+// SuspectedSince returns when the suspicion began, zero if there is none.
+func (l *Limiter) SuspectedSince() time.Time { return l.suspectedSince }
+
+// Allows reports whether a request may be sent to the target now.
+func (l *Limiter) Allows(now time.Time) bool {
+	if !l.Limited() {
+		return true
+	}
+	if l.acquired {
+		l.acquired, l.holdUntil = false, now.Add(Window)
+	}
+	if !l.Cold(now) {
+		return true
+	}
+	allowed := l.owned && !now.Before(l.holdUntil) && l.granting(now)
+	if !allowed {
+		l.refused++
+	}
+	return allowed
+}
+
+// granting reports whether fewer requests than the rate were granted in the last second.
+func (l *Limiter) granting(now time.Time) bool {
+	limit := int(l.rate)
+	return len(l.grants) < limit || now.Sub(l.grants[len(l.grants)-limit]) > Window
+}
+
+// Record records a request that is sent to the target.
+func (l *Limiter) Record(now time.Time) {
+	if !l.Limited() {
+		return
+	}
+	if l.grants = append(l.grants, now); len(l.grants) > maxGrants {
+		l.grants = append(l.grants[:0], l.grants[len(l.grants)-int(l.rate):]...)
+	}
+	if l.Cold(now) {
+		l.granted++
+	}
+}
+
+// Counts returns how many requests were granted and refused while the target was cold or suspected.
+func (l *Limiter) Counts() (granted, refused uint64) { return l.granted, l.refused }
+
+// Slots returns how many of the slots of a target are used now: all, or a growing part after it became warm, so that
+// the prompts that it had cached do not return at once.
+func (l *Limiter) Slots(now time.Time, slots int) int {
+	since := now.Sub(l.Until())
+	if !l.Limited() || l.Until().IsZero() || since < 0 || since >= RampTime {
+		return slots
+	}
+	fraction := rampFraction + (1-rampFraction)*since.Seconds()/RampTime.Seconds()
+	return max(1, int(fraction*float64(slots)))
+}
--- a/wire/news.go
+++ b/wire/news.go
@@ -18,6 +18,7 @@
 	NotReady   bool         // the sender signals the load balancer to open no new connections
 	Departures []Departure  // targets that are shutting down
 	Pauses     []Pause      // targets that asked for a pause
+	Suspicions []Suspicion  // targets that may have started again and be cold
 }
 
 // Kind returns KindHostState.
@@ -129,3 +130,12 @@
 	Target string // identity of the target
 	Left   uint32 // remaining time in milliseconds
 }
+
+// Suspicion reports a target that could not be reached, so that it may have started again and be cold.
+type Suspicion struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Target string // identity of the target
+	Age    uint32 // milliseconds since it could not be reached
+	Left   uint32 // milliseconds for which it counts as cold
+}
