placement: one queue for a plain service with few targets

Cause: 75 hosts that choose by themselves send to full targets beside idle ones; 1,599 of 10,569 requests were rejected by targets at two thirds of their capacity. Change: the owner of a service's queue decides about all its targets, ordered by rank and due time; refusals come at arrival, and returns are spread. On in fleets of 24 hosts and more with a goal of 200 ms and more. Ruled out: an owner per target, bulk leases, faster host states.

--- a/gateway/guest.go
+++ b/gateway/guest.go
@@ -40,6 +40,7 @@
 		return
 	}
 	ask, consistent := askFromMessage(m)
+	ask.Place = c.placeOf(from)
 	r := &remoteRequest{ask: ask, lastListed: now}
 	choice := placement.Choice{Reason: placement.ReasonNoTarget, RetryAfter: staleRetryAfter}
 	known := consistent && c.board.HasService(m.Service)
@@ -188,3 +189,14 @@
 
 // fromMillis returns the duration that a message carries in milliseconds.
 func fromMillis(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// placeOf returns the data centre of another host that may own targets, empty if it is not known. The caller holds
+// the lock.
+func (c *core) placeOf(host uint64) string {
+	for _, owner := range c.owners {
+		if owner.ID == host {
+			return owner.Place
+		}
+	}
+	return ""
+}
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	ownerTimeout       = 50 * time.Millisecond  // for the answer of an owner
+	ownerTimeout       = placement.OwnerTimeout // for the answer of an owner
 	ownerBackoff       = 500 * time.Millisecond // for which an owner that did not answer is not asked
 	backoffAfterMisses = 2                      // consecutive slot requests without an answer; a single datagram may be lost
 	leaseListInterval  = 500 * time.Millisecond // between the lists of slots that a host sends to each owner
@@ -241,6 +241,9 @@
 	c.board.RecordRemoteFirstEvent(now, &x.ask, choice, took)
 	if l := c.leases[choice.SlotID]; l != nil {
 		l.started = true
+		if choice.Load.Prompt == 0 {
+			return left // the answer of a plain target, whose end is reported next
+		}
 		c.enqueue(l.host, &wire.LeaseUpdate{Number: l.number, Begun: true, Duration: uint32(took.Microseconds())})
 	}
 	return left
--- a/placement/board.go
+++ b/placement/board.go
@@ -74,6 +74,7 @@
 	tightestGoal     time.Duration // tightest latency goal of the routes to the service
 	requiredEventGap time.Duration // interval between events with which streams finish in time
 	queue            []queuedRequest
+	central          centralQueue
 	lastServed       time.Time // time of the last pass over the queue
 	shares           fairShares
 	uncounted        map[string]uncounted // of the teams that ask for more than an even share
@@ -128,9 +129,6 @@
 		p := b.pool(s.Name)
 		p.engine, p.coldStart, p.coldRate = s.Engine, s.ColdStart, s.ColdRate
 	}
-	for _, r := range b.targets {
-		b.configureCold(r)
-	}
 	for i := range table.Routes {
 		r := &table.Routes[i]
 		for _, s := range r.Shares {
@@ -140,6 +138,10 @@
 			}
 		}
 	}
+	for _, r := range b.targets {
+		b.configureCold(r)
+	}
+	b.assignOwners()
 }
 
 // restarted forgets what is known of an earlier process of the target: its cached prompts, its pauses and its
--- /dev/null
+++ b/placement/central.go
@@ -0,0 +1,90 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// OwnerTimeout is how long a host waits for the answer of an owner before it decides alone.
+const OwnerTimeout = 50 * time.Millisecond
+
+const (
+	minCentralHosts  = 24                              // hosts from which host states are too old to show who uses a slot of a plain target
+	centralGoalRatio = 4                               // least latency goal, in OwnerTimeout, that leaves time to ask the owner
+	minCentralGoal   = centralGoalRatio * OwnerTimeout // of the routes to a service with a central queue
+	targetBacklog    = 1                               // requests that wait at a target itself, so that it does not idle until its owner hears of a free slot
+	returnRoom       = 0.5                             // fraction of the capacity that is kept for callers that come back after a refusal
+)
+
+// centralQueue is the queue of a plain service with few slots in a large fleet. One host, the owner, decides about all
+// its targets. Hosts that decide each for themselves do not know which slots the others use: some targets reject
+// requests while others are idle.
+type centralQueue struct {
+	enabled    bool
+	owner      uint64    // ID of the host
+	nextReturn time.Time // when the next caller that is refused is asked to come back
+}
+
+// updateCentralQueue decides whether a service has a central queue, and who owns it.
+func (b *Board) updateCentralQueue(service string, p *pool) {
+	p.central.enabled = p.engine == nil && p.tightestGoal >= minCentralGoal && max(len(b.hosts), len(b.peers)+1) >= minCentralHosts
+	p.central.owner = rendezvousOwner(b.hosts, xxhash.Sum64String(service), b.self)
+}
+
+// ownsQueue reports whether this host owns the central queue of a service.
+func (b *Board) ownsQueue(p *pool) bool { return p.central.enabled && p.central.owner == b.self }
+
+// referToQueue returns a referral to the owner of the central queue. Each request is referred there once.
+func (p *pool) referToQueue(a *Request) (Referral, bool) {
+	if a.waitAsked {
+		return Referral{}, false
+	}
+	a.waitAsked = true
+	a.asked = append(a.asked, "")
+	return Referral{Host: p.central.owner, MayWait: true, AnyEngine: true}, true
+}
+
+// plainSlots returns how many requests a plain target may have from this host's point of view.
+func (b *Board) plainSlots(now time.Time, p *pool, r *targetRecord) int {
+	slots := r.availableSlots(now, r.target.Slots)
+	if b.ownsQueue(p) {
+		slots += targetBacklog
+	}
+	return slots
+}
+
+// timePerRequest returns the mean time between two requests that the usable targets of a plain service complete.
+func (p *pool) timePerRequest(now time.Time) time.Duration {
+	slots := 0
+	for _, r := range p.targets {
+		if !r.closed() && !r.isPaused(now, true) && r.health.usable(now) {
+			slots += r.target.Slots
+		}
+	}
+	return p.answerTime / time.Duration(max(1, slots))
+}
+
+// expectedWait returns how long a request waits in the queue of a plain service behind those that are there.
+func (p *pool) expectedWait(now time.Time) time.Duration {
+	return time.Duration(len(p.queue)) * p.timePerRequest(now)
+}
+
+// refusePlain returns the choice for a request of a plain service whose targets are full. Callers that are refused are
+// asked to come back one after the other, as there is room for them beside new ones.
+func (b *Board) refusePlain(now time.Time, p *pool) Choice {
+	c := Choice{Reason: ReasonFull, RetryAfter: max(minRetryAfter, p.answerTime)}
+	if !b.ownsQueue(p) {
+		return c
+	}
+	q := &p.central
+	earliest := now.Add(max(c.RetryAfter, p.expectedWait(now)))
+	if q.nextReturn.Before(earliest) {
+		q.nextReturn = earliest
+	}
+	c.RetryAfter = min(maxRetryAfter, q.nextReturn.Sub(now))
+	if c.RetryAfter < maxRetryAfter {
+		q.nextReturn = q.nextReturn.Add(scale(p.timePerRequest(now), 1/returnRoom))
+	}
+	return c
+}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -51,6 +52,7 @@
 	CachedTokens    int           // prompt tokens that the wanted engine has cached, as far as the caller's host knows
 	Regions         []string      // regions whose targets may serve the request, empty for all
 	Priority        int           // rank of the request, 0 is the highest
+	Place           string        // data centre of the host to which the caller is connected, empty for that of this host
 
 	preferred  preferredTargets
 	asked      []string // engines whose owners were asked
@@ -116,7 +118,8 @@
 	var best *targetRecord
 	bestScore := 0.0
 	usable := 0
-	stale := StatePeriod(len(b.peers)+1) > scale(p.answerTime, staleAnswerTimes)
+	stale := StatePeriod(len(b.peers)+1) > scale(p.answerTime, staleAnswerTimes) && !b.ownsQueue(p)
+	place := cmp.Or(a.Place, b.place)
 	for _, r := range p.targets {
 		if !r.usable(now, a) {
 			continue
@@ -129,14 +132,14 @@
 		if stale {
 			load = r.ownLoad
 		}
-		if load.Running >= r.availableSlots(now, r.target.Slots) {
+		if load.Running >= b.plainSlots(now, p, r) {
 			continue
 		}
 		score := float64(load.Running)/float64(r.target.Slots) + r.health.failures
 		switch {
 		case stale:
 			score += hashFraction(hashPair(a.Seed, r.key))
-		case r.target.Place != b.place:
+		case r.target.Place != place:
 			score += 1 / float64(8*r.target.Slots)
 		}
 		if best == nil || score < bestScore {
@@ -147,7 +150,7 @@
 		if usable == 0 {
 			return p.noTargetChoice(now, a.Remote)
 		}
-		return Choice{Reason: ReasonFull, RetryAfter: max(minRetryAfter, p.answerTime)}
+		return b.refusePlain(now, p)
 	}
 	return Choice{Target: best.target.ID, Load: Load{Running: 1}, ExpectedTime: p.answerTime}
 }
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -143,7 +143,7 @@
 func TestColdTargetOfAnotherOwnerIsNotChosen(t *testing.T) {
 	f := newColdFleet("a")
 	f.board.Resign(placement.Host{ID: 1, Place: "place1"}, []placement.Host{{ID: 2, Place: "place1"}})
-	require.NotEmpty(t, f.send(100 * time.Millisecond))
+	require.NotEmpty(t, f.send(100*time.Millisecond))
 	f.restart(0)
 	require.Empty(t, f.send(testColdStart))
 	require.NotEmpty(t, f.send(time.Second))
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -32,19 +32,26 @@
 }
 
 // assignOwners determines the owner of each engine. Hosts in the data centre of the engine come
-// first: if data centres are cut off from each other, only those can reach it.
+// first: if data centres are cut off from each other, only those can reach it. The targets of a service with a
+// central queue have one owner.
 func (b *Board) assignOwners() {
 	byPlace := map[string][]Host{}
 	for _, h := range b.hosts {
 		byPlace[h.Place] = append(byPlace[h.Place], h)
 	}
+	for service, p := range b.pools {
+		b.updateCentralQueue(service, p)
+	}
 	for _, r := range b.targets {
+		if p := b.pools[r.target.Service]; p != nil && p.central.enabled {
+			b.setOwner(r, p.central.owner)
+			continue
+		}
 		candidates := byPlace[r.target.Place]
 		if len(candidates) == 0 {
 			candidates = b.hosts
 		}
-		r.owner = rendezvousOwner(candidates, r.key, b.self)
-		r.warmup.SetOwned(r.owner == b.self)
+		b.setOwner(r, rendezvousOwner(candidates, r.key, b.self))
 	}
 	for _, p := range b.pools {
 		p.owned = p.owned[:0]
@@ -56,6 +63,12 @@
 	}
 }
 
+// setOwner sets the host that decides about a target.
+func (b *Board) setOwner(r *targetRecord, owner uint64) {
+	r.owner = owner
+	r.warmup.SetOwned(owner == b.self)
+}
+
 // rendezvousOwner returns the host that ranks highest for a target by rendezvous hashing, or
 // fallback if there are no hosts.
 func rendezvousOwner(hosts []Host, key, fallback uint64) uint64 {
@@ -71,11 +84,11 @@
 // HasService reports whether a service is configured.
 func (b *Board) HasService(service string) bool { return b.pools[service] != nil }
 
-// HasOwners reports whether the targets of a service have owners. Those of plain services have none,
-// since their requests are short and their slots are rarely all taken.
+// HasOwners reports whether the targets of a service have owners. Those of plain services have none in small
+// fleets, since their requests are short and their slots are rarely all taken.
 func (b *Board) HasOwners(service string) bool {
 	p := b.pools[service]
-	return p != nil && p.engine != nil
+	return p != nil && (p.engine != nil || p.central.enabled)
 }
 
 // Referral names the owner to ask next about a request, and the engine to ask it for.
@@ -103,6 +116,9 @@
 // NextOwner returns false if no owner is left to ask.
 func (b *Board) NextOwner(now time.Time, a *Request) (Referral, bool) {
 	p := b.pool(a.Service)
+	if p.engine == nil {
+		return p.referToQueue(a)
+	}
 	if len(a.asked) >= maxReferrals {
 		return Referral{}, false
 	}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -47,15 +48,24 @@
 func (b *Board) Wait(now time.Time, id uint64, a *Request) bool {
 	p := b.pool(a.Service)
 	maxWait := b.MaxWait(a)
-	if maxWait <= 0 || len(p.queue) >= maxQueuedRequests {
+	if maxWait <= 0 || len(p.queue) >= maxQueuedRequests || b.ownsQueue(p) && p.expectedWait(now) > maxWait {
 		return false
 	}
 	t := queuedRequest{id: id, ask: a, expires: now.Add(maxWait), firstEventDue: now.Add(a.LatencyGoal - a.Elapsed)}
-	at, _ := slices.BinarySearchFunc(p.queue, t, func(x, y queuedRequest) int { return x.firstEventDue.Compare(y.firstEventDue) })
+	at, _ := slices.BinarySearchFunc(p.queue, t, p.compareQueued)
 	p.queue = slices.Insert(p.queue, at, t)
 	return true
 }
 
+// compareQueued orders the queue by the times at which first events are due. In a plain service, requests of a higher
+// rank come first.
+func (p *pool) compareQueued(x, y queuedRequest) int {
+	if p.engine == nil && x.ask.Priority != y.ask.Priority {
+		return cmp.Compare(x.ask.Priority, y.ask.Priority)
+	}
+	return x.firstEventDue.Compare(y.firstEventDue)
+}
+
 // Withdraw removes a request from the queue. It returns false if the request is not queued.
 func (b *Board) Withdraw(service string, id uint64) bool {
 	p := b.pool(service)
