warmup: rates below one request per second

Cause: the rate was cut to a whole number. With coldPerS between 0 and 1 the limiter read one element beyond its list of grants, and the process ended by a panic. Change: below one request per second, one request is granted in 1/rate seconds. Conclusion: TestRateBelowOnePerSecond panics before the change and passes after it.

--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -157,10 +157,19 @@
 	return allowed
 }
 
-// granting reports whether fewer requests than the rate were granted in the last second.
+// granting reports whether the rate leaves room for a request.
 func (l *Limiter) granting(now time.Time) bool {
-	limit := int(l.rate)
-	return len(l.grants) < limit || now.Sub(l.grants[len(l.grants)-limit]) > Window
+	limit, span := l.limit()
+	return len(l.grants) < limit || now.Sub(l.grants[len(l.grants)-limit]) > span
+}
+
+// limit returns how many requests may be granted in a span of time: the rate in a second, or one request in a longer
+// span if the rate is below one per second.
+func (l *Limiter) limit() (requests int, span time.Duration) {
+	if l.rate < 1 {
+		return 1, time.Duration(float64(Window) / l.rate)
+	}
+	return int(l.rate), Window
 }
 
 // Record records a request that is sent to the target.
@@ -169,7 +178,8 @@
 		return
 	}
 	if l.grants = append(l.grants, now); len(l.grants) > maxGrants {
-		l.grants = append(l.grants[:0], l.grants[len(l.grants)-int(l.rate):]...)
+		limit, _ := l.limit()
+		l.grants = append(l.grants[:0], l.grants[len(l.grants)-limit:]...)
 	}
 	if l.Cold(now) {
 		l.granted++
--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -200,3 +200,19 @@
 	require.True(t, l.Allows(at(0)))
 	require.Equal(t, 24, l.Slots(at(0), 24))
 }
+
+// TestRateBelowOnePerSecond guards against a rate of less than one request per second, which made the limiter read
+// beyond its list of grants, and against one that is rounded up to a request per second.
+func TestRateBelowOnePerSecond(t *testing.T) {
+	l := &warmup.Limiter{}
+	l.Configure(coldStart, 0.5)
+	l.SetOwned(true)
+	l.Allows(at(-time.Minute))
+	l.SetCold(at(time.Minute), true)
+	sent := flood(9*time.Second, []*warmup.Limiter{l}, func(time.Duration) {})
+	require.Len(t, sent, 5)
+	for range 100 {
+		l.Record(at(10 * time.Second))
+	}
+	require.False(t, l.Allows(at(11*time.Second)))
+}
