warmup: an entry does not end a suspicion

Cause: an entry that told of a cold period, or of another process, ended the suspicion of its target. Entries are read up to three seconds after they were written, so it may be that of the process before, with little of its cold period left. The process that started since was warm for this host until its own entry came, and got all requests. Change: only an answer to an earlier request ends a suspicion. Conclusion: TestEntryDoesNotEndSuspicion fails before the change and passes after it.

--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -73,7 +73,8 @@
 func (l *Limiter) Suspend() { l.acquired = l.owned }
 
 // SetCold sets until when the target is cold by its own word, zero if it is warm. Restarted tells that its process is
-// another one than before. SetCold reports whether a cold period began.
+// another one than before. SetCold reports whether a cold period began. It leaves a suspicion as it is: the entry may
+// have been written before the target became unreachable, up to three seconds before it is read here.
 func (l *Limiter) SetCold(until time.Time, restarted bool) bool {
 	begins := until.After(l.coldUntil.Add(periodSlack))
 	switch {
@@ -82,7 +83,6 @@
 		return false
 	case begins || restarted:
 		l.coldUntil = until
-		l.suspectedSince, l.suspectedUntil = time.Time{}, time.Time{}
 	case until.Before(l.coldUntil):
 		l.coldUntil = until
 	}
--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -216,3 +216,17 @@
 	}
 	require.False(t, l.Allows(at(11*time.Second)))
 }
+
+// TestEntryDoesNotEndSuspicion guards against an entry that was written before the target became unreachable and is
+// read after it. It tells nothing of the process that has started since.
+func TestEntryDoesNotEndSuspicion(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		l := newLimiter()
+		l.Suspect(at(0), notice)
+		l.SetCold(at(time.Second), restarted)
+		require.True(t, l.Cold(at(notice+coldStart-step)), "restarted: %v", restarted)
+		l.SetCold(time.Time{}, false)
+		require.True(t, l.Cold(at(notice+coldStart-step)), "restarted: %v", restarted)
+		require.False(t, l.Cold(at(notice+coldStart)))
+	}
+}
