warmup: an answer proves nothing against a suspicion that was just renewed

Cause: the margin for answers under way counted from the first time a target was found unreachable. An answer that was recorded right after a later time ended the suspicion, although the target may have started again in between. Change: the margin counts from the last time. Conclusion: TestAnswerProvesNothingOfLaterSuspicion fails before the change and passes after it.

--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -42,6 +42,7 @@
 	start          time.Duration // for which a target is cold after its start
 	coldUntil      time.Time     // as the target said
 	suspectedSince time.Time
+	suspectedLast  time.Time // when the target was last found unreachable
 	suspectedUntil time.Time
 	aliveAt        time.Time // when the process that runs was last seen to have run
 	owned          bool      // this host owns the target
@@ -102,7 +103,10 @@
 	}
 	first := l.suspectedUntil.IsZero() || at.After(l.suspectedUntil)
 	if first {
-		l.suspectedSince = at
+		l.suspectedSince, l.suspectedLast = at, at
+	}
+	if at.After(l.suspectedLast) {
+		l.suspectedLast = at
 	}
 	if until.After(l.suspectedUntil) {
 		l.suspectedUntil = until
@@ -113,7 +117,7 @@
 // RecordAlive records that a process which ran at a time still answers now. It ends a suspicion that began later, and
 // reports whether it did.
 func (l *Limiter) RecordAlive(now, ranAt time.Time) bool {
-	if !l.Limited() || l.suspectedSince.IsZero() || !ranAt.Before(l.suspectedSince) || now.Sub(l.suspectedSince) < evidenceMargin {
+	if !l.Limited() || l.suspectedSince.IsZero() || !ranAt.Before(l.suspectedSince) || now.Sub(l.suspectedLast) < evidenceMargin {
 		return false
 	}
 	ended := now.Before(l.suspectedUntil)
--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -230,3 +230,13 @@
 		require.False(t, l.Cold(at(notice+coldStart)))
 	}
 }
+
+// TestAnswerProvesNothingOfLaterSuspicion guards against an answer that may be older than the last time the target was
+// unreachable, where it was suspected before that.
+func TestAnswerProvesNothingOfLaterSuspicion(t *testing.T) {
+	l := newLimiter()
+	l.Suspect(at(0), notice)
+	l.Suspect(at(2*time.Second), notice)
+	require.False(t, l.RecordAlive(at(2100*time.Millisecond), at(-time.Second)))
+	require.True(t, l.RecordAlive(at(2500*time.Millisecond), at(-time.Second)))
+}
