warmup: suspicions that end too early or too late

Cause 1: the targets of a data centre that is used again counted as suspected like those that could not be reached, so the answer of a stream that ran through the evacuation ended the suspicion. It shows that the target did not start again; the target may be cold without that. Cause 2: every host told the others of every suspicion it knew. Change: Limiter.ReturnToUse records the return of a data centre, which no answer ends. Host states hold what a host found by itself; all hosts hear it from that host. Conclusion: TestTargetsOfPlaceTakenBackCountAsCold and TestSuspicionThatIsTakenBackAndForthEnds fail before the change and pass after it.

--- a/placement/cold.go
+++ b/placement/cold.go
@@ -84,11 +84,12 @@
 	b.lastTick = now
 }
 
-// addSuspicions adds the targets that this host suspects to a PeerState.
+// addSuspicions adds the targets that this host itself has come to suspect to a PeerState.
 func (b *Board) addSuspicions(now time.Time, n *PeerState) {
 	for id, r := range b.targets {
-		if left := r.warmup.Suspected(now); left > 0 && len(n.Suspicions) < maxSuspicions {
-			n.Suspicions = append(n.Suspicions, Suspicion{Target: id, Since: r.warmup.SuspectedSince(), Until: now.Add(left)})
+		since, until, ok := r.warmup.OwnSuspicion(now)
+		if ok && len(n.Suspicions) < maxSuspicions {
+			n.Suspicions = append(n.Suspicions, Suspicion{Target: id, Since: since, Until: until})
 		}
 	}
 }
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -135,6 +135,9 @@
 	f.board.SetEvacuated(f.now, []string{"place1"})
 	f.board.SetEvacuated(f.now, nil)
 	require.True(t, f.board.MayBeCold(f.now, "a"))
+	later := f.now.Add(time.Second)
+	f.board.RecordFirstEvent(later, smallRequest("model"), placement.Choice{Target: "a"}, 2*time.Second)
+	require.True(t, f.board.MayBeCold(later, "a"), "a stream that ran through the evacuation proves nothing")
 	require.False(t, f.board.MayBeCold(f.now.Add(testColdStart), "a"))
 }
 
@@ -148,3 +151,42 @@
 	require.Empty(t, f.send(testColdStart))
 	require.NotEmpty(t, f.send(time.Second))
 }
+
+// TestSuspicionThatIsTakenBackAndForthEnds guards against two hosts that keep a suspicion alive by telling each other of
+// it, each time a little later than the other one knew it.
+func TestSuspicionThatIsTakenBackAndForthEnds(t *testing.T) {
+	const (
+		period = 300 * time.Millisecond // between two host states
+		delay  = 100 * time.Millisecond // of a datagram at a host that lacks processor time
+	)
+	first, second := newColdFleet("a"), newColdFleet("a")
+	began := first.now
+	first.board.RecordEnd(began, smallRequest("model"), "a", placement.Load{}, placement.Unreachable, 0)
+	tell := func(now time.Time, from, to *placement.Board) {
+		n := from.State(now)
+		for i := range n.Suspicions {
+			n.Suspicions[i].Since, n.Suspicions[i].Until = n.Suspicions[i].Since.Add(delay), n.Suspicions[i].Until.Add(delay)
+		}
+		to.ApplyPeerState(now.Add(delay), 7, n)
+	}
+	now := began
+	for ; now.Before(began.Add(time.Minute)) && first.board.MayBeCold(now, "a"); now = now.Add(period) {
+		tell(now, first.board, second.board)
+		require.True(t, second.board.MayBeCold(now, "a"))
+		tell(now, second.board, first.board)
+	}
+	require.Less(t, now.Sub(began), 3*1200*time.Millisecond+testColdStart+period)
+}
+
+// TestReturnOfPlaceIsToldToHostsThatStart guards against a host that starts after the evacuation of a data centre and
+// does not know that its targets may be cold.
+func TestReturnOfPlaceIsToldToHostsThatStart(t *testing.T) {
+	f := newColdFleet("a")
+	f.board.SetEvacuated(f.now, []string{"place1"})
+	f.board.SetEvacuated(f.now, nil)
+	later := f.now.Add(time.Second)
+	suspicions := f.board.State(later).Suspicions
+	require.Len(t, suspicions, 1)
+	require.Equal(t, f.now, suspicions[0].Since)
+	require.Equal(t, f.now.Add(testColdStart), suspicions[0].Until)
+}
--- a/placement/evacuation.go
+++ b/placement/evacuation.go
@@ -23,7 +23,7 @@
 	for _, r := range b.targets {
 		before := r.evacuated
 		r.evacuated = b.isEvacuated(r.target.Place)
-		if before && !r.evacuated && r.warmup.Suspect(now, 0) {
+		if before && !r.evacuated && r.warmup.ReturnToUse(now) {
 			b.noteCold(r, warmup.ReasonEvacuated)
 		}
 	}
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -44,7 +44,9 @@
 	suspectedSince time.Time
 	suspectedLast  time.Time // when the target was last found unreachable
 	suspectedUntil time.Time
+	foundUntil     time.Time // end of the suspicion as far as this host itself found the target unreachable
 	aliveAt        time.Time // when the process that runs was last seen to have run
+	returnedUntil  time.Time // until when it may be cold after its data centre was evacuated
 	owned          bool      // this host owns the target
 	acquired       bool      // it owns the target since the last call of Allows
 	holdUntil      time.Time // end of the first second of the ownership
@@ -93,7 +95,11 @@
 // Suspect records that the target could not be reached at a time and may have started again. It counts as cold while
 // it may take to say so, and for a cold start. Suspect reports whether it was not suspected until now.
 func (l *Limiter) Suspect(at time.Time, notice time.Duration) bool {
-	return l.SuspectUntil(at, at.Add(notice+l.start))
+	until := at.Add(notice + l.start)
+	if l.Limited() && !at.Before(l.aliveAt) {
+		l.foundUntil = latest(l.foundUntil, until)
+	}
+	return l.SuspectUntil(at, until)
 }
 
 // SuspectUntil is Suspect with the end of the suspicion, as another host knows it.
@@ -114,6 +120,16 @@
 	return first
 }
 
+// ReturnToUse records that the data centre of the target is no longer evacuated. The target may be cold without having
+// started again, so that no answer ends this suspicion. ReturnToUse reports whether the target may be cold at all.
+func (l *Limiter) ReturnToUse(now time.Time) bool {
+	if !l.Limited() {
+		return false
+	}
+	l.returnedUntil = now.Add(l.start)
+	return true
+}
+
 // RecordAlive records that a process which ran at a time still answers now. It ends a suspicion that began later, and
 // reports whether it did.
 func (l *Limiter) RecordAlive(now, ranAt time.Time) bool {
@@ -122,26 +138,40 @@
 	}
 	ended := now.Before(l.suspectedUntil)
 	l.aliveAt = now.Add(-evidenceMargin)
-	l.suspectedSince, l.suspectedUntil = time.Time{}, time.Time{}
+	l.suspectedSince, l.suspectedUntil, l.foundUntil = time.Time{}, time.Time{}, time.Time{}
 	return ended
 }
 
 // Until returns when the target will be warm, zero if it is not known to be cold or suspected of it.
-func (l *Limiter) Until() time.Time {
-	if l.suspectedUntil.After(l.coldUntil) {
-		return l.suspectedUntil
+func (l *Limiter) Until() time.Time { return latest(l.coldUntil, l.suspicionEnd()) }
+
+// suspicionEnd returns when the target is no longer suspected, zero if it is not.
+func (l *Limiter) suspicionEnd() time.Time { return latest(l.suspectedUntil, l.returnedUntil) }
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	return l.coldUntil
+	return a
 }
 
 // Cold reports whether the target is cold or suspected of it.
 func (l *Limiter) Cold(now time.Time) bool { return l.Limited() && now.Before(l.Until()) }
 
 // Suspected returns for how long the target remains suspected, 0 if it is not.
-func (l *Limiter) Suspected(now time.Time) time.Duration { return max(0, l.suspectedUntil.Sub(now)) }
+func (l *Limiter) Suspected(now time.Time) time.Duration { return max(0, l.suspicionEnd().Sub(now)) }
 
-// SuspectedSince returns when the suspicion began, zero if there is none.
-func (l *Limiter) SuspectedSince() time.Time { return l.suspectedSince }
+// OwnSuspicion returns the suspicion that this host has found by itself, to be told to other hosts, and false if there is
+// none. What it heard is not passed on: hosts that tell each other of one suspicion, each a little later, would keep it
+// alive.
+func (l *Limiter) OwnSuspicion(now time.Time) (since, until time.Time, ok bool) {
+	since, until = l.suspectedSince, l.foundUntil
+	if l.returnedUntil.After(until) {
+		since, until = l.returnedUntil.Add(-l.start), l.returnedUntil
+	}
+	return since, until, now.Before(until)
+}
 
 // Allows reports whether a request may be sent to the target now.
 func (l *Limiter) Allows(now time.Time) bool {
--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -240,3 +240,13 @@
 	require.False(t, l.RecordAlive(at(2100*time.Millisecond), at(-time.Second)))
 	require.True(t, l.RecordAlive(at(2500*time.Millisecond), at(-time.Second)))
 }
+
+// TestAnswerDoesNotWarmTargetOfPlaceTakenBack guards against an answer of a stream that ran through the evacuation of
+// its data centre. It shows that the target did not start again, but the target may be cold without that.
+func TestAnswerDoesNotWarmTargetOfPlaceTakenBack(t *testing.T) {
+	l := newLimiter()
+	require.True(t, l.ReturnToUse(at(0)))
+	require.False(t, l.RecordAlive(at(time.Second), at(-time.Second)))
+	require.True(t, l.Cold(at(coldStart-step)))
+	require.False(t, l.Cold(at(coldStart)))
+}
