warmup: the ramp also begins where the entry says that the target is warm

Cause: an entry that says warm set the end of the cold period to none. Hosts count that end later than the target does, so the entry often comes first, or during the ramp, and the target got all its slots at once. Change: such an entry ends the cold period at the time of the next decision, and the ramp begins there. One that comes during the ramp changes nothing. Conclusion: TestEntryThatSaysWarmBeginsRamp fails before the change and passes after it.

--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -41,6 +41,7 @@
 	rate           float64       // requests per second that the cold target can take, 0 if it is never cold
 	start          time.Duration // for which a target is cold after its start
 	coldUntil      time.Time     // as the target said
+	saidWarm       bool          // the target said since that it is warm; the next call with a time ends the cold period
 	suspectedSince time.Time
 	suspectedLast  time.Time // when the target was last found unreachable
 	suspectedUntil time.Time
@@ -79,10 +80,10 @@
 // another one than before. SetCold reports whether a cold period began. It leaves a suspicion as it is: the entry may
 // have been written before the target became unreachable, up to three seconds before it is read here.
 func (l *Limiter) SetCold(until time.Time, restarted bool) bool {
-	begins := until.After(l.coldUntil.Add(periodSlack))
+	begins := l.saidWarm || until.After(l.coldUntil.Add(periodSlack))
+	l.saidWarm = until.IsZero() && !l.coldUntil.IsZero()
 	switch {
 	case until.IsZero():
-		l.coldUntil = time.Time{}
 		return false
 	case begins || restarted:
 		l.coldUntil = until
@@ -157,7 +158,18 @@
 }
 
 // Cold reports whether the target is cold or suspected of it.
-func (l *Limiter) Cold(now time.Time) bool { return l.Limited() && now.Before(l.Until()) }
+func (l *Limiter) Cold(now time.Time) bool {
+	l.settle(now)
+	return l.Limited() && now.Before(l.Until())
+}
+
+// settle ends the cold period of a target that said that it is warm. The ramp begins then.
+func (l *Limiter) settle(now time.Time) {
+	if l.saidWarm && now.Before(l.coldUntil) {
+		l.coldUntil = now
+	}
+	l.saidWarm = false
+}
 
 // Suspected returns for how long the target remains suspected, 0 if it is not.
 func (l *Limiter) Suspected(now time.Time) time.Duration { return max(0, l.suspicionEnd().Sub(now)) }
@@ -226,6 +238,7 @@
 // Slots returns how many of the slots of a target are used now: all, or a growing part after it became warm, so that
 // the prompts that it had cached do not return at once.
 func (l *Limiter) Slots(now time.Time, slots int) int {
+	l.settle(now)
 	since := now.Sub(l.Until())
 	if !l.Limited() || l.Until().IsZero() || since < 0 || since >= RampTime {
 		return slots
--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -250,3 +250,21 @@
 	require.True(t, l.Cold(at(coldStart-step)))
 	require.False(t, l.Cold(at(coldStart)))
 }
+
+// TestEntryThatSaysWarmBeginsRamp guards against a target that gets all its slots at once where its entry says that it
+// is warm before the end of the cold period as this host counts it, or during the ramp.
+func TestEntryThatSaysWarmBeginsRamp(t *testing.T) {
+	l := newLimiter()
+	l.SetCold(at(coldStart), true)
+	require.True(t, l.Cold(at(2*time.Second)))
+	l.SetCold(time.Time{}, false)
+	require.False(t, l.Cold(at(2*time.Second)))
+	require.Equal(t, 6, l.Slots(at(2*time.Second), 24))
+	require.Less(t, l.Slots(at(2500*time.Millisecond), 24), 24)
+	require.Equal(t, 24, l.Slots(at(3*time.Second), 24))
+
+	l.SetCold(at(6*time.Second), false)
+	require.Equal(t, 6, l.Slots(at(6*time.Second), 24))
+	l.SetCold(time.Time{}, false)
+	require.Less(t, l.Slots(at(6500*time.Millisecond), 24), 24)
+}
