warmup: a target that is cold again before it was warm stays cold where lists are relayed

Cause: hosts pass a list of targets on only if its digest changed, and the digest tells whether a target is cold, not for how long. A target that became cold again in its cold period, with the same start time, was warm for those hosts at the end of the first period and got all requests, also from its owner. Change: a list that another host confirms as current keeps the targets that are cold by it cold for one second more. Conclusion: TestTargetThatIsColdAgainBeforeItWasWarmStaysCold fails with KeepCold taken out and passes with it.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -18,6 +18,13 @@
 	return c.board.MayBeCold(time.Now(), target)
 }
 
+// keepCold records that another host still had the same list of targets at a time since boot.
+func (c *core) keepCold(asOf time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.board.KeepCold(time.Now().Add(asOf - sinceBoot()))
+}
+
 // takeColdChanges returns the changes of cold targets that this host owns, since the last call.
 func (c *core) takeColdChanges() []placement.ColdChange {
 	c.mu.Lock()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -82,9 +82,10 @@
 	if v.Digest == q.Digest {
 		g.storeCache.confirmTargets(v.Digest, asOf)
 		g.confirmTargets(asOf)
-		return true
+	} else {
+		g.updateTargets(v.Targets, asOf, (*route.Listing).Relay)
 	}
-	g.updateTargets(v.Targets, asOf, (*route.Listing).Relay)
+	g.core.keepCold(asOf)
 	return true
 }
 
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -11,6 +11,7 @@
 	maxTickGap          = 500 * time.Millisecond // between two ticks; after a longer one this host was suspended
 	maxColdChanges      = 256                    // changes that are kept until they are taken
 	maxSuspicions       = 64                     // suspected targets in one PeerState
+	coldListLifetime    = time.Second            // for which a list of targets shows that a target is still cold
 )
 
 // Suspicion tells that a host could not reach a target, which may have started again and be cold.
@@ -44,6 +45,17 @@
 	return (restarted || !before.Equal(r.target.ColdUntil)) && r.warmup.SetCold(r.target.ColdUntil, restarted)
 }
 
+// KeepCold records that the list of targets was still current at a time. Targets that are cold by that list are cold for
+// a while after it, whatever the list said of the end. Hosts do not pass on a list in which only the remaining times
+// changed, as they do when a target becomes cold again before it was warm.
+func (b *Board) KeepCold(at time.Time) {
+	for _, r := range b.targets {
+		if r.target.Cold > 0 {
+			r.warmup.KeepCold(at.Add(coldListLifetime))
+		}
+	}
+}
+
 // suspectCold records that a target may have started again at a time.
 func (b *Board) suspectCold(r *targetRecord, at time.Time, reason warmup.Reason) {
 	if r.warmup.Suspect(at, suspicionHeartbeats*b.heartbeat) {
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -190,3 +190,24 @@
 	require.Equal(t, f.now, suspicions[0].Since)
 	require.Equal(t, f.now.Add(testColdStart), suspicions[0].Until)
 }
+
+// TestTargetThatIsColdAgainBeforeItWasWarmStaysCold guards against a host that hears the list of targets from others and
+// takes a target for warm while the list calls it cold: the digest of a list does not tell a second cold period that
+// follows the first one.
+func TestTargetThatIsColdAgainBeforeItWasWarmStaysCold(t *testing.T) {
+	f := newColdFleet("a")
+	f.targets[0].Cold = testColdStart
+	f.targets[0].ColdUntil = f.now.Add(testColdStart)
+	f.board.SetTargets(f.targets)
+	began := f.now
+	for f.now.Before(began.Add(2 * testColdStart)) {
+		f.board.KeepCold(f.now)
+		require.LessOrEqual(t, mostPerSecond(f.send(250 * time.Millisecond)["a"]), testColdRate)
+		require.True(t, f.board.MayBeCold(f.now, "a"))
+	}
+	f.targets[0].Cold, f.targets[0].ColdUntil = 0, time.Time{}
+	f.board.SetTargets(f.targets)
+	f.board.KeepCold(f.now)
+	require.False(t, f.board.MayBeCold(f.now, "a"))
+	require.False(t, f.board.MayBeCold(f.now.Add(500*time.Millisecond), "a"))
+}
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -93,6 +93,13 @@
 	return begins
 }
 
+// KeepCold records that the target still says that it is cold, so that it is not warm before a time.
+func (l *Limiter) KeepCold(until time.Time) {
+	if !l.saidWarm {
+		l.coldUntil = latest(l.coldUntil, until)
+	}
+}
+
 // Suspect records that the target could not be reached at a time and may have started again. It counts as cold while
 // it may take to say so, and for a cold start. Suspect reports whether it was not suspected until now.
 func (l *Limiter) Suspect(at time.Time, notice time.Duration) bool {
