placement: Retry-After and rank in the central queue

Cause 1: each decision that found no free slot moved the time at which the next refused caller is asked to come back, also each pass over the requests that wait. Under load callers were told three seconds, whatever the capacity. Cause 2: a request was refused by the length of the whole queue, also where all requests there had a lower rank. Change: only callers that are refused move that time, in Wait and ExpireQueued. The expected wait counts the requests ahead; requests that are due at the same time keep the order in which they came. Conclusion: TestRequestsThatWaitDoNotDelayReturnOfOthers (3 s instead of 220 ms) and TestRequestOfHigherRankWaitsBeforeFullQueue fail before the change and pass after it.

--- a/placement/central.go
+++ b/placement/central.go
@@ -65,26 +65,36 @@
 	return p.answerTime / time.Duration(max(1, slots))
 }
 
-// expectedWait returns how long a request waits in the queue of a plain service behind those that are there.
-func (p *pool) expectedWait(now time.Time) time.Duration {
-	return time.Duration(len(p.queue)) * p.timePerRequest(now)
+// expectedWait returns how long a request waits in the queue of a plain service behind a number of others.
+func (p *pool) expectedWait(now time.Time, ahead int) time.Duration {
+	return time.Duration(ahead) * p.timePerRequest(now)
 }
 
 // refusePlain returns the choice for a request of a plain service whose targets are full. Callers that are refused are
 // asked to come back one after the other, as there is room for them beside new ones.
 func (b *Board) refusePlain(now time.Time, p *pool) Choice {
 	c := Choice{Reason: ReasonFull, RetryAfter: max(minRetryAfter, p.answerTime)}
-	if !b.ownsQueue(p) {
-		return c
+	if b.ownsQueue(p) {
+		c.RetryAfter = min(maxRetryAfter, p.returnTime(now).Sub(now))
+	}
+	return c
+}
+
+// returnTime returns when the next caller that is refused is asked to come back.
+func (p *pool) returnTime(now time.Time) time.Time {
+	earliest := now.Add(max(minRetryAfter, p.answerTime, p.expectedWait(now, len(p.queue))))
+	if p.central.nextReturn.Before(earliest) {
+		return earliest
 	}
-	q := &p.central
-	earliest := now.Add(max(c.RetryAfter, p.expectedWait(now)))
-	if q.nextReturn.Before(earliest) {
-		q.nextReturn = earliest
+	return p.central.nextReturn
+}
+
+// recordRefused records that a caller is refused, so that the next one is asked to come back after it.
+func (b *Board) recordRefused(now time.Time, p *pool) {
+	if !b.ownsQueue(p) {
+		return
 	}
-	c.RetryAfter = min(maxRetryAfter, q.nextReturn.Sub(now))
-	if c.RetryAfter < maxRetryAfter {
-		q.nextReturn = q.nextReturn.Add(scale(p.timePerRequest(now), 1/returnRoom))
+	if at := p.returnTime(now); at.Sub(now) < maxRetryAfter {
+		p.central.nextReturn = at.Add(scale(p.timePerRequest(now), 1/returnRoom))
 	}
-	return c
 }
--- a/placement/central_test.go
+++ b/placement/central_test.go
@@ -331,3 +331,48 @@
 	}
 	require.Equal(t, []uint64{2, 1, 0}, order)
 }
+
+// fullDesk returns the owner of a queue whose single target has no slot left. It has learned how long the work takes.
+func fullDesk(t *testing.T) (*desk, *placement.Board) {
+	d := newDesk(t, true, 1)
+	b := d.boards[0]
+	for range 100 {
+		b.RecordEnd(d.now, &placement.Request{Service: "desk"}, "t0", placement.Load{}, placement.Done, deskWork)
+	}
+	for range deskSlots + 1 {
+		choice := b.Choose(d.now, &placement.Request{Service: "desk", LatencyGoal: deskGoal})
+		b.RecordSent(d.now, &placement.Request{Service: "desk"}, &choice)
+	}
+	return d, b
+}
+
+// TestRequestsThatWaitDoNotDelayReturnOfOthers guards against a Retry-After that grows with each look at the requests
+// that wait. Only callers that are refused come back, and each of them is counted once.
+func TestRequestsThatWaitDoNotDelayReturnOfOthers(t *testing.T) {
+	d, b := fullDesk(t)
+	ask := func() *placement.Request { return &placement.Request{Service: "desk", LatencyGoal: deskGoal} }
+	b.Choose(d.now, ask())
+	require.True(t, b.Wait(d.now, 1, ask()))
+	before := b.Choose(d.now, ask()).RetryAfter
+	for range 200 {
+		require.Empty(t, b.ServeQueue(d.now, "desk"))
+	}
+	require.Equal(t, before, b.Choose(d.now, ask()).RetryAfter)
+	late := ask()
+	late.Elapsed = deskGoal
+	require.False(t, b.Wait(d.now, 2, late))
+	require.Greater(t, b.Choose(d.now, ask()).RetryAfter, before, "one that was refused comes back before")
+}
+
+// TestRequestOfHigherRankWaitsBeforeFullQueue guards against a request that is refused for the length of a queue which it
+// would not wait for, since all requests there have a lower rank.
+func TestRequestOfHigherRankWaitsBeforeFullQueue(t *testing.T) {
+	d, b := fullDesk(t)
+	id := uint64(1)
+	for b.Wait(d.now, id, &placement.Request{Service: "desk", LatencyGoal: deskGoal, Priority: 1}) {
+		id++
+	}
+	require.Greater(t, id, uint64(2))
+	require.True(t, b.Wait(d.now, id, &placement.Request{Service: "desk", LatencyGoal: deskGoal}))
+	require.False(t, b.Wait(d.now, id+1, &placement.Request{Service: "desk", LatencyGoal: deskGoal, Priority: 1}))
+}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -48,22 +48,23 @@
 func (b *Board) Wait(now time.Time, id uint64, a *Request) bool {
 	p := b.pool(a.Service)
 	maxWait := b.MaxWait(a)
-	if maxWait <= 0 || len(p.queue) >= maxQueuedRequests || b.ownsQueue(p) && p.expectedWait(now) > maxWait {
-		return false
-	}
 	t := queuedRequest{id: id, ask: a, expires: now.Add(maxWait), firstEventDue: now.Add(a.LatencyGoal - a.Elapsed)}
 	at, _ := slices.BinarySearchFunc(p.queue, t, p.compareQueued)
+	if maxWait <= 0 || len(p.queue) >= maxQueuedRequests || b.ownsQueue(p) && p.expectedWait(now, at) > maxWait {
+		b.recordRefused(now, p)
+		return false
+	}
 	p.queue = slices.Insert(p.queue, at, t)
 	return true
 }
 
 // compareQueued orders the queue by the times at which first events are due. In a plain service, requests of a higher
-// rank come first.
+// rank come first. A new request y comes behind those that are equal.
 func (p *pool) compareQueued(x, y queuedRequest) int {
 	if p.engine == nil && x.ask.Priority != y.ask.Priority {
 		return cmp.Compare(x.ask.Priority, y.ask.Priority)
 	}
-	return x.firstEventDue.Compare(y.firstEventDue)
+	return cmp.Or(x.firstEventDue.Compare(y.firstEventDue), -1)
 }
 
 // Withdraw removes a request from the queue. It returns false if the request is not queued.
@@ -146,6 +147,8 @@
 			grants = append(grants, Grant{ID: t.id, Choice: b.Choose(now, t.ask)})
 			if last := &grants[len(grants)-1]; last.Choice.Target != "" {
 				b.RecordSent(now, t.ask, &last.Choice)
+			} else {
+				b.recordRefused(now, p)
 			}
 		}
 		p.queue = remaining
