placement: a request that waits for an evacuated region is refused at once

Cause: requests that wait were refused early only if all targets of the service were closed. One that is bound to a region waited to its end after all targets of the region were evacuated. Change: the check is made for each request, with its regions. It stops at the first target that is open. Conclusion: TestQueuedRequestIsRefusedOnceItsRegionIsEvacuated fails before the change and passes after it.

--- a/placement/evacuation_test.go
+++ b/placement/evacuation_test.go
@@ -126,3 +126,20 @@
 		require.Subset(t, used, c.want, "regions %v", c.regions)
 	}
 }
+
+// TestQueuedRequestIsRefusedOnceItsRegionIsEvacuated guards against a request that waits to its end for a region whose
+// targets get no new requests, since other regions still have some.
+func TestQueuedRequestIsRefusedOnceItsRegionIsEvacuated(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b, _ := newBoardOfPlaces()
+	fill(b, now, "model")
+	bound, free := smallRequest("model"), smallRequest("model")
+	bound.Regions = []string{"r1"}
+	require.True(t, b.Wait(now, 1, bound))
+	require.True(t, b.Wait(now, 2, free))
+	b.SetEvacuated(now, []string{"place1", "place2"})
+	grants := b.ExpireQueued(now)
+	require.Len(t, grants, 1)
+	require.Equal(t, uint64(1), grants[0].ID)
+	require.Equal(t, placement.ReasonNoTarget, grants[0].Choice.Reason)
+}
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -157,10 +157,12 @@
 	return c
 }
 
-// allLeavingOrPaused reports whether all targets of a service are leaving, evacuated or paused, so that
-// waiting is pointless.
-func (p *pool) allLeavingOrPaused(now time.Time) bool {
-	return !slices.ContainsFunc(p.targets, func(r *targetRecord) bool { return !r.closed() && !r.isPaused(now, false) })
+// hasNoTarget reports whether all targets in the regions that a request allows are leaving, evacuated or paused, so
+// that waiting is pointless.
+func (p *pool) hasNoTarget(now time.Time, a *Request) bool {
+	return !slices.ContainsFunc(p.targets, func(r *targetRecord) bool {
+		return !r.closed() && a.allows(r.region) && !r.isPaused(now, false)
+	})
 }
 
 // unpausedFraction returns the fraction of the targets, without those leaving or evacuated, that are not paused.
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -128,18 +128,17 @@
 	return Grant{ID: t.id, Choice: c}, true
 }
 
-// ExpireQueued removes the requests whose wait has ended, and all of a service whose targets are all
-// leaving or paused. It returns the decision about each.
+// ExpireQueued removes the requests whose wait has ended, and those whose targets are all leaving, evacuated or
+// paused. It returns the decision about each.
 func (b *Board) ExpireQueued(now time.Time) []Grant {
 	var grants []Grant
 	for _, p := range b.pools {
 		if len(p.queue) == 0 {
 			continue
 		}
-		noTarget := p.allLeavingOrPaused(now)
 		remaining := p.queue[:0]
 		for _, t := range p.queue {
-			if !noTarget && now.Before(t.expires) {
+			if now.Before(t.expires) && !p.hasNoTarget(now, t.ask) {
 				remaining = append(remaining, t)
 				continue
 			}
