gateway: the age of a slot counts from its grant

Cause: the age of a slot began when the request took the answer. A host that is suspended while a request waits at an owner reads the answer when it runs again, and used a slot that was granted up to the longest wait before. Change: the owner tells how long the request waited (SlotResponse.Waited, last field), so that the host that asked counts from its own request plus that wait. Slots of this host count from its decision. Conclusion: TestAgeOfSlotCountsFromItsGrant and TestOwnerTellsHowLongRequestWaited; go test ./gateway -run 'Lease|Owner|AgeOf|Cold' passes.

--- a/gateway/core.go
+++ b/gateway/core.go
@@ -227,6 +227,7 @@
 func (c *core) deliverGrants(grants []placement.Grant) {
 	for _, g := range grants {
 		if x := c.exchanges[g.ID]; x != nil {
+			x.chosenAt = sinceBoot()
 			x.grants <- g.Choice
 			continue
 		}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -54,7 +54,7 @@
 	target         string        // last target
 	slotOwner      string        // address of the host that granted the last slot, empty for this host
 	choice         placement.Choice
-	chosenAt       time.Duration      // time since boot at which the last target was chosen
+	chosenAt       time.Duration      // earliest time since boot at which the last target may have been chosen
 	probes         []quarantine.Trait // held traits that the current attempt probes
 	heldTrait      quarantine.Trait   // trait that it was refused for, 0 if it was not
 	answered       bool               // a target began to answer; guarded by the lock of the core
@@ -313,7 +313,6 @@
 		}
 		choice, p := x.awaitStep(s)
 		if p != nil || choice.Target != "" {
-			x.chosenAt = sinceBoot()
 			return choice, p
 		}
 		x.ask.PreferredQueue = max(x.ask.PreferredQueue, choice.QueueTime)
@@ -363,7 +362,7 @@
 			case !a.queued:
 				x.ask.Alternative = a.hint
 				if a.choice.Target != "" {
-					x.slotOwner = hostAddress(l.host).String()
+					x.slotOwner, x.chosenAt = hostAddress(l.host).String(), a.grantedAt
 				}
 				return a.choice, nil
 			}
--- a/gateway/guest.go
+++ b/gateway/guest.go
@@ -26,6 +26,7 @@
 	choice     placement.Choice // target and load that it was granted
 	load       placement.Load   // what it holds at the target now
 	lastListed time.Time        // when its host last listed the lease
+	askedAt    time.Time        // when its host asked
 }
 
 // receiveSlotRequest decides about a request of another host that asks for a slot, and answers
@@ -41,7 +42,7 @@
 	}
 	ask, consistent := askFromMessage(m)
 	ask.Place = c.placeOf(from)
-	r := &remoteRequest{ask: ask, lastListed: now}
+	r := &remoteRequest{ask: ask, lastListed: now, askedAt: now}
 	choice := placement.Choice{Reason: placement.ReasonNoTarget, RetryAfter: staleRetryAfter}
 	known := consistent && c.board.HasService(m.Service)
 	if known {
@@ -113,7 +114,9 @@
 	if g.Choice.Target == "" {
 		delete(c.remoteRequests, key)
 	}
-	c.enqueue(key.host, slotResponseMessage(key.number, &g.Choice))
+	v := slotResponseMessage(key.number, &g.Choice)
+	v.Waited = toMillis(time.Since(r.askedAt))
+	c.enqueue(key.host, v)
 }
 
 // receiveLeaseUpdate records the first event or the end of a remote request, as its host reports
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -22,6 +22,7 @@
 	number  uint64 // names the lease between this host and the owner
 	host    uint64 // number of the owner
 	ask     *placement.Request
+	askedAt time.Duration    // time since boot at which the owner was asked
 	started bool             // the first event came
 	granted bool             // the owner gave it a slot
 	answers chan ownerAnswer // from the owner
@@ -29,9 +30,10 @@
 
 // ownerAnswer is the decision of an owner about a request.
 type ownerAnswer struct {
-	choice placement.Choice
-	queued bool   // the request waits in the owner's queue
-	hint   string // engine to ask for instead, empty if there is none
+	choice    placement.Choice
+	grantedAt time.Duration // earliest time since boot at which the owner may have given the slot
+	queued    bool          // the request waits in the owner's queue
+	hint      string        // engine to ask for instead, empty if there is none
 }
 
 // placementStep is the result of one step of the search for a target.
@@ -74,7 +76,7 @@
 		return c.decideWithoutOwner(now, x, mayWait)
 	}
 	c.lastNumber++
-	l := &lease{number: c.lastNumber, host: referral.Host, ask: &x.ask, answers: make(chan ownerAnswer, 2)}
+	l := &lease{number: c.lastNumber, host: referral.Host, ask: &x.ask, askedAt: sinceBoot(), answers: make(chan ownerAnswer, 2)}
 	c.leases[l.number] = l
 	request := slotRequestMessage(x, l.number, &referral)
 	request.Excluded = append(request.Excluded, c.board.PausedTargets(now, x.service)...)
@@ -88,6 +90,7 @@
 	s := placementStep{choice: c.board.Choose(now, &x.ask)}
 	switch {
 	case s.choice.Target != "":
+		x.chosenAt = sinceBoot()
 		c.board.RecordSent(now, &x.ask, &s.choice)
 		c.notifyPreferredOwner(&x.ask, c.self, s.choice.Target)
 	case wait && s.choice.Reason == placement.ReasonFull:
@@ -190,7 +193,7 @@
 		}
 		return
 	}
-	a := ownerAnswer{choice: choiceFromMessage(m), queued: m.Queued, hint: m.OtherTarget}
+	a := ownerAnswer{choice: choiceFromMessage(m), grantedAt: l.askedAt + fromMillis(m.Waited), queued: m.Queued, hint: m.OtherTarget}
 	switch {
 	case m.Target != "" && !c.board.AcceptsRequests(now, m.Target):
 		a.choice = placement.Choice{Reason: placement.ReasonNoTarget, RetryAfter: staleRetryAfter}
--- a/wire/lease.go
+++ b/wire/lease.go
@@ -64,6 +64,7 @@
 	Standing           uint8  // service received by the team compared with its share: 0 less, 1 more, 2 much more
 	QueueLimit         uint32 // longest queue that the team may join, in milliseconds
 	QueueLength        uint32 // length of the engine's queue in milliseconds
+	Waited             uint32 // milliseconds for which the request waited at the owner before this response
 }
 
 // Kind returns KindSlotResponse.
