warmup: a host that was suspended does not trust what it knew of warm targets

Cause: a host that ran again noticed it at its next tick only, and took targets for warm as before. Those that had started again meanwhile got the requests that had come to it in one burst: as many as they have slots. Change: the board looks for a gap also at each decision (one comparison). After more than one second without running, all targets of services with cold starts count as cold for one second, in which lists and host states arrive again.

--- a/placement/board.go
+++ b/placement/board.go
@@ -94,8 +94,8 @@
 	regions    map[string]string    // region of each data centre
 
 	heartbeat   time.Duration // interval at which targets renew their entries
-	lastTick    time.Time
-	coldChanges []ColdChange // that were not taken yet
+	lastRunning time.Time     // when this host last ran, as far as it was recorded
+	coldChanges []ColdChange  // that were not taken yet
 
 	promisedRate float64 // cost units a second that all engines provide together, 0 if unknown
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -97,6 +97,7 @@
 
 // Choose picks a target for a request, or says why there is none.
 func (b *Board) Choose(now time.Time, a *Request) Choice {
+	b.RecordRunning(now)
 	p := b.pool(a.Service)
 	if p.engine == nil {
 		return b.choosePlain(now, p, a)
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -8,7 +8,7 @@
 
 const (
 	suspicionHeartbeats = 3                      // heartbeats that a target may take to say that it has started again
-	maxTickGap          = 500 * time.Millisecond // between two ticks; after a longer one this host was suspended
+	maxRunningGap       = 500 * time.Millisecond // between two signs that this host runs; after a longer one it was suspended
 	maxColdChanges      = 256                    // changes that are kept until they are taken
 	maxSuspicions       = 64                     // suspected targets in one PeerState
 	coldListLifetime    = time.Second            // for which a list of targets shows that a target is still cold
@@ -86,14 +86,28 @@
 	return changes
 }
 
-// resumeCold makes this host wait again before it sends to cold targets, if it was suspended since the last tick.
-func (b *Board) resumeCold(now time.Time) {
-	if !b.lastTick.IsZero() && now.Sub(b.lastTick) > maxTickGap {
-		for _, r := range b.targets {
-			r.warmup.Suspend()
+// RecordRunning records that this host runs at a time. If it was suspended since the last time, it waits again before it
+// sends to cold targets. After a long suspension, all targets that may be cold count as cold for a moment, until this
+// host has heard of them again.
+func (b *Board) RecordRunning(now time.Time) {
+	gap := now.Sub(b.lastRunning)
+	if gap <= 0 {
+		return
+	}
+	if gap > maxRunningGap && !b.lastRunning.IsZero() {
+		b.resumeCold(now, gap)
+	}
+	b.lastRunning = now
+}
+
+// resumeCold tells the limiters of all targets that this host was suspended.
+func (b *Board) resumeCold(now time.Time, gap time.Duration) {
+	for _, r := range b.targets {
+		r.warmup.Suspend()
+		if gap > warmup.Window {
+			r.warmup.Distrust(now)
 		}
 	}
-	b.lastTick = now
 }
 
 // addSuspicions adds the targets that this host itself has come to suspect to a PeerState.
@@ -116,6 +130,7 @@
 
 // MayBeCold reports whether a target is cold or suspected of it.
 func (b *Board) MayBeCold(now time.Time, target string) bool {
+	b.RecordRunning(now)
 	r := b.targets[target]
 	return r != nil && r.warmup.Cold(now)
 }
--- a/placement/peer.go
+++ b/placement/peer.go
@@ -139,7 +139,7 @@
 // Tick forgets peers whose state reports are too old, and expired departures.
 func (b *Board) Tick(now time.Time) {
 	b.expireDepartures(now)
-	b.resumeCold(now)
+	b.RecordRunning(now)
 	lifetime := PeerStateLifetime(len(b.peers) + 1)
 	for id, p := range b.peers {
 		if now.Sub(p.receivedAt) >= lifetime {
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -48,6 +48,7 @@
 	foundUntil     time.Time // end of the suspicion as far as this host itself found the target unreachable
 	aliveAt        time.Time // when the process that runs was last seen to have run
 	returnedUntil  time.Time // until when it may be cold after its data centre was evacuated
+	distrustUntil  time.Time // until when this host may not know that the target is cold
 	owned          bool      // this host owns the target
 	acquired       bool      // it owns the target since the last call of Allows
 	holdUntil      time.Time // end of the first second of the ownership
@@ -76,6 +77,10 @@
 // Suspend begins the ownership again, after a time in which this host did not run and another one may have taken over.
 func (l *Limiter) Suspend() { l.acquired = l.owned }
 
+// Distrust records that this host did not run for a while. The target may have started again meanwhile, and counts as cold
+// until this host has heard of it.
+func (l *Limiter) Distrust(now time.Time) { l.distrustUntil = now.Add(Window) }
+
 // SetCold sets until when the target is cold by its own word, zero if it is warm. Restarted tells that its process is
 // another one than before. SetCold reports whether a cold period began. It leaves a suspicion as it is: the entry may
 // have been written before the target became unreachable, up to three seconds before it is read here.
@@ -167,7 +172,7 @@
 // Cold reports whether the target is cold or suspected of it.
 func (l *Limiter) Cold(now time.Time) bool {
 	l.settle(now)
-	return l.Limited() && now.Before(l.Until())
+	return l.Limited() && (now.Before(l.Until()) || now.Before(l.distrustUntil))
 }
 
 // settle ends the cold period of a target that said that it is warm. The ramp begins then.
