placement: requests that wait for a full region do not block those behind them

Cause: a pass over the queue tries requests until eight found no target. Eight that are bound to a full region, first in the queue, kept all others from free slots elsewhere until they expired. Change: the requests without a target are counted for each list of allowed regions. Conclusion: TestRequestsOfFullRegionDoNotBlockQueue fails before the change and passes after it.

--- a/placement/evacuation_test.go
+++ b/placement/evacuation_test.go
@@ -143,3 +143,23 @@
 	require.Equal(t, uint64(1), grants[0].ID)
 	require.Equal(t, placement.ReasonNoTarget, grants[0].Choice.Reason)
 }
+
+// TestRequestsOfFullRegionDoNotBlockQueue guards against requests that wait for a full region and, being first in the
+// queue, keep those behind them from free slots elsewhere.
+func TestRequestsOfFullRegionDoNotBlockQueue(t *testing.T) {
+	const bound = 20
+	now := time.Unix(1000, 0)
+	b, _ := newBoardOfPlaces()
+	fill(b, now, "model")
+	for id := range uint64(bound) {
+		request := smallRequest("model")
+		request.Regions = []string{"r1"}
+		require.True(t, b.Wait(now, id, request))
+	}
+	require.True(t, b.Wait(now.Add(time.Millisecond), bound, smallRequest("model")))
+	b.RecordEnd(now, smallRequest("model"), "c", placement.Load{Running: 1}, placement.Done, time.Second)
+	grants := b.ServeQueue(now.Add(time.Millisecond), "model")
+	require.Len(t, grants, 1)
+	require.Equal(t, uint64(bound), grants[0].ID)
+	require.Equal(t, "c", grants[0].Choice.Target)
+}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -12,12 +13,15 @@
 	looseWaitFraction  = 0.6 // fraction of the difference to its looser goal that a request may wait longer
 	plainWaitFraction  = 0.6 // fraction of the latency goal that a request may wait here for a plain target
 	maxQueuedRequests  = 512 // requests queued per service
-	maxFullSearches    = 8   // requests without a target, per pass and standing, after which the others only try their preferred engines
+	maxFullSearches    = 8   // requests without a target, per pass, standing and allowed regions, after which the others only try their preferred engines
 
 	serveIntervalPerTarget    = 50 * time.Microsecond // between two passes over the queue, per target owned by this host
 	maxTargetsWithoutInterval = 16                    // up to this many owned targets, passes over the queue need no interval
 )
 
+// regionSeparator joins the names of allowed regions to one key.
+const regionSeparator = "\x00"
+
 // queuedRequest is a request that waits for a target.
 type queuedRequest struct {
 	id            uint64
@@ -91,16 +95,17 @@
 	p.lastServed = now
 	var grants []Grant
 	for standing := Entitled; standing <= AboveEvenShare; standing++ {
-		misses := 0
+		misses := map[string]int{} // by allowed regions: a full region does not block requests for others
 		remaining := p.queue[:0]
 		for _, t := range p.queue {
 			teamStanding, _ := b.standingForDecision(now, t.ask)
-			if teamStanding == standing && (misses < maxFullSearches || b.preferredHasRoom(now, p, t.ask)) {
+			regions := strings.Join(t.ask.Regions, regionSeparator)
+			if teamStanding == standing && (misses[regions] < maxFullSearches || b.preferredHasRoom(now, p, t.ask)) {
 				if g, ok := b.tryGrant(now, t); ok {
 					grants = append(grants, g)
 					continue
 				}
-				misses++
+				misses[regions]++
 			}
 			remaining = append(remaining, t)
 		}
