gateway: a slot in a region that is not allowed is returned

Cause: the host that asked took any slot at an open target. An owner that runs an older program does not read the allowed regions, and one with other settings reads them differently. Change: the host that asked checks the region of the target as well. Conclusion: TestSlotOutsideAllowedRegionsIsReturned fails before the change and passes after it.

--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -195,7 +195,7 @@
 	}
 	a := ownerAnswer{choice: choiceFromMessage(m), grantedAt: l.askedAt + fromMillis(m.Waited), queued: m.Queued, hint: m.OtherTarget}
 	switch {
-	case m.Target != "" && !c.board.AcceptsRequests(now, m.Target):
+	case m.Target != "" && !c.board.AcceptsRequest(now, l.ask, m.Target):
 		a.choice = placement.Choice{Reason: placement.ReasonNoTarget, RetryAfter: staleRetryAfter}
 		c.dropLease(l)
 	case m.Target != "":
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -168,6 +168,11 @@
 	return r != nil && !r.closed() && !now.Before(r.pausedUntil)
 }
 
+// AcceptsRequest reports whether a target accepts requests and is in a region that a request allows.
+func (b *Board) AcceptsRequest(now time.Time, a *Request, target string) bool {
+	return b.AcceptsRequests(now, target) && a.allows(b.targets[target].region)
+}
+
 // PreferredEngine returns the preferred engine of a request and the owner of that engine. The
 // referral is empty if the prompt has no shared prefix.
 func (b *Board) PreferredEngine(a *Request) Referral {
