placement: the expected wait of the central queue counts cold targets by their rate

Cause: a cold target counted with all its slots, so requests were held for slots that it could not give them (19 where it takes 10 per second and they may wait 180 ms) and refused late. Change: a cold target completes no more than its rate. Conclusion: TestQueueIsShortWhileTargetsAreCold fails before the change and passes after it.

--- a/placement/central.go
+++ b/placement/central.go
@@ -54,15 +54,24 @@
 	return slots
 }
 
-// timePerRequest returns the mean time between two requests that the usable targets of a plain service complete.
+// timePerRequest returns the mean time between two requests that the usable targets of a plain service complete. Cold
+// targets complete what they may be sent.
 func (p *pool) timePerRequest(now time.Time) time.Duration {
-	slots := 0
+	perSecond := 0.0
 	for _, r := range p.targets {
-		if !r.closed() && !r.isPaused(now, true) && r.health.usable(now) {
-			slots += r.target.Slots
+		if r.closed() || r.isPaused(now, true) || !r.health.usable(now) {
+			continue
 		}
+		rate := float64(r.target.Slots) / p.answerTime.Seconds()
+		if r.warmup.Cold(now) {
+			rate = min(rate, p.coldRate)
+		}
+		perSecond += rate
+	}
+	if perSecond == 0 {
+		return p.answerTime
 	}
-	return p.answerTime / time.Duration(max(1, slots))
+	return seconds(1 / perSecond)
 }
 
 // expectedWait returns how long a request waits in the queue of a plain service behind a number of others.
--- a/placement/central_test.go
+++ b/placement/central_test.go
@@ -376,3 +376,21 @@
 	require.True(t, b.Wait(d.now, id, &placement.Request{Service: "desk", LatencyGoal: deskGoal}))
 	require.False(t, b.Wait(d.now, id+1, &placement.Request{Service: "desk", LatencyGoal: deskGoal, Priority: 1}))
 }
+
+// TestQueueIsShortWhileTargetsAreCold guards against requests that are held back for slots of cold targets, which can
+// take only a few requests per second, and refused late.
+func TestQueueIsShortWhileTargetsAreCold(t *testing.T) {
+	const rate = 10.0 // requests per second of the only target
+	d, b := fullDesk(t)
+	b.Configure(route.NewTable(route.Table{
+		Version: 2, Routes: []route.Route{{TargetLatency: deskGoal, Shares: []route.Share{{Service: "desk", Weight: 1}}}},
+		Services: []route.Service{{Name: "desk", ColdStart: 3 * time.Second, ColdRate: rate}},
+	}))
+	d.targets[0].ColdUntil = d.now.Add(3 * time.Second)
+	b.SetTargets(d.targets)
+	waiting := 0
+	for b.Wait(d.now, uint64(waiting+1), &placement.Request{Service: "desk", LatencyGoal: deskGoal}) {
+		waiting++
+	}
+	require.LessOrEqual(t, waiting, 1+int(rate*deskGoal.Seconds()))
+}
