--- a/gateway/core.go
+++ b/gateway/core.go
@@ -227,6 +227,7 @@
 func (c *core) deliverGrants(grants []placement.Grant) {
 	for _, g := range grants {
 		if x := c.exchanges[g.ID]; x != nil {
+			x.chosenAt = sinceBoot()
 			x.grants <- g.Choice
 			continue
 		}
@@ -243,6 +244,7 @@
 	changed = c.lag.Tick(now)
 	c.lag.ExpectTick(now, period)
 	receivedUntil = c.silenceCheckTime(now)
+	c.board.RecordRunning(now)
 	c.board.Tick(receivedUntil)
 	c.expireRemoteRequests(now, receivedUntil)
 	for _, service := range c.board.QueuedServices() {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -12,12 +13,15 @@
 	looseWaitFraction  = 0.6 // fraction of the difference to its looser goal that a request may wait longer
 	plainWaitFraction  = 0.6 // fraction of the latency goal that a request may wait here for a plain target
 	maxQueuedRequests  = 512 // requests queued per service
-	maxFullSearches    = 8   // requests without a target, per pass and standing, after which the others only try their preferred engines
+	maxFullSearches    = 8   // requests without a target, per pass, standing and allowed regions, after which the others only try their preferred engines
 
 	serveIntervalPerTarget    = 50 * time.Microsecond // between two passes over the queue, per target owned by this host
 	maxTargetsWithoutInterval = 16                    // up to this many owned targets, passes over the queue need no interval
 )
 
+// regionSeparator joins the names of allowed regions to one key.
+const regionSeparator = "\x00"
+
 // queuedRequest is a request that waits for a target.
 type queuedRequest struct {
 	id            uint64
@@ -48,22 +52,23 @@
 func (b *Board) Wait(now time.Time, id uint64, a *Request) bool {
 	p := b.pool(a.Service)
 	maxWait := b.MaxWait(a)
-	if maxWait <= 0 || len(p.queue) >= maxQueuedRequests || b.ownsQueue(p) && p.expectedWait(now) > maxWait {
-		return false
-	}
 	t := queuedRequest{id: id, ask: a, expires: now.Add(maxWait), firstEventDue: now.Add(a.LatencyGoal - a.Elapsed)}
 	at, _ := slices.BinarySearchFunc(p.queue, t, p.compareQueued)
+	if maxWait <= 0 || len(p.queue) >= maxQueuedRequests || b.ownsQueue(p) && p.expectedWait(now, at) > maxWait {
+		b.recordRefused(now, p)
+		return false
+	}
 	p.queue = slices.Insert(p.queue, at, t)
 	return true
 }
 
 // compareQueued orders the queue by the times at which first events are due. In a plain service, requests of a higher
-// rank come first.
+// rank come first. A new request y comes behind those that are equal.
 func (p *pool) compareQueued(x, y queuedRequest) int {
 	if p.engine == nil && x.ask.Priority != y.ask.Priority {
 		return cmp.Compare(x.ask.Priority, y.ask.Priority)
 	}
-	return x.firstEventDue.Compare(y.firstEventDue)
+	return cmp.Or(x.firstEventDue.Compare(y.firstEventDue), -1)
 }
 
 // Withdraw removes a request from the queue. It returns false if the request is not queued.
@@ -90,16 +95,17 @@
 	p.lastServed = now
 	var grants []Grant
 	for standing := Entitled; standing <= AboveEvenShare; standing++ {
-		misses := 0
+		misses := map[string]int{} // by allowed regions: a full region does not block requests for others
 		remaining := p.queue[:0]
 		for _, t := range p.queue {
 			teamStanding, _ := b.standingForDecision(now, t.ask)
-			if teamStanding == standing && (misses < maxFullSearches || b.preferredHasRoom(now, p, t.ask)) {
+			regions := strings.Join(t.ask.Regions, regionSeparator)
+			if teamStanding == standing && (misses[regions] < maxFullSearches || b.preferredHasRoom(now, p, t.ask)) {
 				if g, ok := b.tryGrant(now, t); ok {
 					grants = append(grants, g)
 					continue
 				}
-				misses++
+				misses[regions]++
 			}
 			remaining = append(remaining, t)
 		}
@@ -127,18 +133,17 @@
 	return Grant{ID: t.id, Choice: c}, true
 }
 
-// ExpireQueued removes the requests whose wait has ended, and all of a service whose targets are all
-// leaving or paused. It returns the decision about each.
+// ExpireQueued removes the requests whose wait has ended, and those whose targets are all leaving, evacuated or
+// paused. It returns the decision about each.
 func (b *Board) ExpireQueued(now time.Time) []Grant {
 	var grants []Grant
 	for _, p := range b.pools {
 		if len(p.queue) == 0 {
 			continue
 		}
-		noTarget := p.allLeavingOrPaused(now)
 		remaining := p.queue[:0]
 		for _, t := range p.queue {
-			if !noTarget && now.Before(t.expires) {
+			if now.Before(t.expires) && !p.hasNoTarget(now, t.ask) {
 				remaining = append(remaining, t)
 				continue
 			}
@@ -146,6 +151,8 @@
 			grants = append(grants, Grant{ID: t.id, Choice: b.Choose(now, t.ask)})
 			if last := &grants[len(grants)-1]; last.Choice.Target != "" {
 				b.RecordSent(now, t.ask, &last.Choice)
+			} else {
+				b.recordRefused(now, p)
 			}
 		}
 		p.queue = remaining
