placement: counters of decisions about cold targets do not fall

Cause: the metric added up the decisions about the targets that are listed, so it fell when one left the list. Change: the board keeps the counts of targets that are gone. Conclusion: TestCountsOfDecisionsDoNotFall fails before the change and passes after it.

--- a/placement/board.go
+++ b/placement/board.go
@@ -96,6 +96,7 @@
 	heartbeat   time.Duration // interval at which targets renew their entries
 	lastRunning time.Time     // when this host last ran, as far as it was recorded
 	coldChanges []ColdChange  // that were not taken yet
+	formerCold  ColdCounts    // decisions about targets that are no longer listed
 
 	promisedRate float64 // cost units a second that all engines provide together, 0 if unknown
 }
@@ -185,6 +186,7 @@
 		}
 		r.target.Leaving = true
 		if r.ownLoad.Running == 0 {
+			b.formerCold.addDecisions(r)
 			delete(b.targets, id)
 		}
 	}
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -143,7 +143,7 @@
 
 // ColdCounts counts the targets that are cold or suspected, and the decisions of this host about them.
 func (b *Board) ColdCounts(now time.Time) ColdCounts {
-	var c ColdCounts
+	c := b.formerCold
 	for _, r := range b.targets {
 		switch {
 		case !r.warmup.Cold(now):
@@ -152,9 +152,14 @@
 		default:
 			c.Cold++
 		}
-		granted, refused := r.warmup.Counts()
-		c.Granted += granted
-		c.Refused += refused
+		c.addDecisions(r)
 	}
 	return c
 }
+
+// addDecisions adds what a target was granted and refused while it was cold.
+func (c *ColdCounts) addDecisions(r *targetRecord) {
+	granted, refused := r.warmup.Counts()
+	c.Granted += granted
+	c.Refused += refused
+}
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -235,3 +235,20 @@
 		require.NotEmpty(t, f.send(100*time.Millisecond))
 	}
 }
+
+// TestCountsOfDecisionsDoNotFall guards against counters that fall, and so look as if the host had started again, when a
+// target leaves the list.
+func TestCountsOfDecisionsDoNotFall(t *testing.T) {
+	f := newColdFleet("a")
+	f.restart(0)
+	f.send(testColdStart / 2)
+	before := f.board.ColdCounts(f.now)
+	require.Positive(t, before.Granted)
+	require.Positive(t, before.Refused)
+	f.board.RecordEnd(f.now, smallRequest("model"), "a", placement.Load{Running: testColdRate}, placement.Done, time.Second)
+	f.board.SetTargets(nil)
+	after := f.board.ColdCounts(f.now)
+	require.Equal(t, before.Granted, after.Granted)
+	require.Equal(t, before.Refused, after.Refused)
+	require.Zero(t, after.Cold)
+}
