warmup: an answer that waited at a suspended host proves nothing

Cause: an answer to a request from before a suspicion ended it if it was read 200 ms after. A host that was suspended reads an answer seconds after it came; the target may have ended, and started again, in between. The host's report of it also ended the suspicion at the owner. Change: after a suspension, answers prove nothing for a second, and the host reports a time that proves nothing to the owner. The margin is 500 ms, the longest suspension that is not noticed. Tests: two tests let time pass at a host that ticks, as a jump of their clock is a suspension.

--- a/placement/board.go
+++ b/placement/board.go
@@ -95,6 +95,7 @@
 
 	heartbeat   time.Duration // interval at which targets renew their entries
 	lastRunning time.Time     // when this host last ran, as far as it was recorded
+	resumedAt   time.Time     // when it ran again after the last suspension, zero if there was none
 	coldChanges []ColdChange  // that were not taken yet
 	formerCold  ColdCounts    // decisions about targets that are no longer listed
 
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -63,9 +63,25 @@
 	}
 }
 
+// CredibleTime returns how long an answer took, as far as that may show to the owner of the target that the process of
+// the target was there before. An answer that is read right after a suspension of this host may have come long before,
+// and shows nothing.
+func (b *Board) CredibleTime(now time.Time, took time.Duration) time.Duration {
+	if b.justResumed(now) {
+		return min(took, warmup.EvidenceMargin)
+	}
+	return took
+}
+
+// justResumed reports whether this host was suspended until shortly before.
+func (b *Board) justResumed(now time.Time) bool {
+	b.RecordRunning(now)
+	return !b.resumedAt.IsZero() && now.Sub(b.resumedAt) < warmup.Window
+}
+
 // recordAlive records that the process of a target which ran at a time still answers.
 func (b *Board) recordAlive(now time.Time, r *targetRecord, ranAt time.Time) {
-	if r.warmup.RecordAlive(now, ranAt) {
+	if !b.justResumed(now) && r.warmup.RecordAlive(now, ranAt) {
 		b.noteCold(r, warmup.ReasonAlive)
 	}
 }
@@ -102,6 +118,7 @@
 
 // resumeCold tells the limiters of all targets that this host was suspended.
 func (b *Board) resumeCold(now time.Time, gap time.Duration) {
+	b.resumedAt = now
 	for _, r := range b.targets {
 		r.warmup.Suspend()
 		if gap > warmup.Window {
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -131,9 +131,9 @@
 
 	f.board.ApplyPeerState(f.now, 7, placement.PeerState{Suspicions: []placement.Suspicion{{Target: "b", Since: f.now, Until: f.now.Add(time.Minute)}}})
 	require.True(t, f.board.MayBeCold(f.now, "b"))
-	later := f.now.Add(time.Second)
-	f.board.RecordFirstEvent(later, request, placement.Choice{Target: "b"}, 2*time.Second)
-	require.False(t, f.board.MayBeCold(later, "b"))
+	f.idle(time.Second)
+	f.board.RecordFirstEvent(f.now, request, placement.Choice{Target: "b"}, 2*time.Second)
+	require.False(t, f.board.MayBeCold(f.now, "b"))
 }
 
 // TestTargetsOfPlaceTakenBackCountAsCold guards against a data centre whose targets became cold while it was evacuated.
@@ -142,10 +142,10 @@
 	f.board.SetEvacuated(f.now, []string{"place1"})
 	f.board.SetEvacuated(f.now, nil)
 	require.True(t, f.board.MayBeCold(f.now, "a"))
-	later := f.now.Add(time.Second)
-	f.board.RecordFirstEvent(later, smallRequest("model"), placement.Choice{Target: "a"}, 2*time.Second)
-	require.True(t, f.board.MayBeCold(later, "a"), "a stream that ran through the evacuation proves nothing")
-	f.idle(testColdStart)
+	f.idle(time.Second)
+	f.board.RecordFirstEvent(f.now, smallRequest("model"), placement.Choice{Target: "a"}, 2*time.Second)
+	require.True(t, f.board.MayBeCold(f.now, "a"), "a stream that ran through the evacuation proves nothing")
+	f.idle(testColdStart - time.Second)
 	require.False(t, f.board.MayBeCold(f.now, "a"))
 }
 
@@ -252,3 +252,20 @@
 	require.Equal(t, before.Refused, after.Refused)
 	require.Zero(t, after.Cold)
 }
+
+// TestAnswerThatWaitedAtSuspendedHostProvesNothing guards against an answer that came before its target started again, and
+// is read after that, as the host was suspended in between. The owner of the target is told nothing that proves more.
+func TestAnswerThatWaitedAtSuspendedHostProvesNothing(t *testing.T) {
+	f := newColdFleet("a")
+	f.now = f.now.Add(3 * time.Second)
+	since := f.now.Add(-2 * time.Second)
+	f.board.ApplyPeerState(f.now, 7, placement.PeerState{Suspicions: []placement.Suspicion{{Target: "a", Since: since, Until: f.now.Add(time.Minute)}}})
+	took := 5 * time.Second
+	require.Less(t, f.board.CredibleTime(f.now, took), time.Second)
+	f.board.RecordFirstEvent(f.now, smallRequest("model"), placement.Choice{Target: "a"}, took)
+	f.idle(2 * time.Second)
+	require.True(t, f.board.MayBeCold(f.now, "a"))
+	require.Equal(t, took, f.board.CredibleTime(f.now, took))
+	f.board.RecordFirstEvent(f.now, smallRequest("model"), placement.Choice{Target: "a"}, 2*took)
+	require.False(t, f.board.MayBeCold(f.now, "a"))
+}
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -16,11 +16,13 @@
 	MaxGrantAge = 250 * time.Millisecond
 	// RampTime is the time over which a target that became warm returns to using all its slots.
 	RampTime = time.Second
+	// EvidenceMargin is the time after a suspicion in which an answer proves nothing. It may have come before, and may be
+	// read as late as this at a host whose suspension is too short to be noticed.
+	EvidenceMargin = 500 * time.Millisecond
 
-	rampFraction   = 0.25                   // fraction of the slots that is used right after a target became warm
-	periodSlack    = 500 * time.Millisecond // ends of one cold period, as heard at different times, differ by less
-	evidenceMargin = 200 * time.Millisecond // answers that arrive this soon after a suspicion may be older than it
-	maxGrants      = 64                     // grants that are remembered, which bounds the rate
+	rampFraction = 0.25                   // fraction of the slots that is used right after a target became warm
+	periodSlack  = 500 * time.Millisecond // ends of one cold period, as heard at different times, differ by less
+	maxGrants    = 64                     // grants that are remembered, which bounds the rate
 )
 
 // Reason says why a target counts as cold or suspected.
@@ -146,11 +148,11 @@
 // RecordAlive records that a process which ran at a time still answers now. It ends a suspicion that began later, and
 // reports whether it did.
 func (l *Limiter) RecordAlive(now, ranAt time.Time) bool {
-	if !l.Limited() || l.suspectedSince.IsZero() || !ranAt.Before(l.suspectedSince) || now.Sub(l.suspectedLast) < evidenceMargin {
+	if !l.Limited() || l.suspectedSince.IsZero() || !ranAt.Before(l.suspectedSince) || now.Sub(l.suspectedLast) < EvidenceMargin {
 		return false
 	}
 	ended := now.Before(l.suspectedUntil)
-	l.aliveAt = now.Add(-evidenceMargin)
+	l.aliveAt = now.Add(-EvidenceMargin)
 	l.suspectedSince, l.suspectedUntil, l.foundUntil = time.Time{}, time.Time{}, time.Time{}
 	return ended
 }
