warmup, placement: fields of the limiter in groups, shorter searches

Change without effect on behaviour: the fields of Limiter are grouped by what they are known from and each has a comment; the score of a plain target and the test for room at an engine are functions of their own; a constant without use is gone. Conclusion: go test ./warmup ./placement passes.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -27,6 +27,7 @@
 	smallPrefill           = 200                    // shared tokens that any engine may prefill again
 	remotePlacePenalty     = 5 * time.Millisecond   // added to the score of an engine in another data centre
 	maxTieBreakPenalty     = 5 * time.Millisecond   // largest tie-breaking penalty, which the hash of prompt and engine scales
+	otherPlaceDivisor      = 8                      // a plain target of another data centre counts as busier by this part of a slot
 	minRetryAfter          = 200 * time.Millisecond // shortest wait suggested after a refusal
 	maxRetryAfter          = 3 * time.Second        // longest wait suggested after a refusal
 	outputTokenCost        = 2                      // cost units of a generated token; a prefilled prompt token costs 1
@@ -136,13 +137,7 @@
 		if load.Running >= b.plainSlots(now, p, r) {
 			continue
 		}
-		score := float64(load.Running)/float64(r.target.Slots) + r.health.failures
-		switch {
-		case stale:
-			score += hashFraction(hashPair(a.Seed, r.key))
-		case r.target.Place != place:
-			score += 1 / float64(8*r.target.Slots)
-		}
+		score := plainScore(a, r, load, stale, place)
 		if best == nil || score < bestScore {
 			best, bestScore = r, score
 		}
@@ -156,6 +151,19 @@
 	return Choice{Target: best.target.ID, Load: Load{Running: 1}, ExpectedTime: p.answerTime}
 }
 
+// plainScore rates a plain target with a load, the lower the better: by its share of busy slots and its failures, and by
+// a hash of the request if the load is stale. Among equal targets, one in the data centre of the caller is preferred.
+func plainScore(a *Request, r *targetRecord, load Load, stale bool, place string) float64 {
+	score := float64(load.Running)/float64(r.target.Slots) + r.health.failures
+	switch {
+	case stale:
+		score += hashFraction(hashPair(a.Seed, r.key))
+	case r.target.Place != place:
+		score += 1 / float64(otherPlaceDivisor*r.target.Slots)
+	}
+	return score
+}
+
 // chooseEngine compares engines by the prompts queued there and by the part of this prompt that they
 // have cached. A prompt with a long shared prefix first waits here for the engines that have
 // cached it. Under overload, an engine gets no more prompts than it can prefill in time, so that
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -197,7 +197,7 @@
 	var best *targetRecord
 	for _, r := range p.targets {
 		load := r.load()
-		if r == preferred || !r.usable(now, a) || !r.warmup.Allows(now) || load.Running >= r.availableSlots(now, p.engine.Slots) || best != nil && load.Prompt >= best.load().Prompt {
+		if r == preferred || !r.hasRoom(now, p, a) || best != nil && load.Prompt >= best.load().Prompt {
 			continue
 		}
 		if s.prefillTime(load.Prompt) <= p.queueLimit(a, s.standing, s.shareRatio, r) && r.hasPrefix(a.Chain) {
@@ -213,6 +213,11 @@
 	return best.target.ID
 }
 
+// hasRoom reports whether a request may be sent to an engine now, as far as its slots are concerned.
+func (r *targetRecord) hasRoom(now time.Time, p *pool, a *Request) bool {
+	return r.usable(now, a) && r.warmup.Allows(now) && r.load().Running < r.availableSlots(now, p.engine.Slots)
+}
+
 // hasPrefix reports whether an engine is known to have cached the shared prefix of a prompt.
 func (r *targetRecord) hasPrefix(c PrefixChain) bool {
 	return r.cache.match(c)+smallPrefill >= c.SharedTokens()
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -30,7 +30,6 @@
 
 // Reasons of a change.
 const (
-	ReasonNone      Reason = ""
 	ReasonEntry     Reason = "entry"     // the target said that it is cold
 	ReasonUnreached Reason = "unreached" // it could not be reached, or fell silent
 	ReasonPeer      Reason = "peer"      // another host could not reach it
@@ -40,23 +39,31 @@
 
 // Limiter limits the requests to one target. Its zero value limits nothing.
 type Limiter struct {
-	rate           float64       // requests per second that the cold target can take, 0 if it is never cold
-	start          time.Duration // for which a target is cold after its start
-	coldUntil      time.Time     // as the target said
-	saidWarm       bool          // the target said since that it is warm; the next call with a time ends the cold period
-	suspectedSince time.Time
-	suspectedLast  time.Time // when the target was last found unreachable
-	suspectedUntil time.Time
+	rate  float64       // requests per second that the cold target can take, 0 if it is never cold
+	start time.Duration // for which a target is cold after its start
+
+	// What the target says.
+	coldUntil time.Time // end of its cold period, zero if there was none
+	saidWarm  bool      // it said since that it is warm; the next call with a time ends the cold period
+
+	// The suspicion that it has started again, as it could not be reached.
+	suspectedSince time.Time // when it was first found unreachable
+	suspectedLast  time.Time // when it was last found unreachable
+	suspectedUntil time.Time // end of the suspicion
 	foundUntil     time.Time // end of the suspicion as far as this host itself found the target unreachable
 	aliveAt        time.Time // when the process that runs was last seen to have run
-	returnedUntil  time.Time // until when it may be cold after its data centre was evacuated
-	distrustUntil  time.Time // until when this host may not know that the target is cold
-	owned          bool      // this host owns the target
-	acquired       bool      // it owns the target since the last call of Allows
-	holdUntil      time.Time // end of the first second of the ownership
-	grants         []time.Time
-	refused        uint64
-	granted        uint64
+
+	// Other times in which it may be cold.
+	returnedUntil time.Time // after its data centre was evacuated
+	distrustUntil time.Time // after this host was suspended
+
+	// The ownership and the use that this host makes of it.
+	owned     bool        // this host owns the target
+	acquired  bool        // it owns the target since the last call of Allows
+	holdUntil time.Time   // end of the first second of the ownership
+	grants    []time.Time // of the last requests, in their order
+	refused   uint64      // while the target was cold or suspected
+	granted   uint64      // while the target was cold or suspected
 }
 
 // Configure sets for how long a target is cold after its start, and how many requests per second it can take then.
