--- a/placement/cold.go
+++ b/placement/cold.go
@@ -63,9 +63,25 @@
 	}
 }
 
+// CredibleTime returns how long an answer took, as far as that may show to the owner of the target that the process of
+// the target was there before. An answer that is read right after a suspension of this host may have come long before,
+// and shows nothing.
+func (b *Board) CredibleTime(now time.Time, took time.Duration) time.Duration {
+	if b.justResumed(now) {
+		return min(took, warmup.EvidenceMargin)
+	}
+	return took
+}
+
+// justResumed reports whether this host was suspended until shortly before.
+func (b *Board) justResumed(now time.Time) bool {
+	b.RecordRunning(now)
+	return !b.resumedAt.IsZero() && now.Sub(b.resumedAt) < warmup.Window
+}
+
 // recordAlive records that the process of a target which ran at a time still answers.
 func (b *Board) recordAlive(now time.Time, r *targetRecord, ranAt time.Time) {
-	if r.warmup.RecordAlive(now, ranAt) {
+	if !b.justResumed(now) && r.warmup.RecordAlive(now, ranAt) {
 		b.noteCold(r, warmup.ReasonAlive)
 	}
 }
@@ -102,6 +118,7 @@
 
 // resumeCold tells the limiters of all targets that this host was suspended.
 func (b *Board) resumeCold(now time.Time, gap time.Duration) {
+	b.resumedAt = now
 	for _, r := range b.targets {
 		r.warmup.Suspend()
 		if gap > warmup.Window {
@@ -143,7 +160,7 @@
 
 // ColdCounts counts the targets that are cold or suspected, and the decisions of this host about them.
 func (b *Board) ColdCounts(now time.Time) ColdCounts {
-	var c ColdCounts
+	c := b.formerCold
 	for _, r := range b.targets {
 		switch {
 		case !r.warmup.Cold(now):
@@ -152,9 +169,14 @@
 		default:
 			c.Cold++
 		}
-		granted, refused := r.warmup.Counts()
-		c.Granted += granted
-		c.Refused += refused
+		c.addDecisions(r)
 	}
 	return c
 }
+
+// addDecisions adds what a target was granted and refused while it was cold.
+func (c *ColdCounts) addDecisions(r *targetRecord) {
+	granted, refused := r.warmup.Counts()
+	c.Granted += granted
+	c.Refused += refused
+}
