placement: requests do not wait for engines that stay cold

Cause: while all engines of a service were cold, requests waited to the end of their patience for the few that these could take, and were refused late (100 of 100 queued where two engines take 20 per second). Change: a request is refused on arrival if neither those ahead of it are taken nor an engine is warm within its wait. Conclusion: TestQueueIsShortWhileAllEnginesAreCold fails before the change and passes after it.

--- a/placement/cold.go
+++ b/placement/cold.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/cassiachute/cassiachute/warmup"
@@ -152,6 +153,31 @@
 	return r != nil && r.warmup.Cold(now)
 }
 
+// coldWait returns how long a request waits behind a number of others while all targets of a service are cold: until the
+// targets of this host took the others, or until one is warm. It returns 0 if one is warm, or none is usable.
+func (b *Board) coldWait(now time.Time, p *pool, ahead int) time.Duration {
+	perSecond := 0.0
+	untilWarm := time.Duration(math.MaxInt64)
+	for _, r := range p.targets {
+		switch {
+		case r.closed() || r.isPaused(now, false) || !r.health.usable(now):
+			continue
+		case !r.warmup.Cold(now):
+			return 0
+		case r.owner == b.self:
+			perSecond += p.coldRate
+		}
+		untilWarm = min(untilWarm, r.warmup.Until().Sub(now))
+	}
+	switch {
+	case untilWarm == math.MaxInt64:
+		return 0
+	case perSecond == 0:
+		return untilWarm
+	}
+	return min(untilWarm, seconds(float64(ahead)/perSecond))
+}
+
 // ColdCounts holds the cold targets of a board, and what those owned by this host were granted and refused.
 type ColdCounts struct {
 	Cold, Suspected  int
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -269,3 +269,28 @@
 	f.board.RecordFirstEvent(f.now, smallRequest("model"), placement.Choice{Target: "a"}, 2*took)
 	require.False(t, f.board.MayBeCold(f.now, "a"))
 }
+
+// TestQueueIsShortWhileAllEnginesAreCold guards against requests that are held back for engines which can't take them in
+// time, and refused late. While one engine is warm, or soon will be, requests wait as usual.
+func TestQueueIsShortWhileAllEnginesAreCold(t *testing.T) {
+	const many = 100
+	queued := func(f *coldFleet) int {
+		for n := range many {
+			if !f.board.Wait(f.now, uint64(n+1), smallRequest("model")) {
+				return n
+			}
+		}
+		return many
+	}
+	f := newColdFleet("a", "b")
+	f.restart(0)
+	require.Equal(t, many, queued(f), "one is warm")
+
+	f = newColdFleet("a", "b")
+	f.restart(0)
+	f.restart(1)
+	wait := f.board.MaxWait(smallRequest("model"))
+	require.LessOrEqual(t, queued(f), 1+int(2*testColdRate*wait.Seconds()))
+	f.idle(testColdStart - wait/2)
+	require.Equal(t, many, queued(f), "both are warm soon")
+}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -54,7 +54,8 @@
 	maxWait := b.MaxWait(a)
 	t := queuedRequest{id: id, ask: a, expires: now.Add(maxWait), firstEventDue: now.Add(a.LatencyGoal - a.Elapsed)}
 	at, _ := slices.BinarySearchFunc(p.queue, t, p.compareQueued)
-	if maxWait <= 0 || len(p.queue) >= maxQueuedRequests || b.ownsQueue(p) && p.expectedWait(now, at) > maxWait {
+	tooLong := b.ownsQueue(p) && p.expectedWait(now, at) > maxWait || b.coldWait(now, p, at) > maxWait
+	if maxWait <= 0 || len(p.queue) >= maxQueuedRequests || tooLong {
 		b.recordRefused(now, p)
 		return false
 	}
