warmup: only the owner of a target tells that its data centre is used again

Cause: after an evacuation every host told every other one of each target of the place, for a cold start. With 30 targets and 75 hosts these are 30 times 40 bytes in each host state, 3.3 times a second to 74 hosts, of what all know. Change: the owner of a target tells it, for hosts that have just started. Conclusion: TestReturnOfPlaceIsToldToHostsThatStart fails before the change in its last line and passes after it. The bytes are computed, not measured.

--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -197,6 +197,9 @@
 	require.Len(t, suspicions, 1)
 	require.Equal(t, f.now, suspicions[0].Since)
 	require.Equal(t, f.now.Add(testColdStart), suspicions[0].Until)
+
+	f.board.Resign(placement.Host{ID: 1, Place: "place1"}, []placement.Host{{ID: 2, Place: "place1"}})
+	require.Empty(t, f.board.State(later).Suspicions, "its owner tells it, and not every host of a large fleet")
 }
 
 // TestTargetThatIsColdAgainBeforeItWasWarmStaysCold guards against a host that hears the list of targets from others and
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -197,10 +197,10 @@
 
 // OwnSuspicion returns the suspicion that this host has found by itself, to be told to other hosts, and false if there is
 // none. What it heard is not passed on: hosts that tell each other of one suspicion, each a little later, would keep it
-// alive.
+// alive. All hosts know of the return of a data centre; only the owner tells it, to hosts that start after it.
 func (l *Limiter) OwnSuspicion(now time.Time) (since, until time.Time, ok bool) {
 	since, until = l.suspectedSince, l.foundUntil
-	if l.returnedUntil.After(until) {
+	if l.owned && l.returnedUntil.After(until) {
 		since, until = l.returnedUntil.Add(-l.start), l.returnedUntil
 	}
 	return since, until, now.Before(until)
