standin/target: crashes and starts again under the same ID

Cause: the soak is to play targets that start again cold, but the stand-in had no end of its process. Change: Crash resets all connections, refuses new ones for a time and serves again. The ledger keeps crashes and when a request was read. Requests that run or wait at the crash have a run that was reset. Conclusion: a fault of the soak can use it.

--- a/standin/target/answer.go
+++ b/standin/target/answer.go
@@ -75,6 +75,9 @@
 	}
 	_, unframed := t.takeFault(KindUnframed, "")
 	end := writeAnswer(c, run, unframed)
+	if end == EndDropped && s.crashed() {
+		end = EndReset
+	}
 	t.ledger.recordEnd(run, end)
 	if end != EndDone || unframed {
 		return false
--- a/standin/target/ledger.go
+++ b/standin/target/ledger.go
@@ -34,8 +34,9 @@
 type Arrival struct {
 	ID          string
 	Target      string
-	At          time.Time
-	Misdirected bool // the request expected another target and did not run
+	Received    time.Time // when the target had read the request
+	At          time.Time // when it took the request, later than Received if it was stalled
+	Misdirected bool      // the request expected another target and did not run
 }
 
 // Notice records an answer in which a target announced that it is leaving, or for how long it wants no
@@ -47,6 +48,13 @@
 	Wait   time.Duration // time without requests; 0 if the target is leaving
 }
 
+// Crash records that a target reset all connections, and served again later under the same ID.
+type Crash struct {
+	Target   string
+	At       time.Time
+	ServedAt time.Time // zero if it did not serve again
+}
+
 // Ledger records what all targets received and ran. Its zero value is ready for use.
 type Ledger struct {
 	mu       sync.Mutex
@@ -54,6 +62,7 @@
 	arrivals []Arrival
 	leaving  map[string]time.Time
 	notices  []Notice
+	crashes  []Crash
 }
 
 func (l *Ledger) recordArrival(a Arrival) {
@@ -101,6 +110,12 @@
 	l.notices = append(l.notices, a)
 }
 
+func (l *Ledger) recordCrash(c Crash) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes = append(l.crashes, c)
+}
+
 // RecordLeaving records that the store has accepted that a target is leaving.
 func (l *Ledger) RecordLeaving(target string, at time.Time) {
 	l.mu.Lock()
@@ -117,6 +132,7 @@
 	Arrivals []Arrival
 	Leaving  map[string]time.Time // when the store accepted that a target is leaving
 	Notices  []Notice
+	Crashes  []Crash
 }
 
 // Records returns a copy of all records.
@@ -126,6 +142,7 @@
 	r := Records{
 		Arrivals: append([]Arrival(nil), l.arrivals...),
 		Notices:  append([]Notice(nil), l.notices...),
+		Crashes:  append([]Crash(nil), l.crashes...),
 		Leaving:  map[string]time.Time{},
 	}
 	for _, run := range l.runs {
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -44,18 +44,21 @@
 
 // Target is a stand-in for an engine or a plain service.
 type Target struct {
-	config   Config
-	listener net.Listener
-	ledger   *Ledger
-	slots    chan struct{}
+	config Config
+	ledger *Ledger
+	slots  chan struct{}
 
 	mu            sync.Mutex
-	id            string // of the current incarnation
+	listener      net.Listener
+	endProcess    context.CancelFunc // ends the current process
+	crash         Crash              // the last one; its target is empty before the first
+	id            string             // of the current incarnation
 	waiting       int
 	pendingFaults []Fault
 	stalledUntil  time.Time // the target neither takes requests nor writes until then
 	rejectUntil   time.Time // the target rejects requests until then
 	retryAfter    time.Duration
+	downUntil     time.Time // a target that crashed refuses connections until then
 	leaving       bool
 }
 
@@ -70,24 +73,50 @@
 // Run serves until the context ends. The returned channel is closed once all connections have ended.
 func (t *Target) Run(ctx context.Context) <-chan struct{} {
 	done := make(chan struct{})
-	context.AfterFunc(ctx, func() { t.listener.Close() })
+	process, l := t.startProcess(ctx)
 	go func() {
 		defer close(done)
-		var sessions sync.WaitGroup
-		defer sessions.Wait()
 		for {
-			conn, err := t.listener.Accept()
-			if err != nil {
+			t.serve(process, l)
+			if !t.listenAgain(ctx) {
 				return
 			}
-			sessions.Go(func() { t.serveConn(ctx, conn) })
+			process, l = t.startProcess(ctx)
 		}
 	}()
 	return done
 }
 
+// startProcess returns the context of a new process, which Crash ends, and its listener.
+func (t *Target) startProcess(ctx context.Context) (context.Context, net.Listener) {
+	process, end := context.WithCancel(ctx)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.listener
+	t.endProcess = end
+	context.AfterFunc(process, func() { l.Close() })
+	return process, l
+}
+
+// serve serves connections until the process and all of them have ended.
+func (t *Target) serve(process context.Context, l net.Listener) {
+	var sessions sync.WaitGroup
+	defer sessions.Wait()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		sessions.Go(func() { t.serveConn(process, conn) })
+	}
+}
+
 // Address returns the address that the target listens on.
-func (t *Target) Address() netip.AddrPort { return t.listener.Addr().(*net.TCPAddr).AddrPort() }
+func (t *Target) Address() netip.AddrPort {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.listener.Addr().(*net.TCPAddr).AddrPort()
+}
 
 // ID returns the ID of the current incarnation.
 func (t *Target) ID() string {
@@ -107,13 +136,14 @@
 type call struct {
 	id, expectedTarget, path, body string
 	lastEvent, events              int
+	received                       time.Time // when the whole request was read
 }
 
 func parseCall(r *fasthttp.Request) *call {
 	_, output, _ := strings.Cut(string(r.Header.Peek(HeaderTokens)), ",")
 	c := &call{
 		id: string(r.Header.Peek(HeaderAttempt)), expectedTarget: string(r.Header.Peek(headerExpected)),
-		path: string(r.Header.RequestURI()), body: string(r.Body()),
+		path: string(r.Header.RequestURI()), body: string(r.Body()), received: time.Now(),
 	}
 	c.events, _ = strconv.Atoi(output) // a request without a number gets no events
 	c.lastEvent, _ = strconv.Atoi(string(r.Header.Peek(headerLastEvent)))
@@ -123,6 +153,7 @@
 // session is the state of one connection.
 type session struct {
 	target         *Target
+	process        context.Context // ends when the target crashes
 	ctx            context.Context
 	conn           net.Conn
 	peerClosed     chan struct{} // closed once the client has closed the connection
@@ -134,12 +165,12 @@
 }
 
 // serveConn serves a connection, one request at a time.
-func (t *Target) serveConn(ctx context.Context, conn net.Conn) {
+func (t *Target) serveConn(process context.Context, conn net.Conn) {
 	defer conn.Close()
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(process)
 	defer cancel()
-	context.AfterFunc(ctx, func() { conn.Close() })
-	s := &session{target: t, ctx: ctx, conn: conn, peerClosed: make(chan struct{}), requests: make(chan *call)}
+	s := &session{target: t, process: process, ctx: ctx, conn: conn, peerClosed: make(chan struct{}), requests: make(chan *call)}
+	context.AfterFunc(ctx, s.close)
 	go s.readRequests()
 	for {
 		select {
@@ -175,6 +206,7 @@
 func (s *session) serveRequest(c *call) bool {
 	t := s.target
 	if !s.waitWhile(s.remainingStall) {
+		s.recordCrashed(c)
 		return false
 	}
 	t.mu.Lock()
@@ -185,7 +217,7 @@
 	}
 	t.mu.Unlock()
 	arrived := time.Now()
-	t.ledger.recordArrival(Arrival{ID: c.id, Target: id, At: arrived, Misdirected: misdirected})
+	t.ledger.recordArrival(Arrival{ID: c.id, Target: id, Received: c.received, At: arrived, Misdirected: misdirected})
 	switch {
 	case misdirected:
 		return s.reject(c, fasthttp.StatusMisdirectedRequest)
@@ -197,6 +229,7 @@
 	t.waiting--
 	t.mu.Unlock()
 	if !acquired {
+		s.recordCrashed(c)
 		return false
 	}
 	defer func() { <-t.slots }()
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -8,11 +8,13 @@
 	"net"
 	"net/http"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cassiachute/cassiachute/standin/loopback"
 	"github.com/cassiachute/cassiachute/standin/target"
 )
 
@@ -31,7 +33,7 @@
 
 func newTestTarget(t *testing.T, streams bool) *testTarget {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopback.Address().String())
 	require.NoError(t, err)
 	s := &testTarget{t: t, ledger: &target.Ledger{}}
 	s.Target = target.New(target.Config{ID: "t1", Service: "s", Slots: 1, Queue: 2, Step: time.Millisecond, Streams: streams}, l, s.ledger)
@@ -240,3 +242,29 @@
 	notices := s.ledger.Records().Notices
 	require.Equal(t, []time.Duration{2 * time.Second, 0}, []time.Duration{notices[0].Wait, notices[1].Wait})
 }
+
+// A target that crashes resets its connections, also of a request that waits for a slot, refuses new ones for a time
+// and serves again under the same ID.
+func TestCrashedTargetServesAgain(t *testing.T) {
+	s := newTestTarget(t, false)
+	s.Arm(target.Fault{Kind: target.KindPause, Position: target.PositionBeforeHead, Length: testTimeout})
+	running, waiting := s.dial(), s.dial()
+	running.send("a", "")
+	require.Eventually(t, func() bool { return len(s.ledger.Records().Runs) == 1 }, testTimeout, time.Millisecond)
+	waiting.send("b", "")
+	require.Eventually(t, func() bool { return len(s.ledger.Records().Arrivals) == 2 }, testTimeout, time.Millisecond)
+	s.Crash(pauseLength)
+	require.ErrorIs(t, running.receive().err, syscall.ECONNRESET)
+	require.ErrorIs(t, waiting.receive().err, syscall.ECONNRESET)
+	_, err := net.Dial("tcp", s.Address().String())
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	require.Eventually(t, func() bool { return len(s.ledger.Records().Crashes) == 1 }, testTimeout, time.Millisecond)
+	again := s.dial()
+	again.send("c", "X-Expect-Replica: t1\r\n")
+	_, id, _ := again.receiveWhole()
+	require.Equal(t, "c", id)
+	records := s.ledger.Records()
+	require.Equal(t, target.EndReset, records.Runs[0].End)
+	require.Equal(t, target.EndReset, records.Runs[1].End)
+	require.GreaterOrEqual(t, records.Crashes[0].ServedAt.Sub(records.Crashes[0].At), pauseLength)
+}
