soak: targets that start again cold, and evacuated places

Cause: no seed played targets that are cold, or evacuations, beside the other faults. Change: kinds cold (series 17) and evacuate (series 18), and rules cold, evacuate and unserved. Only plans with cold restarts configure a cold start, and the new kinds draw apart, so existing seeds keep their plans.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -76,7 +76,7 @@
 		peerAddress := loopback.Address()
 		seeds = append(seeds, peerAddress.String())
 		g.settings = map[string]any{
-			"name": g.name, "place": fmt.Sprintf("place%d", n%2+1), "listen": g.listenAddress.String(), "ready": g.readinessAddress.String(),
+			"name": g.name, "place": placeName(n), "listen": g.listenAddress.String(), "ready": g.readinessAddress.String(),
 			"peer": peerAddress.String(), "store": store.String(), "grace": gracePeriod.String(), "revoke": "5s",
 			"heartbeat": "1200ms", "window": "10s", "ratio": "0.2", "fixed": "54", "cores": "1", "memory": "128", "lag": "1m",
 		}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -35,6 +35,9 @@
 
 	FaultUnframedAnswer FaultKind = "unframed" // the answer of a target ends with its connection, without a length or chunks
 	FaultSpoiledEvent   FaultKind = "spoil"    // a target overwrites the number of an event
+
+	FaultColdRestart FaultKind = "cold"     // a target, or all of a place, starts again under its identity and is cold, as its entry says late
+	FaultEvacuation  FaultKind = "evacuate" // the operator evacuates a place for a time
 )
 
 // faultSchedule says how often a kind of fault is injected and how long it lasts.
@@ -65,6 +68,8 @@
 	FaultRetryAfter:     {10, 2 * time.Second, time.Second, 3 * time.Second},
 	FaultUnframedAnswer: {15, 100 * ms, 0, 0},
 	FaultSpoiledEvent:   {16, 300 * ms, 0, 0},
+	FaultColdRestart:    {17, 2500 * ms, 200 * ms, 900 * ms},
+	FaultEvacuation:     {18, 8 * time.Second, 6 * time.Second, 9 * time.Second},
 }
 
 // FaultKinds returns all kinds of faults, sorted by name.
@@ -104,6 +109,7 @@
 const (
 	engineCount = 4         // targets that stream
 	plainCount  = 3         // targets with plain answers
+	placeCount  = 2         // places of the targets and gateways
 	spareCount  = 2         // targets of the service to which a configuration change may move a route
 	warmUp      = 1500 * ms // before the first fault
 )
@@ -167,11 +173,24 @@
 	case FaultResumeError:
 		e.Index = rng.IntN(engineCount)
 		e.Shape = target.ResumeShapes[rng.IntN(len(target.ResumeShapes))]
+	case FaultColdRestart:
+		e.Shape = restartShapes[rng.IntN(len(restartShapes))]
+	case FaultEvacuation:
+		e.Index = rng.IntN(placeCount)
 	case FaultGatewayPause, FaultGatewayRestart, FaultRollingRestart, FaultSettingsReload:
 		e.Index = rng.IntN(p.Gateways)
 	}
 }
 
+// restartAll is the shape of a cold restart of all targets in the place of its target.
+const restartAll = "place"
+
+// restartShapes are the shapes of a cold restart, with the frequency at which they are drawn.
+var restartShapes = []string{"", "", restartAll}
+
+// placeName returns the name of the place of a target or gateway.
+func placeName(index int) string { return fmt.Sprintf("place%d", index%placeCount+1) }
+
 // faultCounts returns the number of faults of each kind.
 func (p *Plan) faultCounts() map[FaultKind]int {
 	counts := map[FaultKind]int{}
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -28,6 +28,8 @@
 	soak.FaultTargetStall:    "32eab328b695",
 	soak.FaultGatewayPause:   "fe617c098db2",
 	soak.FaultGatewayRestart: "dfbffe2a402a",
+	soak.FaultColdRestart:    "7fa6949a07b0",
+	soak.FaultEvacuation:     "50f79d50625c",
 }
 
 // A new kind of fault does not change the plans of existing seeds, because each kind keeps its random series.
--- a/soak/rules.go
+++ b/soak/rules.go
@@ -27,7 +27,8 @@
 	UnexpectedExits map[int]int                   // by gateway: number of processes that ended without a planned stop
 	MinTimeouts     map[RequestKind]time.Duration // by kind of request: shortest timeout that a route can have
 
-	Stalls int // number of stalls of the soak process
+	Evacuations []Evacuation
+	StallSpans  []TimeSpan // of the soak process
 
 	allRuns   map[string][]target.Run // by request ID: all runs, in the order of arrival
 	begunRuns map[string][]target.Run // by request ID: the runs that began
@@ -86,7 +87,7 @@
 
 // excused reports whether the request may lack a complete answer.
 func (v *View) excused(s *SentRequest) bool {
-	return v.targetFailed(s) || v.timedOut(s) || v.hadOutage(s.Gateway, s.SentAt, s.DoneAt) || v.cutByStop(s)
+	return v.targetFailed(s) || v.resetUnseen(s) || v.timedOut(s) || v.hadOutage(s.Gateway, s.SentAt, s.DoneAt) || v.cutByStop(s)
 }
 
 // Rule is a guarantee of the gateways and the function that checks it.
@@ -111,6 +112,9 @@
 	{Name: "unlogged", Violations: missingStopLogs},
 	{Name: "leaving", Violations: requestsAfterLeavingNotice, RequiredFault: FaultLeavingNotice},
 	{Name: "paused", Violations: requestsWhilePaused, RequiredFault: FaultRetryAfter},
+	{Name: "cold", Violations: excessColdRequests, RequiredFault: FaultColdRestart},
+	{Name: "evacuate", Violations: requestsToEvacuatedPlaces, RequiredFault: FaultEvacuation},
+	{Name: "unserved", Violations: unservedEvacuations, RequiredFault: FaultEvacuation},
 }
 
 // checkRequests returns a line for each request that violates a rule.
--- a/soak/rules_test.go
+++ b/soak/rules_test.go
@@ -1,11 +1,13 @@
 package soak
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cassiachute/cassiachute/standin/operator"
 	"github.com/cassiachute/cassiachute/standin/target"
 )
 
@@ -29,7 +31,7 @@
 			s.ExpectedEvents, s.Body = 3, target.Event(s.ID, 1)+target.Event(s.ID, 2)+target.Event(s.ID, 3)
 		}
 		v.Requests = append(v.Requests, s)
-		v.Arrivals = append(v.Arrivals, target.Arrival{ID: s.ID, Target: "t1", At: at(10 * ms)})
+		v.Arrivals = append(v.Arrivals, target.Arrival{ID: s.ID, Target: "t1", Received: at(10 * ms), At: at(10 * ms)})
 		v.Runs = append(v.Runs, target.Run{ID: s.ID, Target: "t1", Arrived: at(10 * ms), Began: at(10 * ms), Ended: at(time.Second), End: target.EndDone})
 	}
 	return v
@@ -74,7 +76,21 @@
 	v.Requests = append(v.Requests, SentRequest{
 		ID: id, Kind: RequestOrder, StartedAt: at, SentAt: at, DoneAt: at, Status: 200, Sealed: true, Complete: true, Body: target.Body(id, "", id),
 	})
-	v.Arrivals = append(v.Arrivals, target.Arrival{ID: id, Target: name, At: at})
+	v.Arrivals = append(v.Arrivals, target.Arrival{ID: id, Target: name, Received: at, At: at})
+}
+
+// addColdRequests adds requests at equal intervals to a target that has just started again.
+func (v *View) addColdRequests(count int, interval time.Duration) {
+	v.Crashes = []target.Crash{{Target: "t2", At: at(-500 * ms), ServedAt: at(0)}}
+	for n := range count {
+		v.addRequest(fmt.Sprint("cold", n), "t2", at(time.Duration(n)*interval))
+	}
+}
+
+// addEvacuation adds an evacuation of the first place for 7 s, and a request that reaches a target at the given time.
+func (v *View) addEvacuation(name string, offset time.Duration) {
+	v.Evacuations = []Evacuation{{TimeSpan{From: at(0), To: at(7 * time.Second)}, placeName(0)}}
+	v.addRequest("late", name, at(offset))
 }
 
 // ruleCases change a view without violations so that a rule is violated, or just not. The first field is the
@@ -165,6 +181,15 @@
 		s.DoneAt = at(time.Second)
 	}},
 	{"failed", "a lookup fails", 1, func(v *View) { v.setGatewayAnswer(RequestLookup, 502) }},
+	{"failed", "an order was under way to a target that reset its connections", 0, func(v *View) {
+		v.setGatewayAnswer(RequestOrder, 502)
+		v.Arrivals, v.Runs = nil, nil
+		v.Crashes = []target.Crash{{Target: "t1", At: at(500 * ms)}}
+	}},
+	{"failed", "a target read the order before it reset its connections", 1, func(v *View) {
+		v.setGatewayAnswer(RequestOrder, 502)
+		v.Crashes = []target.Crash{{Target: "t1", At: at(500 * ms)}}
+	}},
 	{"failed", "a lookup is refused", 0, func(v *View) { v.setGatewayAnswer(RequestLookup, 503) }},
 	{"failed", "the target answered with an error", 0, func(v *View) {
 		_, r := v.setGatewayAnswer(RequestLookup, 502)
@@ -281,6 +306,46 @@
 			v.addRequest(id, "t2", at(time.Duration(400+n*900)*ms))
 		}
 	}},
+	{"cold", "nine requests in a second at a cold target", 1, func(v *View) { v.addColdRequests(9, 120*ms) }},
+	{"cold", "eight requests in a second at a cold target", 0, func(v *View) { v.addColdRequests(8, 120*ms) }},
+	{"cold", "no second has nine requests at a cold target", 0, func(v *View) { v.addColdRequests(20, 125*ms) }},
+	{"cold", "a request of nine is meant for another target", 0, func(v *View) {
+		v.addColdRequests(9, 120*ms)
+		v.Arrivals[len(v.Arrivals)-1].Misdirected = true
+	}},
+	{"cold", "a request of nine is taken later than in the second", 0, func(v *View) {
+		v.addColdRequests(9, 120*ms)
+		v.Arrivals[len(v.Arrivals)-1].At = at(1100 * ms)
+	}},
+	{"cold", "the target of nine requests is warm again", 0, func(v *View) {
+		v.addColdRequests(9, 120*ms)
+		v.Crashes[0].ServedAt = at(-coldStart + 300*ms)
+	}},
+	{"cold", "the soak stalled while nine requests arrived", 0, func(v *View) {
+		v.addColdRequests(9, 120*ms)
+		v.StallSpans = []TimeSpan{{From: at(200 * ms), To: at(500 * ms)}}
+	}},
+	{"evacuate", "a request arrives late in an evacuation", 1, func(v *View) { v.addEvacuation("t0-0", 5100*ms) }},
+	{"evacuate", "a request arrives early in an evacuation", 0, func(v *View) { v.addEvacuation("t0-0", 4900*ms) }},
+	{"evacuate", "a request arrives after an evacuation", 0, func(v *View) { v.addEvacuation("t0-0", 7100*ms) }},
+	{"evacuate", "a request arrives at another place", 0, func(v *View) { v.addEvacuation("t1-0", 5100*ms) }},
+	{"evacuate", "the gateway was suspended during the evacuation", 0, func(v *View) {
+		v.addEvacuation("t0-0", 5100*ms)
+		v.Outages[0] = []TimeSpan{{From: at(time.Second), To: at(2 * time.Second)}}
+	}},
+	{"unserved", "no stream runs at another place during an evacuation", 1, func(v *View) { v.addEvacuation("t1-0", 5100*ms) }},
+	{"unserved", "a stream runs at another place during an evacuation", 0, func(v *View) {
+		v.addEvacuation("t1-0", 5100*ms)
+		v.Runs = append(v.Runs, target.Run{Target: "t1-0", Service: operator.ServiceStream, Began: at(time.Second)})
+	}},
+	{"unserved", "a stream runs at the evacuated place only", 1, func(v *View) {
+		v.addEvacuation("t0-0", time.Second)
+		v.Runs = append(v.Runs, target.Run{Target: "t0-0", Service: operator.ServiceStream, Began: at(time.Second)})
+	}},
+	{"unserved", "the other place is evacuated too", 0, func(v *View) {
+		v.addEvacuation("t1-0", time.Second)
+		v.Evacuations = append(v.Evacuations, Evacuation{TimeSpan{From: at(6 * time.Second), To: at(9 * time.Second)}, placeName(1)})
+	}},
 }
 
 // Each rule detects violations that the test creates, and none in a view without violations.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -122,7 +122,7 @@
 // evaluate checks the rules and counts the outcomes of the requests.
 func evaluate(p Plan, v *View) *Report {
 	v.buildIndex()
-	r := &Report{Plan: p, Requests: len(v.Requests), Stalls: v.Stalls}
+	r := &Report{Plan: p, Requests: len(v.Requests), Stalls: len(v.StallSpans)}
 	for _, s := range v.Requests {
 		if (!s.Complete || s.Status >= 500 && s.Status != 503) && v.excused(&s) {
 			r.Excused++
--- a/soak/world.go
+++ b/soak/world.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cassiachute/cassiachute/standin/loopback"
 	"github.com/cassiachute/cassiachute/standin/operator"
 	standin "github.com/cassiachute/cassiachute/standin/platform"
 	"github.com/cassiachute/cassiachute/standin/target"
@@ -39,17 +40,27 @@
 
 	configMu   sync.Mutex
 	config     operator.Config
-	badEntries int    // number of invalid entries listed so far
-	leaving    []bool // by target: it is leaving and has not come back yet
+	badEntries int             // number of invalid entries listed so far
+	leaving    []bool          // by target: it is leaving or starts again, and has not come back yet
+	evacuated  map[string]bool // by place: its evacuation has not ended
+
+	evacuations []Evacuation
 
 	stalls []TimeSpan // of the soak process itself
 }
 
 // newFleet returns the fleet of a plan.
 func newFleet(p Plan, progress io.Writer) *fleet {
-	return &fleet{
+	f := &fleet{
 		plan: p, ledger: &target.Ledger{}, progress: progress, config: operator.FirstConfig(), leaving: make([]bool, len(p.Targets)),
+		evacuated: map[string]bool{},
+	}
+	if p.faultCounts()[FaultColdRestart] > 0 {
+		for n := range f.config.Services {
+			f.config.Services[n].ColdStart, f.config.Services[n].ColdRate = coldStart.Seconds(), coldRate
+		}
 	}
+	return f
 }
 
 // startStandIns starts the stand-ins of the store and the targets, and creates the gateways. The stand-ins
@@ -66,7 +77,7 @@
 		return err
 	}
 	for n, t := range f.plan.Targets {
-		tl, err := net.Listen("tcp", "127.0.0.1:0")
+		tl, err := net.Listen("tcp", loopback.Address().String()) // a target that starts again finds its port free
 		if err != nil {
 			return err
 		}
@@ -75,7 +86,7 @@
 		}
 		f.targets = append(f.targets, target.New(config, tl, f.ledger))
 		f.done = append(f.done, f.targets[n].Run(ctx))
-		if err := f.listTarget(n, operator.StateReady); err != nil {
+		if err := f.listTarget(n, operator.StateReady, time.Now(), 0); err != nil {
 			return err
 		}
 	}
@@ -83,12 +94,12 @@
 	return nil
 }
 
-// listTarget writes the entry of a target to the list.
-func (f *fleet) listTarget(n int, state string) error {
+// listTarget writes the entry of a target, which will be cold for the given time, to the list.
+func (f *fleet) listTarget(n int, state string, startedAt time.Time, cold time.Duration) error {
 	t := f.targets[n]
 	return operator.PutEntry(f.store, t.ID(), operator.Entry{
-		Service: f.plan.Targets[n].service, Address: t.Address().String(), Place: fmt.Sprintf("place%d", n%2+1),
-		Slots: f.plan.Targets[n].slots, State: state, StartedAt: time.Now().UnixMilli(),
+		Service: f.plan.Targets[n].service, Address: t.Address().String(), Place: placeName(n),
+		Slots: f.plan.Targets[n].slots, State: state, StartedAt: startedAt.UnixMilli(), Cold: cold.Milliseconds(),
 	})
 }
 
@@ -136,7 +147,7 @@
 // view returns what the callers and targets observed. It must be called after stop.
 func (f *fleet) view() *View {
 	v := &View{
-		Requests: f.requests, Records: f.ledger.Records(), Outages: map[int][]TimeSpan{}, Stops: map[int][]Stop{}, UnexpectedExits: map[int]int{},
+		Requests: f.requests, Records: f.ledger.Records(), Evacuations: f.evacuations, Outages: map[int][]TimeSpan{}, Stops: map[int][]Stop{}, UnexpectedExits: map[int]int{},
 		MinTimeouts: map[RequestKind]time.Duration{
 			RequestLookup: operator.MinPlainTimeout * ms, RequestOrder: operator.MinPlainTimeout * ms,
 			RequestStream: operator.MinStreamTimeout * ms, RequestOnceStream: operator.MinStreamTimeout * ms,
@@ -145,7 +156,7 @@
 	for n, g := range f.gateways {
 		v.Outages[n], v.Stops[n], v.UnexpectedExits[n] = slices.Concat(g.outages, f.stalls), g.plannedStops(), g.unexpectedExits
 	}
-	v.Stalls = len(f.stalls)
+	v.StallSpans = f.stalls
 	return v
 }
 
@@ -224,6 +235,10 @@
 		err = f.changeConfig(e.Seed)
 	case FaultTargetDrain, FaultLeavingNotice:
 		err = f.replaceTarget(ctx, e)
+	case FaultColdRestart:
+		err = f.restartCold(ctx, e)
+	case FaultEvacuation:
+		f.evacuate(ctx, e)
 	case FaultGatewayPause:
 		f.gateways[e.Index].pause(e.Duration)
 	case FaultGatewayRestart:
@@ -241,11 +256,7 @@
 // replaceTarget makes a target leave, announced in the list or in its answers, and come back with a new
 // identity. It does nothing if the target is already leaving.
 func (f *fleet) replaceTarget(ctx context.Context, e ScheduledFault) error {
-	f.configMu.Lock()
-	alreadyLeaving := f.leaving[e.Index]
-	f.leaving[e.Index] = true
-	f.configMu.Unlock()
-	if alreadyLeaving {
+	if !f.setLeaving(e.Index, true) {
 		return nil
 	}
 	t := f.targets[e.Index]
@@ -253,7 +264,7 @@
 	if e.Kind == FaultLeavingNotice {
 		t.AnnounceLeaving()
 	} else {
-		if err := f.listTarget(e.Index, operator.StateLeaving); err != nil {
+		if err := f.listTarget(e.Index, operator.StateLeaving, time.Now(), 0); err != nil {
 			return err
 		}
 		f.ledger.RecordLeaving(oldID, time.Now())
@@ -262,8 +273,15 @@
 	operator.DeleteEntry(f.store, oldID)
 	sleep(ctx, addressReuseDelay)
 	t.Restart(fmt.Sprintf("t%d-%d", e.Index, e.At.Milliseconds()))
+	f.setLeaving(e.Index, false)
+	return f.listTarget(e.Index, operator.StateReady, time.Now(), 0)
+}
+
+// setLeaving sets whether a target is leaving or starts again. It returns false if that was set before.
+func (f *fleet) setLeaving(index int, leaving bool) bool {
 	f.configMu.Lock()
-	f.leaving[e.Index] = false
-	f.configMu.Unlock()
-	return f.listTarget(e.Index, operator.StateReady)
+	defer f.configMu.Unlock()
+	changed := f.leaving[index] != leaving
+	f.leaving[index] = leaving
+	return changed
 }
--- a/standin/operator/operator.go
+++ b/standin/operator/operator.go
@@ -46,6 +46,8 @@
 	Name           string          `json:"name"`
 	MaxConnections int             `json:"maxConns,omitempty"`
 	Engine         *EngineCapacity `json:"engine,omitempty"`
+	ColdStart      float64         `json:"coldStartS,omitempty"` // seconds for which a target is cold after its start
+	ColdRate       float64         `json:"coldPerS,omitempty"`   // requests per second that a cold target can take
 }
 
 // EngineCapacity is the capacity of each engine of a service.
@@ -73,6 +75,7 @@
 	Slots     int    `json:"slots"`
 	State     string `json:"state"`
 	StartedAt int64  `json:"born"`
+	Cold      int64  `json:"coldRemainingMs,omitempty"` // milliseconds left until the target is warm
 }
 
 // States of targets in their entries.
@@ -81,6 +84,9 @@
 	StateLeaving = "draining"
 )
 
+// evacuationPrefix begins the keys of rows that each evacuate a data centre.
+const evacuationPrefix = "evacuate/"
+
 // Publish writes a configuration to the store.
 func Publish(store *standin.Platform, d Config) error {
 	body, err := json.Marshal(d)
@@ -109,6 +115,16 @@
 	store.Transact(platform.TransactRequest{Removals: []platform.RowItem{{Table: platform.TableTargets, Key: id}}})
 }
 
+// Evacuate writes the row that evacuates a data centre. Only its key counts, the value may be malformed.
+func Evacuate(store *standin.Platform, place string, value []byte) {
+	write(store, platform.TableOperator, evacuationPrefix+place, value)
+}
+
+// EndEvacuation removes the row that evacuates a data centre.
+func EndEvacuation(store *standin.Platform, place string) {
+	store.Transact(platform.TransactRequest{Removals: []platform.RowItem{{Table: platform.TableOperator, Key: evacuationPrefix + place}}})
+}
+
 func write(store *standin.Platform, table, key string, body []byte) {
 	store.Transact(platform.TransactRequest{Puts: []platform.RowItem{{Table: table, Key: key, Value: body}}})
 }
