placement: a suspicion ends although hosts pass it on

Cause: host states carry the time left of a suspicion, and hosts pass on what they heard. Each message made it longer by its delay, so hosts prolonged it among themselves. Change: a suspicion that began within 500 ms of a known one keeps the times known here. Conclusion: mended; TestSuspicionEndsAlthoughHostsPassItOn failed before.

--- a/placement/cold.go
+++ b/placement/cold.go
@@ -11,6 +11,7 @@
 	maxTickGap          = 500 * time.Millisecond // between two ticks; after a longer one this host was suspended
 	maxColdChanges      = 256                    // changes that are kept until they are taken
 	maxSuspicions       = 64                     // suspected targets in one PeerState
+	maxSuspicionDelay   = 500 * time.Millisecond // suspicions of a target that began within this time are the same one
 )
 
 // Suspicion tells that a host could not reach a target, which may have started again and be cold.
@@ -93,10 +94,17 @@
 	}
 }
 
-// applySuspicion takes over the suspicion of another host.
+// applySuspicion takes over the suspicion of another host. Its times are late by the delay of the message. One that this
+// host knows already keeps its times here, since hosts that tell each other would prolong it without end.
 func (b *Board) applySuspicion(s Suspicion) {
 	r := b.targets[s.Target]
-	if r != nil && r.warmup.SuspectUntil(s.Since, s.Until) {
+	if r == nil {
+		return
+	}
+	if late := s.Since.Sub(r.warmup.SuspectedSince()); late > 0 && late < maxSuspicionDelay {
+		s.Since, s.Until = s.Since.Add(-late), s.Until.Add(-late)
+	}
+	if r.warmup.SuspectUntil(s.Since, s.Until) {
 		b.noteCold(r, warmup.ReasonPeer)
 	}
 }
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -148,3 +148,45 @@
 	require.Empty(t, f.send(testColdStart))
 	require.NotEmpty(t, f.send(time.Second))
 }
+
+// delayed returns suspicions as a host knows them that gets a message late: their ends are told as the time left.
+func delayed(suspicions []placement.Suspicion, delay time.Duration) []placement.Suspicion {
+	var out []placement.Suspicion
+	for _, s := range suspicions {
+		out = append(out, placement.Suspicion{Target: s.Target, Since: s.Since.Add(delay), Until: s.Until.Add(delay)})
+	}
+	return out
+}
+
+// TestSuspicionEndsAlthoughHostsPassItOn guards against a suspicion that hosts tell each other again and again, each time
+// longer by the delay of the message.
+func TestSuspicionEndsAlthoughHostsPassItOn(t *testing.T) {
+	const (
+		hosts     = 24
+		interval  = 4 * time.Millisecond // between the states of two hosts
+		delay     = 20 * time.Millisecond
+		suspicion = 3*1200*time.Millisecond + testColdStart
+	)
+	fleet := make([]*coldFleet, hosts)
+	for n := range fleet {
+		fleet[n] = newColdFleet("a")
+	}
+	start := fleet[0].now
+	fleet[0].board.RecordEnd(start, smallRequest("model"), "a", placement.Load{}, placement.Unreachable, 0)
+	now := start
+	var underWay [][]placement.Suspicion // of the last states, the oldest first
+	for n := 0; now.Before(start.Add(suspicion + 10*delay)); n++ {
+		now = now.Add(interval)
+		underWay = append(underWay, delayed(fleet[n%hosts].board.State(now).Suspicions, delay))
+		if len(underWay) > int(delay/interval) {
+			for _, f := range fleet {
+				f.board.ApplyPeerState(now, 7, placement.PeerState{Suspicions: underWay[0]})
+			}
+			underWay = underWay[1:]
+		}
+	}
+	for n, f := range fleet {
+		require.True(t, f.board.MayBeCold(start.Add(suspicion-delay), "a"), n)
+		require.False(t, f.board.MayBeCold(now, "a"), n)
+	}
+}
