--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -54,6 +54,7 @@
 	slopes = append(slopes, measureMessageSizes()...)
 	slopes = append(slopes, measureProcessing()...)
 	slopes = append(slopes, measureMemory()...)
+	slopes = append(slopes, measureUneven()...)
 	return slopes
 }
 
