entry: bodies and connections of callers are bounded by the memory of the host

The body is joined, since JSON is read in one piece, shared with the request that is sent, and counted twice, as models get a changed copy. The limit before the service is known is the largest of all services. It is given back when the answer was written or the connection is closed. Ruled out: releasing it in the handler, since streams read it for further attempts.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,24 +33,28 @@
 
 // Entry is the process of one entry host.
 type Entry struct {
-	settings  Settings
-	log       zerolog.Logger
-	loop      *eventLoop
-	hub       *wire.Hub
-	pool      *link.Pool
-	platform  *platform.Client
-	store     *publish.Store
-	workers   pond.Pool
-	metrics   *metrics
-	prompts   promptMeans
-	held      *held.Budget // bytes of answers that are held
-	view      atomic.Pointer[catalog.View]
-	ready     atomic.Bool
-	stopping  atomic.Bool
-	polling   atomic.Bool
-	listeners listeners
-	server    *fasthttp.Server
-	status    *fasthttp.Server
+	settings         Settings
+	log              zerolog.Logger
+	loop             *eventLoop
+	hub              *wire.Hub
+	pool             *link.Pool
+	platform         *platform.Client
+	store            *publish.Store
+	workers          pond.Pool
+	metrics          *metrics
+	prompts          promptMeans
+	held             *held.Budget // bytes of answers and of callers' bodies that are held
+	connections      *held.Connections
+	bodies           heldBodies
+	maxBody          atomic.Int64 // largest body of a request that any service allows, in bytes
+	evictionLoggedAt atomic.Int64 // when a closed connection was last logged, in Unix nanoseconds
+	view             atomic.Pointer[catalog.View]
+	ready            atomic.Bool
+	stopping         atomic.Bool
+	polling          atomic.Bool
+	listeners        listeners
+	server           *fasthttp.Server
+	status           *fasthttp.Server
 }
 
 // listeners are the listening sockets of an entry host.
@@ -124,8 +128,11 @@
 		config.Seeds = append(config.Seeds, host.Seed{Address: p.Address, Place: p.Place})
 	}
 	e.held = held.NewBudget(e.settings.Memory)
+	e.connections = held.NewConnections(e.settings.Memory, e.recordEviction)
+	e.metrics.watchHeld(e.held)
 	h := host.New(config)
 	e.view.Store(h.View())
+	e.maxBody.Store(largestBody(h.View()))
 	e.loop = newEventLoop(h, time.Now, e.execute)
 	e.hub = wire.NewHub(wire.Config{
 		Address: e.settings.Peer, Boot: boot, Key: []byte(e.settings.Secret),
@@ -147,16 +154,21 @@
 	e.server = &fasthttp.Server{
 		Handler: e.handle, NoDefaultServerHeader: true, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		ReadBufferSize: maxHeadBytes, MaxRequestBodySize: catalog.MaxBodyBytesLimit, ErrorHandler: e.refuseMalformed,
-		CloseOnShutdown: true,
+		CloseOnShutdown: true, StreamRequestBody: true, DisablePreParseMultipartForm: true, ConnState: e.trackConnection,
+		HeaderReceived: e.headReceived, ExpectHandler: e.checkExpected,
 	}
 	e.status = &fasthttp.Server{Handler: e.handleStatus, NoDefaultServerHeader: true}
 }
 
-// refuseMalformed answers a request that is not valid HTTP or whose body is too large, and closes
+// refuseMalformed answers a request that is not valid HTTP or whose body is too large or can't be held, and closes
 // its connection.
 func (e *Entry) refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
 	p := notRunProblem(fasthttp.StatusBadRequest, "bad_request", "", "the request is malformed")
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+	switch {
+	case errors.Is(err, held.ErrNoRoom):
+		p = notRunProblem(fasthttp.StatusServiceUnavailable, "no_room", "", "this host has no room for the body")
+		p.retry = noRoomRetryAfter
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, held.ErrBodyTooLarge):
 		p = notRunProblem(fasthttp.StatusRequestEntityTooLarge, "too_large", "", "the body is too large")
 	}
 	e.refuse(ctx, nil, p)
@@ -178,6 +190,7 @@
 	}
 	if c.View != nil {
 		e.view.Store(c.View)
+		e.maxBody.Store(largestBody(c.View))
 		e.metrics.revision.Set(float64(c.View.Set.Revision))
 		e.log.Info().Uint64("revision", c.View.Set.Revision).Msg("configuration in force")
 	}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -60,7 +60,7 @@
 		entry: e, callerConn: ctx.Conn(), service: info.service, info: info,
 		slotResults: make(chan slotResult, slotResultBuffer), request: &fasthttp.Request{},
 	}
-	ctx.Request.CopyTo(x.request)
+	copyRequest(&ctx.Request, x.request)
 	x.request.Header.Del(fasthttp.HeaderAuthorization)
 	x.request.Header.Del(fasthttp.HeaderConnection)
 	x.request.Header.Set(HeaderRequestID, info.id)
--- a/entry/front.go
+++ b/entry/front.go
@@ -25,6 +25,9 @@
 	if e.stopping.Load() {
 		ctx.Response.Header.SetConnectionClose()
 	}
+	if !e.receive(ctx) {
+		return
+	}
 	path := string(ctx.Path())
 	switch {
 	case path == pathModels && ctx.IsGet():
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/cassiachute/cassiachute/held"
 	"github.com/cassiachute/cassiachute/wire"
 )
 
@@ -29,6 +30,7 @@
 	queued         *prometheus.GaugeVec
 	virtualService *prometheus.GaugeVec
 	rejected       prometheus.Counter
+	evicted        prometheus.Counter
 }
 
 // newMetrics creates and registers all metrics but those of the hub.
@@ -49,10 +51,13 @@
 		usedSlots:      gaugeVec("shard_slots_used", "Slots in use of the shards owned here.", "service"),
 		queued:         gaugeVec("shard_waiting", "Tickets that wait at the shards owned here.", "service"),
 		virtualService: gaugeVec("virtual_service", "Service per weight that counts for the order.", "service", "team"),
-		rejected:       prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "peer_rejections_total", Help: "Peer connections rejected."}),
+		evicted: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "connections_evicted_total", Help: "Connections of callers that were closed for others.",
+		}),
+		rejected: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "peer_rejections_total", Help: "Peer connections rejected."}),
 	}
 	m.registry.MustRegister(m.requests, m.retries, m.cost, m.waits, m.firstByteTimes, m.waiting, m.running,
-		m.revision, m.slots, m.usedSlots, m.queued, m.virtualService, m.rejected)
+		m.revision, m.slots, m.usedSlots, m.queued, m.virtualService, m.rejected, m.evicted)
 	return m
 }
 
@@ -68,6 +73,21 @@
 	)
 }
 
+// watchHeld registers gauges of the bytes of large answers and bodies that are held.
+func (m *metrics) watchHeld(b *held.Budget) {
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "held_bytes", Help: "Bytes of large answers and bodies of requests that are held.",
+		}, func() float64 {
+			used, _ := b.Used()
+			return float64(used)
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "held_request_bytes", Help: "Bytes of large bodies of requests that are held.",
+		}, func() float64 { return float64(b.Received()) }),
+	)
+}
+
 // counter returns an unregistered counter with labels.
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
