held: more connections of callers before any is closed

Change: half of the memory at 120 KiB each: 785 there, 614 at 144 MB. Ruled out: two thirds at 128 KiB, 682 connections at 128 MB: over the tests' bound of 600 descriptors, which stays. Figures: go test ./bodies: at most 573 descriptors (369 before) and 80 MiB of 128.

--- a/held/connections.go
+++ b/held/connections.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	connectionBytes    = 128 << 10 // of a connection with a request: read buffer, head and its copies, FreeBytes, stack
-	connectionFraction = 1.0 / 3   // of the memory of the host, for connections of callers
+	connectionBytes    = 120 << 10 // of a connection with a request: read buffer, head and its copies, FreeBytes, stack
+	connectionFraction = 1.0 / 2   // of the memory of the host, for connections of callers
 )
 
 // Connections bounds the connections of callers, since each holds buffers whether or not its caller sends anything. If
