speed: ratio of each target to its service's mean, from its owner to all hosts

Cause: one reading model serves a whole service, and slowdown knows only "slower than the model", never faster; prompts get homes whatever the engine's speed. Change: package speed estimates each target's time per queued work against the mean, by occupancy; owners share it in host states (target, ratio, step; about 5 bytes and the name each); waits, reading times, plain scores and the choice of homes use it. Slot updates carry the lateness of the host that measured.

--- a/gateway/core.go
+++ b/gateway/core.go
@@ -243,6 +243,7 @@
 	changed = c.lag.Tick(now)
 	c.lag.ExpectTick(now, period)
 	receivedUntil = c.silenceCheckTime(now)
+	c.board.SetLateness(c.waitLag())
 	c.board.Tick(receivedUntil)
 	c.expireRemoteRequests(now, receivedUntil)
 	for _, service := range c.board.QueuedServices() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -292,6 +292,9 @@
 	for _, change := range g.core.takeColdChanges() {
 		g.record.targetCold(now, change)
 	}
+	for _, change := range g.core.takeSpeedChanges() {
+		g.record.targetSpeed(change)
+	}
 	for _, address := range g.peers.expireSilent(receivedUntil) {
 		g.record.peerChanged(address, "", false)
 	}
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -240,6 +240,7 @@
 	for _, s := range n.Suspicions {
 		out.Suspicions = append(out.Suspicions, wire.Suspicion{Target: s.Target, Age: toMillis(now.Sub(s.Since)), Left: toMillis(s.Until.Sub(now))})
 	}
+	out.Speeds = speedMessages(n.Speeds)
 	for _, status := range c.quarantine.State() {
 		out.HeldTraits = append(out.HeldTraits, status.Message(now))
 	}
@@ -276,6 +277,7 @@
 	for _, s := range m.Suspicions {
 		n.Suspicions = append(n.Suspicions, placement.Suspicion{Target: s.Target, Since: now.Add(-fromMillis(s.Age)), Until: now.Add(fromMillis(s.Left))})
 	}
+	n.Speeds = speedsFromMessage(m.Speeds)
 	g.mergeHeldTraits(from, now, m.HeldTraits)
 	g.core.applyPeerState(now, hostNumber(from), n)
 }
--- a/gateway/guest.go
+++ b/gateway/guest.go
@@ -128,6 +128,7 @@
 		return
 	}
 	took := time.Duration(m.Duration) * time.Microsecond
+	r.ask.Lateness = time.Duration(m.Lateness) * time.Microsecond
 	switch {
 	case m.Ended:
 		c.board.RecordRemoteEventGaps(r.choice.Target, int(m.IntervalCount), time.Duration(m.MeanInterval)*time.Microsecond)
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -26,6 +26,7 @@
 	eventConfig       = "configuration"
 	eventEvacuated    = "evacuated"
 	eventCold         = "cold"
+	eventSpeed        = "speed"
 	eventBadConfig    = "configuration-unreadable"
 	eventTargets      = "targets"
 	eventBadTarget    = "target-unreadable"
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -18,6 +18,7 @@
 	processor, activityTime, heldTraits   *prometheus.Desc
 	heldBytes, evacuated                  *prometheus.Desc
 	coldTargets, coldGrants               *prometheus.Desc
+	unevenTargets                         *prometheus.Desc
 }
 
 // newStateCollector returns the collector of a gateway.
@@ -41,6 +42,7 @@
 		heldBytes:         newDesc("held_bytes", "Bytes of large answers that are held until they are complete and written."),
 		evacuated:         newDesc("evacuated_places", "Data centres whose targets get no new requests."),
 		coldTargets:       newDesc("cold_targets", "Targets that are cold, or suspected of it.", "state"),
+		unevenTargets:     newDesc("uneven_targets", "Targets that differ from the mean of their service.", "speed"),
 		coldGrants:        newDesc("cold_decisions_total", "Decisions of this host about cold or suspected targets.", "decision"),
 		droppedLines:      newDesc("log_lines_dropped_total", "Log lines that were dropped.", "event"),
 	}
@@ -87,6 +89,10 @@
 	cold := g.core.coldCounts(time.Now())
 	gauge(s.coldTargets, float64(cold.Cold), "cold")
 	gauge(s.coldTargets, float64(cold.Suspected), "suspected")
+	uneven := g.core.speedCounts()
+	gauge(s.unevenTargets, float64(uneven.Slower), "slower")
+	gauge(s.unevenTargets, float64(uneven.Faster), "faster")
+	gauge(s.unevenTargets, float64(uneven.Limited), "limited")
 	counter(s.coldGrants, float64(cold.Granted), "granted")
 	counter(s.coldGrants, float64(cold.Refused), "refused")
 	gauge(s.evacuated, float64(g.storeCache.evacuatedCount()))
--- a/placement/board.go
+++ b/placement/board.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cassiachute/cassiachute/route"
+	"github.com/cassiachute/cassiachute/speed"
 	"github.com/cassiachute/cassiachute/warmup"
 )
 
@@ -43,6 +44,7 @@
 	peerLoad            Load   // from requests that other hosts decided about
 	health              health
 	warmup              warmup.Limiter
+	speed               targetSpeed
 	cache               *prefixCache
 	meanEventGap        time.Duration // mean interval between events
 	lastEvent           time.Time     // time of the last event of any stream
@@ -65,6 +67,8 @@
 	engine           *route.Engine
 	prefillModel     *PrefillModel
 	answerTime       time.Duration   // mean answer time of a plain service
+	speeds           speed.Mean      // of the targets
+	weighted         bool            // some targets are faster or slower than others by a step
 	coldStart        time.Duration   // for which a target is cold after its start
 	coldRate         float64         // requests per second that a cold target can take
 	targets          []*targetRecord // sorted by target ID
@@ -97,6 +101,9 @@
 	lastTick    time.Time
 	coldChanges []ColdChange // that were not taken yet
 
+	lateness     time.Duration // mean lateness of this host
+	speedChanges []SpeedChange // that were not taken yet
+
 	promisedRate float64 // cost units a second that all engines provide together, 0 if unknown
 }
 
@@ -150,6 +157,7 @@
 	r.cache.clear()
 	r.pausedUntil, r.fullUntil = time.Time{}, time.Time{}
 	r.health, r.suspendedForSilence = newHealth(), false
+	r.speed = targetSpeed{}
 }
 
 // SetTargets replaces the list of targets. A target that is no longer listed gets no new requests;
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -52,6 +52,7 @@
 	CachedTokens    int           // prompt tokens that the wanted engine has cached, as far as the caller's host knows
 	Regions         []string      // regions whose targets may serve the request, empty for all
 	Priority        int           // rank of the request, 0 is the highest
+	Lateness        time.Duration // of the host that measured its times, if that is another one
 	Place           string        // data centre of the host to which the caller is connected, empty for that of this host
 
 	preferred  preferredTargets
@@ -135,10 +136,10 @@
 		if load.Running >= b.plainSlots(now, p, r) {
 			continue
 		}
-		score := float64(load.Running)/float64(r.target.Slots) + r.health.failures
+		score := r.plainScore(load.Running) + r.health.failures
 		switch {
 		case stale:
-			score += hashFraction(hashPair(a.Seed, r.key))
+			score += hashFraction(hashPair(a.Seed, r.key)) * r.speedRatio()
 		case r.target.Place != place:
 			score += 1 / float64(8*r.target.Slots)
 		}
@@ -152,7 +153,7 @@
 		}
 		return b.refusePlain(now, p)
 	}
-	return Choice{Target: best.target.ID, Load: Load{Running: 1}, ExpectedTime: p.answerTime}
+	return Choice{Target: best.target.ID, Load: Load{Running: 1}, ExpectedTime: best.scaleTime(p.answerTime)}
 }
 
 // chooseEngine compares engines by the prompts queued there and by the part of this prompt that they
@@ -237,22 +238,22 @@
 		return
 	}
 	load := r.load()
-	slowdown := r.health.slowdown()
-	wait := scale(s.prefillTime(load.Prompt), slowdown)
+	delay := r.delayFactor()
+	wait := scale(s.prefillTime(load.Prompt), delay)
 	limit := p.queueLimit(a, s.standing, s.shareRatio, r)
 	if wait > limit || load.Running >= r.availableSlots(s.now, p.engine.Slots) {
 		s.recordExcess(wait - limit)
 		return
 	}
 	cached := s.cachedTokens(r)
-	prefill := s.prefillTime(a.Chain.Total - cached)
+	prefill := r.scaleTime(s.prefillTime(a.Chain.Total - cached))
 	need := Load{Prompt: a.Chain.Total - cached, Running: 1, Memory: a.Chain.Total + int(expectedOutputFraction*float64(a.MaxOutput))}
 	limit, allowed := s.restrictLimit(limit, r, cached, prefill)
 	if wait > limit || !allowed || !p.fits(load, need) {
 		s.recordExcess(wait - limit)
 		return
 	}
-	score := wait + scale(s.uncachedPrefillTime(cached, r), prefillWeight*slowdown)
+	score := wait + scale(s.uncachedPrefillTime(cached, r), prefillWeight*delay)
 	if r.target.Place != s.board.place {
 		score += remotePlacePenalty
 	}
@@ -261,7 +262,7 @@
 	}
 	if s.best.Target == "" || score < s.bestScore {
 		s.bestScore = score
-		s.best = Choice{Target: r.target.ID, Load: need, QueueTime: wait, ExpectedTime: s.baseLatency + wait + prefill}
+		s.best = Choice{Target: r.target.ID, Load: need, QueueTime: wait, ExpectedTime: r.scaleTime(s.baseLatency) + wait + prefill}
 	}
 }
 
@@ -392,6 +393,9 @@
 	if prefix == 0 {
 		return nil, nil
 	}
+	if p.weighted {
+		return p.weightedRendezvous(a, prefix)
+	}
 	var firstWeight, secondWeight uint64
 	for _, r := range p.targets {
 		if r.closed() || !a.allows(r.region) {
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -195,7 +195,7 @@
 		if r == preferred || !r.usable(now, a) || !r.warmup.Allows(now) || load.Running >= r.availableSlots(now, p.engine.Slots) || best != nil && load.Prompt >= best.load().Prompt {
 			continue
 		}
-		if s.prefillTime(load.Prompt) <= p.queueLimit(a, s.standing, s.shareRatio, r) && r.hasPrefix(a.Chain) {
+		if r.scaleTime(s.prefillTime(load.Prompt)) <= p.queueLimit(a, s.standing, s.shareRatio, r) && r.hasPrefix(a.Chain) {
 			best = r
 		}
 	}
--- a/placement/peer.go
+++ b/placement/peer.go
@@ -42,6 +42,7 @@
 	receivedAt time.Time
 	loads      []TargetLoad
 	demands    map[string][]Demand
+	speeds     []SharedSpeed
 }
 
 // TargetLoad is the load that one host put on one target.
@@ -63,6 +64,7 @@
 	Departures []Departure
 	Pauses     []Pause
 	Suspicions []Suspicion
+	Speeds     []SharedSpeed
 }
 
 // State returns the state that this host sends to the others. It forgets teams without demand and
@@ -89,6 +91,7 @@
 	}
 	b.addNotices(now, &n)
 	b.addSuspicions(now, &n)
+	b.addSpeeds(&n)
 	return n
 }
 
@@ -98,8 +101,9 @@
 // ApplyPeerState records the state report of another host. The load sums are updated by the
 // difference, so that the cost does not grow with the number of hosts.
 func (b *Board) ApplyPeerState(now time.Time, from uint64, n PeerState) {
+	b.applySpeeds(now, from, b.sharedSpeeds(from), n.Speeds)
 	b.forgetPeer(from)
-	p := &peer{receivedAt: now, loads: n.Loads, demands: map[string][]Demand{}}
+	p := &peer{receivedAt: now, loads: n.Loads, speeds: n.Speeds, demands: map[string][]Demand{}}
 	for _, d := range n.Demands {
 		p.demands[d.Service] = append(p.demands[d.Service], d.Demand)
 	}
@@ -140,6 +144,7 @@
 func (b *Board) Tick(now time.Time) {
 	b.expireDepartures(now)
 	b.resumeCold(now)
+	b.refreshSpeeds(now)
 	lifetime := PeerStateLifetime(len(b.peers) + 1)
 	for id, p := range b.peers {
 		if now.Sub(p.receivedAt) >= lifetime {
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -82,7 +82,7 @@
 			continue
 		}
 		slots := float64(load.Running) / float64(max(1, p.engine.Slots))
-		prefill := p.prefillModel.PrefillTime(load.Prompt).Seconds() / max(maxQueue, minQueueSeconds)
+		prefill := r.scaleTime(p.prefillModel.PrefillTime(load.Prompt)).Seconds() / max(maxQueue, minQueueSeconds)
 		used += min(1, max(slots, prefill))
 		count++
 	}
--- /dev/null
+++ b/placement/speed.go
@@ -0,0 +1,265 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/cassiachute/cassiachute/speed"
+)
+
+const (
+	sharedSpeedLifetime = 10 * time.Second // for which the speed that an owner reported last is used
+	stepKeepTime        = 15 * time.Second // for which a step is kept without enough samples, so that no prompts move back and forth
+	maxSharedSpeeds     = 256              // targets in one PeerState
+	maxSpeedChanges     = 64               // changes that are kept until they are taken
+)
+
+// targetSpeed holds the speed of one target as this host measures it, and as its owner reports it.
+type targetSpeed struct {
+	estimate speed.Estimate
+	step     speed.Step // by the measurements of this host while it owns the target, else as its owner reported
+	knownAt  time.Time  // when there were enough samples last
+	shared   SharedSpeed
+	sharedAt time.Time // when its owner reported it, zero if the owner does not
+	ratio    float64   // in decisions, as of the last refresh; 0 stands for 1
+}
+
+// SharedSpeed is the speed of a target that differs from the mean of its service, as its owner reports it.
+type SharedSpeed struct {
+	Target string
+	Ratio  float64 // time that it takes, relative to the mean
+	Step   int8    // speed.Step, for the choice of preferred engines
+}
+
+// SpeedChange records that this host believes something else about a target that it owns.
+type SpeedChange struct {
+	Target  string
+	Ratio   float64
+	Step    int8
+	Slots   int // that it may have, as far as its speed is concerned
+	Samples uint64
+	Age     time.Duration // of the last sample
+}
+
+// SetLateness sets the mean lateness of this host, which is left out of the times that it measures itself.
+func (b *Board) SetLateness(lateness time.Duration) { b.lateness = lateness }
+
+// latenessOf returns the lateness of the host that measures the times of a request.
+func (b *Board) latenessOf(a *Request) time.Duration {
+	if a.Remote {
+		return a.Lateness
+	}
+	return b.lateness
+}
+
+// speedRatio returns the time that a target takes relative to the mean of its service. A target that fails is never
+// taken for a fast one, since failures are quick.
+func (r *targetRecord) speedRatio() float64 {
+	if r.speed.ratio == 0 || r.speed.ratio < 1 && r.health.failing() {
+		return 1
+	}
+	return r.speed.ratio
+}
+
+// delayFactor returns the factor by which work at a target takes longer than the model of its service says. Without a
+// speed of its own it is the slowdown, which also shows when all targets are slower than the model.
+func (r *targetRecord) delayFactor() float64 {
+	if ratio := r.speedRatio(); ratio != 1 {
+		return ratio
+	}
+	return r.health.slowdown()
+}
+
+// scaleTime returns the time that a target takes for what takes a time at the mean speed.
+func (r *targetRecord) scaleTime(d time.Duration) time.Duration {
+	if ratio := r.speedRatio(); ratio != 1 {
+		return scale(d, ratio)
+	}
+	return d
+}
+
+// meanTime returns the time at the mean speed of what took a time at a target.
+func (r *targetRecord) meanTime(took time.Duration) time.Duration {
+	if ratio := r.speedRatio(); ratio != 1 {
+		return scale(took, 1/ratio)
+	}
+	return took
+}
+
+// observeSpeed records the time that a target took, compared with what the service's mean leads to expect.
+func (p *pool) observeSpeed(now time.Time, r *targetRecord, took, expected, lateness time.Duration) {
+	if sample, ok := speed.Sample(took-min(lateness, took/2), expected); ok {
+		p.speeds.Observe(now, &r.speed.estimate, sample, r.load().Running, p.slotsOf(r))
+	}
+}
+
+// slotsOf returns the slots of a target by its configuration.
+func (p *pool) slotsOf(r *targetRecord) int {
+	if p.engine != nil {
+		return p.engine.Slots
+	}
+	return r.target.Slots
+}
+
+// refreshSpeeds computes the ratios of all targets.
+func (b *Board) refreshSpeeds(now time.Time) {
+	for _, p := range b.pools {
+		if !p.speeds.Due(now) {
+			continue
+		}
+		p.speeds.Begin(now)
+		for _, r := range p.targets {
+			p.speeds.Add(now, &r.speed.estimate)
+		}
+		p.speeds.Finish()
+		weighted, moved := false, false
+		for _, r := range p.targets {
+			p.speeds.Update(&r.speed.estimate)
+			moved = b.refreshSpeed(now, p, r) || moved
+			weighted = weighted || r.speed.step.Value() != 0
+		}
+		p.weighted = weighted
+		if moved {
+			p.epoch++
+		}
+	}
+}
+
+// refreshSpeed updates the ratio and the step of a target, and reports whether its step changed. Hosts that choose plain
+// targets for themselves measure them themselves.
+func (b *Board) refreshSpeed(now time.Time, p *pool, r *targetRecord) bool {
+	s := &r.speed
+	if r.owner != b.self && (p.engine != nil || p.central.enabled) {
+		return s.follow(now)
+	}
+	s.ratio = s.estimate.Ratio()
+	steady := s.estimate.Steady()
+	if r.health.failing() {
+		steady = max(0, steady)
+	}
+	if s.estimate.Known() {
+		s.knownAt = now
+	} else if now.Sub(s.knownAt) < stepKeepTime {
+		return false
+	}
+	if !s.step.Follow(now, steady) {
+		return false
+	}
+	b.noteSpeed(now, r)
+	return true
+}
+
+// follow uses what the owner of a target reported of it, and reports whether that changed the step.
+func (s *targetSpeed) follow(now time.Time) bool {
+	before := s.step.Value()
+	if s.sharedAt.IsZero() || now.Sub(s.sharedAt) > sharedSpeedLifetime {
+		s.ratio = 1
+		s.step.Set(now, 0)
+	} else {
+		s.ratio, s.knownAt = s.shared.Ratio, now
+		s.step.Set(now, s.shared.Step)
+	}
+	return s.step.Value() != before
+}
+
+// noteSpeed keeps a change of a target that this host owns.
+func (b *Board) noteSpeed(now time.Time, r *targetRecord) {
+	if len(b.speedChanges) >= maxSpeedChanges {
+		return
+	}
+	s := &r.speed
+	b.speedChanges = append(b.speedChanges, SpeedChange{
+		Target: r.target.ID, Ratio: r.speedRatio(), Step: s.step.Value(), Slots: b.pool(r.target.Service).slotsOf(r),
+		Samples: s.estimate.Samples(), Age: s.estimate.Age(now),
+	})
+}
+
+// TakeSpeedChanges returns the changes since the last call.
+func (b *Board) TakeSpeedChanges() []SpeedChange {
+	changes := b.speedChanges
+	b.speedChanges = nil
+	return changes
+}
+
+// addSpeeds adds the owned targets that differ from the mean of their service to a PeerState.
+func (b *Board) addSpeeds(n *PeerState) {
+	for _, p := range b.pools {
+		for _, r := range p.owned {
+			ratio, step := r.speedRatio(), r.speed.step.Value()
+			if (ratio != 1 || step != 0) && len(n.Speeds) < maxSharedSpeeds {
+				n.Speeds = append(n.Speeds, SharedSpeed{Target: r.target.ID, Ratio: ratio, Step: step})
+			}
+		}
+	}
+}
+
+// applySpeeds takes over the speeds that the owner of targets reports. Targets that it reported before and does not
+// report any more are like the others again.
+func (b *Board) applySpeeds(now time.Time, from uint64, before, speeds []SharedSpeed) {
+	for _, s := range before {
+		if r := b.targets[s.Target]; r != nil && r.owner == from {
+			r.speed.sharedAt = time.Time{}
+		}
+	}
+	for _, s := range speeds {
+		r := b.targets[s.Target]
+		if r == nil || r.owner != from || math.IsNaN(s.Ratio) || s.Ratio <= 0 {
+			continue
+		}
+		r.speed.shared, r.speed.sharedAt = s, now
+	}
+}
+
+// sharedSpeeds returns the speeds that a host reported last.
+func (b *Board) sharedSpeeds(from uint64) []SharedSpeed {
+	if p := b.peers[from]; p != nil {
+		return p.speeds
+	}
+	return nil
+}
+
+// weightedRendezvous is rendezvous for a service of which some targets are faster or slower than others by a step.
+func (p *pool) weightedRendezvous(a *Request, prefix uint64) (first, second *targetRecord) {
+	firstRank, secondRank := 0.0, 0.0
+	for _, r := range p.targets {
+		if r.closed() || !a.allows(r.region) {
+			continue
+		}
+		rank := speed.Rank(hashPair(prefix, r.key), r.speed.step.Value())
+		switch {
+		case first == nil || rank > firstRank:
+			second, secondRank = first, firstRank
+			first, firstRank = r, rank
+		case second == nil || rank > secondRank:
+			second, secondRank = r, rank
+		}
+	}
+	return first, second
+}
+
+// plainScore returns the work at a plain target with one more request, in slots at the mean speed and less the share of
+// one request, so that it is the fraction of busy slots if all targets are alike.
+func (r *targetRecord) plainScore(running int) float64 {
+	slots := float64(r.target.Slots)
+	if ratio := r.speedRatio(); ratio != 1 {
+		return (float64(running+1)*ratio - 1) / slots
+	}
+	return float64(running) / slots
+}
+
+// SpeedCounts counts the targets that this host takes for slower or faster than the mean of their service.
+type SpeedCounts struct{ Slower, Faster, Limited int }
+
+// SpeedCounts counts the targets that differ from the mean of their service.
+func (b *Board) SpeedCounts() SpeedCounts {
+	var c SpeedCounts
+	for _, r := range b.targets {
+		switch ratio := r.speedRatio(); {
+		case ratio > 1:
+			c.Slower++
+		case ratio < 1:
+			c.Faster++
+		}
+	}
+	return c
+}
--- a/placement/track.go
+++ b/placement/track.go
@@ -40,7 +40,7 @@
 	if !a.Remote {
 		r.streamStarted(now)
 	}
-	b.pool(a.Service).learnFirstEvent(r, c.QueuedTokens, took)
+	b.pool(a.Service).learnFirstEvent(now, r, c.QueuedTokens, took, b.latenessOf(a))
 	return remaining
 }
 
@@ -49,7 +49,7 @@
 	if r := b.targets[c.Target]; r != nil {
 		b.recordAlive(now, r, now.Add(-took))
 		r.streamStarted(now)
-		b.pool(a.Service).learnFirstEvent(r, c.QueuedTokens, took)
+		b.pool(a.Service).learnFirstEvent(now, r, c.QueuedTokens, took, b.latenessOf(a))
 	}
 }
 
@@ -61,10 +61,12 @@
 
 // learnFirstEvent compares the time to a first event with the estimate, and updates the estimate
 // unless the target is much slower than the others.
-func (p *pool) learnFirstEvent(r *targetRecord, queuedTokens int, took time.Duration) {
-	r.health.recordLatency(took, seconds(p.prefillModel.BaseLatency())+p.prefillModel.PrefillTime(queuedTokens))
+func (p *pool) learnFirstEvent(now time.Time, r *targetRecord, queuedTokens int, took, lateness time.Duration) {
+	expected := seconds(p.prefillModel.BaseLatency()) + p.prefillModel.PrefillTime(queuedTokens)
+	r.health.recordLatency(took, expected)
+	p.observeSpeed(now, r, took, expected, lateness)
 	if r.health.slowdown() < maxLearnSlowdown {
-		p.prefillModel.Learn(queuedTokens, took)
+		p.prefillModel.Learn(queuedTokens, r.meanTime(took))
 	}
 }
 
@@ -118,7 +120,8 @@
 		b.recordAlive(now, r, now.Add(-took))
 	}
 	if p := b.pool(a.Service); o == Done && p.engine == nil {
-		p.answerTime += scale(took-p.answerTime, answerTimeWeight)
+		p.observeSpeed(now, r, took, p.answerTime, b.latenessOf(a))
+		p.answerTime += scale(r.meanTime(took)-p.answerTime, answerTimeWeight)
 	}
 	b.recordOutcome(now, r, o)
 }
--- /dev/null
+++ b/speed/mean.go
@@ -0,0 +1,72 @@
+package speed
+
+import "time"
+
+const (
+	bins        = 8    // ranges of occupancy that are told apart
+	curveWeight = 0.02 // weight of the newest sample in the effect of an occupancy
+	maxCurve    = 1.5  // largest logarithm of the effect of an occupancy
+)
+
+// Mean holds what the targets of a service have in common.
+type Mean struct {
+	level       float64       // mean of the targets' averages
+	curve       [bins]float64 // effect of each range of occupancy
+	variance    float64       // of the samples of a target around its average
+	refreshedAt time.Time
+
+	sum, weight float64 // of the refresh under way
+}
+
+// binOf returns the range of an occupancy, the fraction of slots taken.
+func binOf(running, slots int) int {
+	if slots <= 0 {
+		return 0
+	}
+	return min(bins-1, max(0, running)*bins/slots)
+}
+
+// Observe adds a sample of a target, of whose slots a number was taken. The effect that this many requests have on all
+// targets is left out of the target's estimate.
+func (m *Mean) Observe(now time.Time, e *Estimate, sample float64, running, slots int) {
+	effect := &m.curve[binOf(running, slots)]
+	if e.slow.count >= fullCount {
+		residual := min(clipBase, max(-clipBase, sample-e.slow.value-*effect))
+		*effect = min(maxCurve, max(-maxCurve, *effect+curveWeight*residual))
+	}
+	if m.variance == 0 {
+		m.variance = initialVariance
+	}
+	e.observe(now, sample-*effect, &m.variance)
+}
+
+// Due reports whether it is time for a refresh.
+func (m *Mean) Due(now time.Time) bool { return now.Sub(m.refreshedAt) >= RefreshInterval }
+
+// Begin begins a refresh. Add is called for each target of the service, then Finish, then Update for each target.
+func (m *Mean) Begin(now time.Time) { m.refreshedAt, m.sum, m.weight = now, 0, 0 }
+
+// Add adds the average of a target. Targets with few samples count less.
+func (m *Mean) Add(now time.Time, e *Estimate) {
+	if e.samples == 0 {
+		return
+	}
+	e.decay(now)
+	weight := min(1, e.slow.count/fullCount)
+	m.sum += weight * e.slow.value
+	m.weight += weight
+}
+
+// Finish computes the mean of the targets.
+func (m *Mean) Finish() {
+	if m.weight > 0 {
+		m.level = m.sum / m.weight
+	}
+}
+
+// Update computes the ratio of a target to the mean.
+func (m *Mean) Update(e *Estimate) {
+	if e.samples > 0 {
+		e.update(m.level, m.variance)
+	}
+}
--- a/wire/lease.go
+++ b/wire/lease.go
@@ -80,6 +80,7 @@
 	Duration      uint32 // microseconds to the first event, or to the end
 	IntervalCount uint32 // number of intervals between events of an ended stream
 	MeanInterval  uint32 // mean of the intervals in microseconds
+	Lateness      uint32 // microseconds by which a lack of processor time at the sender may have delayed what it measured
 }
 
 // Kind returns KindLeaseUpdate.
--- a/wire/news.go
+++ b/wire/news.go
@@ -5,20 +5,21 @@
 type HostState struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Boot       uint64       // start time of the sender's process in Unix milliseconds
-	Number     uint64       // rises with each message of the process
-	Revision   uint64       // version of the configuration in force at the sender
-	Age        uint32       // milliseconds since the sender's configuration and list of targets were known to be current, the longer time of both
-	ReadsStore bool         // the sender reads the store itself
-	Leaving    bool         // the sender is shutting down
-	Place      string       // place of the sender
-	Loads      []TargetLoad // by target
-	Demands    []TeamDemand // by service and team
-	HeldTraits []HeldTrait  // properties of requests that crash targets
-	NotReady   bool         // the sender signals the load balancer to open no new connections
-	Departures []Departure  // targets that are shutting down
-	Pauses     []Pause      // targets that asked for a pause
-	Suspicions []Suspicion  // targets that may have started again and be cold
+	Boot       uint64        // start time of the sender's process in Unix milliseconds
+	Number     uint64        // rises with each message of the process
+	Revision   uint64        // version of the configuration in force at the sender
+	Age        uint32        // milliseconds since the sender's configuration and list of targets were known to be current, the longer time of both
+	ReadsStore bool          // the sender reads the store itself
+	Leaving    bool          // the sender is shutting down
+	Place      string        // place of the sender
+	Loads      []TargetLoad  // by target
+	Demands    []TeamDemand  // by service and team
+	HeldTraits []HeldTrait   // properties of requests that crash targets
+	NotReady   bool          // the sender signals the load balancer to open no new connections
+	Departures []Departure   // targets that are shutting down
+	Pauses     []Pause       // targets that asked for a pause
+	Suspicions []Suspicion   // targets that may have started again and be cold
+	Speeds     []TargetSpeed // targets owned by the sender that are faster or slower than others
 }
 
 // Kind returns KindHostState.
@@ -139,3 +140,12 @@
 	Age    uint32 // milliseconds since it could not be reached
 	Left   uint32 // milliseconds for which it counts as cold
 }
+
+// TargetSpeed reports a target of the sender that is faster or slower than the mean of its service.
+type TargetSpeed struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Target string // identity of the target
+	Ratio  int8   // logarithm of the time that it takes relative to the mean, in units of 0.05
+	Step   int8   // coarse step of its speed, by which all hosts choose the engines of prompts
+}
