speed: knees, failing targets, and the patterns that show them

Cause: engines that slow before all slots are taken got all of them; a target that fails at once looks idle and drew a third of the requests. Change: speed.Knee finds the range of occupancy beyond which a target takes longer than others do and completes hardly more, where steps exceed the goal. Scores count the tries that a failing target costs; no target that failed lately counts as a fast one.

--- a/gateway/guest.go
+++ b/gateway/guest.go
@@ -131,7 +131,7 @@
 	r.ask.Lateness = time.Duration(m.Lateness) * time.Microsecond
 	switch {
 	case m.Ended:
-		c.board.RecordRemoteEventGaps(r.choice.Target, int(m.IntervalCount), time.Duration(m.MeanInterval)*time.Microsecond)
+		c.board.RecordRemoteEventGaps(now, r.choice.Target, int(m.IntervalCount), time.Duration(m.MeanInterval)*time.Microsecond)
 		c.releaseRemote(now, key, r, placement.Outcome(m.Outcome), took)
 	case m.Begun && r.queueID == 0 && r.load.Prompt > 0:
 		r.load = c.board.RecordFirstEvent(now, &r.ask, r.choice, took)
--- a/placement/board.go
+++ b/placement/board.go
@@ -68,6 +68,7 @@
 	prefillModel     *PrefillModel
 	answerTime       time.Duration   // mean answer time of a plain service
 	speeds           speed.Mean      // of the targets
+	knees            speed.Knees     // of the targets
 	weighted         bool            // some targets are faster or slower than others by a step
 	coldStart        time.Duration   // for which a target is cold after its start
 	coldRate         float64         // requests per second that a cold target can take
--- a/placement/central_test.go
+++ b/placement/central_test.go
@@ -37,7 +37,8 @@
 	events  []deskEvent
 	waiting map[uint64]*deskRequest // in the queues of boards
 	next    uint64
-	repeats bool // callers that are refused send again at once, three times
+	factors map[string]float64 // by which work takes longer at a target, 0 for 1
+	repeats bool               // callers that are refused send again at once, three times
 
 	asked, inGoal, rejected, refused int
 }
@@ -195,6 +196,9 @@
 	ahead := max(0, d.running[id]-deskSlots+1)
 	d.running[id]++
 	work := deskWork + time.Duration(d.random.Float64()*float64(deskWork)/2)
+	if factor := d.factors[id]; factor > 0 {
+		work = time.Duration(float64(work) * factor)
+	}
 	d.after(work+time.Duration(ahead)*work/deskSlots, func() {
 		d.running[id]--
 		if d.now.Sub(q.arrived) <= deskGoal {
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -260,6 +260,7 @@
 	if a.breakTiesByHash {
 		score += scale(maxTieBreakPenalty, hashFraction(hashPair(a.Chain.LongestPrefix(), r.key)))
 	}
+	score = r.failureScore(s.now, score)
 	if s.best.Target == "" || score < s.bestScore {
 		s.bestScore = score
 		s.best = Choice{Target: r.target.ID, Load: need, QueueTime: wait, ExpectedTime: r.scaleTime(s.baseLatency) + wait + prefill}
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -129,7 +129,7 @@
 // availableSlots returns how many slots of a target may be in use now: all of them, or a growing
 // fraction after a pause, since otherwise all waiting requests would come at once.
 func (r *targetRecord) availableSlots(now time.Time, slots int) int {
-	slots = r.warmup.Slots(now, slots)
+	slots = r.warmup.Slots(now, r.speed.knee.Limit(slots))
 	since := now.Sub(r.pausedUntil)
 	if r.pausedUntil.IsZero() || since >= resumeRampTime {
 		return slots
--- a/placement/peer.go
+++ b/placement/peer.go
@@ -145,6 +145,7 @@
 	b.expireDepartures(now)
 	b.resumeCold(now)
 	b.refreshSpeeds(now)
+	b.refreshKnees(now)
 	lifetime := PeerStateLifetime(len(b.peers) + 1)
 	for id, p := range b.peers {
 		if now.Sub(p.receivedAt) >= lifetime {
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -12,12 +12,19 @@
 	stepKeepTime        = 15 * time.Second // for which a step is kept without enough samples, so that no prompts move back and forth
 	maxSharedSpeeds     = 256              // targets in one PeerState
 	maxSpeedChanges     = 64               // changes that are kept until they are taken
+	failureProbeTime    = 2 * time.Second  // after which a target that failed is tried again
+	fewFailures         = 0.05             // failure rate up to which a target may count as a fast one
+	minSuccessRate      = 0.1              // least fraction of requests that count as answered
+	stepGoalFraction    = 0.9              // fraction of the required interval between events up to which a target may slow
+	plainStepFraction   = 0.3              // fraction of the tightest goal of a plain service up to which a target may slow
 )
 
 // targetSpeed holds the speed of one target as this host measures it, and as its owner reports it.
 type targetSpeed struct {
 	estimate speed.Estimate
+	knee     speed.Knee
 	step     speed.Step // by the measurements of this host while it owns the target, else as its owner reported
+	failedAt time.Time  // when a request failed there last
 	knownAt  time.Time  // when there were enough samples last
 	shared   SharedSpeed
 	sharedAt time.Time // when its owner reported it, zero if the owner does not
@@ -52,15 +59,18 @@
 	return b.lateness
 }
 
-// speedRatio returns the time that a target takes relative to the mean of its service. A target that fails is never
-// taken for a fast one, since failures are quick.
+// speedRatio returns the time that a target takes relative to the mean of its service. A target that failed lately is
+// never taken for a fast one, since failures are quick.
 func (r *targetRecord) speedRatio() float64 {
-	if r.speed.ratio == 0 || r.speed.ratio < 1 && r.health.failing() {
+	if r.speed.ratio == 0 || r.speed.ratio < 1 && r.failedLately() {
 		return 1
 	}
 	return r.speed.ratio
 }
 
+// failedLately reports whether a request failed at a target and few were answered since.
+func (r *targetRecord) failedLately() bool { return r.health.failures >= fewFailures }
+
 // delayFactor returns the factor by which work at a target takes longer than the model of its service says. Without a
 // speed of its own it is the slowdown, which also shows when all targets are slower than the model.
 func (r *targetRecord) delayFactor() float64 {
@@ -70,6 +80,15 @@
 	return r.health.slowdown()
 }
 
+// failureScore returns the score of a target in which the requests that fail there count: each one that is answered takes
+// several. After a time without failures, the target gets requests again, which show whether it still fails.
+func (r *targetRecord) failureScore(now time.Time, score time.Duration) time.Duration {
+	if !r.health.failing() || now.Sub(r.speed.failedAt) > failureProbeTime {
+		return score
+	}
+	return scale(score, 1/max(minSuccessRate, 1-r.health.failures))
+}
+
 // scaleTime returns the time that a target takes for what takes a time at the mean speed.
 func (r *targetRecord) scaleTime(d time.Duration) time.Duration {
 	if ratio := r.speedRatio(); ratio != 1 {
@@ -93,6 +112,11 @@
 	}
 }
 
+// observeStep records the time of one step of a target's work: the interval between two events, or a whole answer.
+func (r *targetRecord) observeStep(now time.Time, p *pool, took time.Duration) {
+	r.speed.knee.Observe(now, r.load().Running, p.slotsOf(r), took)
+}
+
 // slotsOf returns the slots of a target by its configuration.
 func (p *pool) slotsOf(r *targetRecord) int {
 	if p.engine != nil {
@@ -125,16 +149,49 @@
 	}
 }
 
-// refreshSpeed updates the ratio and the step of a target, and reports whether its step changed. Hosts that choose plain
-// targets for themselves measure them themselves.
+// refreshKnees finds out which of the targets that this host decides about slow before all their slots are taken.
+func (b *Board) refreshKnees(now time.Time) {
+	for _, p := range b.pools {
+		goal, wanted := p.stepGoal()
+		if !wanted || !p.knees.Due(now) {
+			continue
+		}
+		p.knees.Begin(now)
+		for _, r := range p.targets {
+			p.knees.Add(now, &r.speed.knee)
+		}
+		for _, r := range p.targets {
+			if b.measures(p, r) && p.knees.Update(now, &r.speed.knee, goal) {
+				b.noteSpeed(now, r)
+			}
+		}
+	}
+}
+
+// stepGoal returns the time of a step up to which no caller minds that a target slows, and false if no caller minds at
+// all. The answers of a plain target are its steps; the queue takes a part of their goal.
+func (p *pool) stepGoal() (time.Duration, bool) {
+	if p.engine != nil {
+		return scale(p.requiredEventGap, stepGoalFraction), p.requiredEventGap > 0
+	}
+	return scale(p.tightestGoal, plainStepFraction), p.tightestGoal > 0
+}
+
+// measures reports whether this host decides about a target by its own measurements. Hosts that choose plain targets for
+// themselves do.
+func (b *Board) measures(p *pool, r *targetRecord) bool {
+	return r.owner == b.self || p.engine == nil && !p.central.enabled
+}
+
+// refreshSpeed updates the ratio and the step of a target, and reports whether its step changed.
 func (b *Board) refreshSpeed(now time.Time, p *pool, r *targetRecord) bool {
 	s := &r.speed
-	if r.owner != b.self && (p.engine != nil || p.central.enabled) {
+	if !b.measures(p, r) {
 		return s.follow(now)
 	}
 	s.ratio = s.estimate.Ratio()
 	steady := s.estimate.Steady()
-	if r.health.failing() {
+	if r.failedLately() {
 		steady = max(0, steady)
 	}
 	if s.estimate.Known() {
@@ -169,7 +226,7 @@
 	}
 	s := &r.speed
 	b.speedChanges = append(b.speedChanges, SpeedChange{
-		Target: r.target.ID, Ratio: r.speedRatio(), Step: s.step.Value(), Slots: b.pool(r.target.Service).slotsOf(r),
+		Target: r.target.ID, Ratio: r.speedRatio(), Step: s.step.Value(), Slots: s.knee.Limit(b.pool(r.target.Service).slotsOf(r)),
 		Samples: s.estimate.Samples(), Age: s.estimate.Age(now),
 	})
 }
@@ -254,6 +311,9 @@
 func (b *Board) SpeedCounts() SpeedCounts {
 	var c SpeedCounts
 	for _, r := range b.targets {
+		if r.speed.knee.Limited() {
+			c.Limited++
+		}
 		switch ratio := r.speedRatio(); {
 		case ratio > 1:
 			c.Slower++
--- a/placement/track.go
+++ b/placement/track.go
@@ -121,6 +121,7 @@
 	}
 	if p := b.pool(a.Service); o == Done && p.engine == nil {
 		p.observeSpeed(now, r, took, p.answerTime, b.latenessOf(a))
+		r.observeStep(now, p, took-b.latenessOf(a))
 		p.answerTime += scale(r.meanTime(took)-p.answerTime, answerTimeWeight)
 	}
 	b.recordOutcome(now, r, o)
@@ -151,6 +152,7 @@
 		r.health.recordSuccess()
 	case Failed:
 		r.health.recordFailure()
+		r.speed.failedAt = now
 	case Silent:
 		r.suspendedForSilence = r.activeStreams > 0 && now.Sub(r.lastEvent) >= minStall
 		r.health.suspend(now)
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -38,6 +38,9 @@
 	queue   []*simRequest   // not prefilled yet
 	cached  map[uint64]bool // by shared prefix
 	running []*simRequest   // generating
+
+	factor func(since time.Duration) float64 // time that its work takes, relative to the others; nil if it is like them
+	credit float64                           // steps of work that are not done yet
 }
 
 // simRequest is a request from its arrival to its end.
@@ -265,7 +268,8 @@
 	if len(e.queue) == 0 && s.anyRequestWaits() {
 		s.idleSteps++
 	}
-	for budget := prefillPerStep; budget > 0 && len(e.queue) > 0 && len(e.running) < s.slots; {
+	prefill, generated := e.workOfStep(s.now.Sub(time.Unix(1000, 0)))
+	for budget := prefill; budget > 0 && len(e.queue) > 0 && len(e.running) < s.slots; {
 		req := e.queue[0]
 		prefilled := min(budget, req.unprefilled)
 		req.unprefilled -= prefilled
@@ -279,7 +283,7 @@
 	}
 	running := e.running[:0]
 	for _, req := range e.running {
-		req.steps++
+		req.steps += generated
 		if req.steps < streamSteps+req.extraSteps {
 			running = append(running, req)
 			continue
@@ -291,6 +295,18 @@
 	e.running = running
 }
 
+// workOfStep returns how many prompt tokens an engine prefills in a step and how many steps its streams advance.
+func (e *engine) workOfStep(since time.Duration) (prefill, generated int) {
+	if e.factor == nil {
+		return prefillPerStep, 1
+	}
+	factor := e.factor(since)
+	e.credit += 1 / factor
+	generated = int(e.credit)
+	e.credit -= float64(generated)
+	return int(prefillPerStep / factor), generated
+}
+
 // recordEnd records the end of a request at the host that chose its engine, and at the host that its
 // caller uses.
 func (s *simulation) recordEnd(req *simRequest, target string, outcome placement.Outcome) {
--- a/speed/mean.go
+++ b/speed/mean.go
@@ -18,14 +18,15 @@
 	sum, weight float64 // of the refresh under way
 }
 
-// binOf returns the range of an occupancy, the fraction of slots taken.
+// binOf returns the range of an occupancy, the fraction of slots taken. A target with few slots has a range for each.
 func binOf(running, slots int) int {
-	if slots <= 0 {
-		return 0
-	}
-	return min(bins-1, max(0, running)*bins/slots)
+	count := binCount(slots)
+	return min(count-1, max(0, running)*count/max(1, slots))
 }
 
+// binCount returns how many ranges of occupancy are told apart at a target.
+func binCount(slots int) int { return min(bins, max(1, slots)) }
+
 // Observe adds a sample of a target, of whose slots a number was taken. The effect that this many requests have on all
 // targets is left out of the target's estimate.
 func (m *Mean) Observe(now time.Time, e *Estimate, sample float64, running, slots int) {
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -66,6 +66,7 @@
 	at         time.Time // of the last sample, or of the last decay
 	sampledAt  time.Time // of the last sample
 	samples    uint64
+	recent     bool    // the fast average differs from the mean or from the slow one
 	differs    bool    // the ratio was not 1 at the last refresh
 	logRatio   float64 // as of the last refresh, 0 if the target is like the others
 	steady     float64 // the same from the slow average alone
@@ -129,7 +130,11 @@
 	}
 	e.steady = clampRatio(x * min(1, e.slow.count/fullCount))
 	recent := e.fast.value - mean
-	if e.believed(recent, &e.fast, fastMargin, variance) || e.believed(e.fast.value-e.slow.value, &e.fast, fastMargin, variance) {
+	if e.fast.count >= minCount {
+		e.recent = e.believed(recent, &e.fast, fastMargin, variance) ||
+			e.believed(e.fast.value-e.slow.value, &e.fast, fastMargin, variance)
+	}
+	if e.recent = e.recent && e.Known(); e.recent {
 		x = recent
 	}
 	e.logRatio = clampRatio(x * min(1, e.slow.count/fullCount))
