--- a/gateway/speed.go
+++ b/gateway/speed.go
@@ -8,18 +8,24 @@
 	"github.com/cassiachute/cassiachute/wire"
 )
 
-// speedMessages returns the wire form of the speeds of targets that this host owns.
+// speedMessages returns the wire form of the speeds of targets that this host owns, nil if the state leaves them out.
 func speedMessages(speeds []placement.SharedSpeed) []wire.TargetSpeed {
-	var list []wire.TargetSpeed
+	if speeds == nil {
+		return nil
+	}
+	list := make([]wire.TargetSpeed, 0, len(speeds))
 	for _, s := range speeds {
 		list = append(list, wire.TargetSpeed{Target: s.Target, Ratio: speed.Encode(s.Ratio), Step: s.Step})
 	}
 	return list
 }
 
-// speedsFromMessage returns the speeds that another host reports of its targets.
+// speedsFromMessage returns the speeds that another host reports of its targets, nil if its state leaves them out.
 func speedsFromMessage(speeds []wire.TargetSpeed) []placement.SharedSpeed {
-	var list []placement.SharedSpeed
+	if speeds == nil {
+		return nil
+	}
+	list := make([]placement.SharedSpeed, 0, len(speeds))
 	for _, s := range speeds {
 		list = append(list, placement.SharedSpeed{Target: s.Target, Ratio: speed.Decode(s.Ratio), Step: s.Step})
 	}
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -129,3 +129,34 @@
 		board.ServeQueue(now, "model")
 	}
 }
+
+// BenchmarkSpeeds measures the computation of the speeds of engines, which takes place ten times a second, and the choice
+// of an engine while one of them is slow.
+func BenchmarkSpeeds(b *testing.B) {
+	for _, engines := range []int{largeEngines, 4800} {
+		now := time.Unix(1000, 0)
+		board, _ := largeBoard(now, engines)
+		for range 100 {
+			now = now.Add(50 * time.Millisecond)
+			for n := range engines {
+				took := 100 * time.Millisecond
+				if n == 0 {
+					took *= 3
+				}
+				board.RecordFirstEvent(now, largeFleetRequest(n), placement.Choice{Target: fmt.Sprintf("engine-%04d", n), QueuedTokens: 5000}, took)
+			}
+			board.Tick(now)
+		}
+		b.Run(fmt.Sprint("choose/", engines), func(b *testing.B) {
+			for n := range b.N {
+				board.Choose(now, largeFleetRequest(n))
+			}
+		})
+		b.Run(fmt.Sprint("compute/", engines), func(b *testing.B) {
+			for range b.N {
+				now = now.Add(100 * time.Millisecond)
+				board.Tick(now)
+			}
+		})
+	}
+}
--- a/placement/central.go
+++ b/placement/central.go
@@ -56,13 +56,13 @@
 
 // timePerRequest returns the mean time between two requests that the usable targets of a plain service complete.
 func (p *pool) timePerRequest(now time.Time) time.Duration {
-	slots := 0
+	capacity := 0 // thousandths of a slot at the mean speed
 	for _, r := range p.targets {
 		if !r.closed() && !r.isPaused(now, true) && r.health.usable(now) {
-			slots += r.target.Slots
+			capacity += r.plainCapacity()
 		}
 	}
-	return p.answerTime / time.Duration(max(1, slots))
+	return capacityUnit * p.answerTime / time.Duration(max(capacityUnit, capacity))
 }
 
 // expectedWait returns how long a request waits in the queue of a plain service behind those that are there.
--- a/placement/peer.go
+++ b/placement/peer.go
@@ -64,7 +64,7 @@
 	Departures []Departure
 	Pauses     []Pause
 	Suspicions []Suspicion
-	Speeds     []SharedSpeed
+	Speeds     []SharedSpeed // nil if the report leaves them out
 }
 
 // State returns the state that this host sends to the others. It forgets teams without demand and
@@ -91,7 +91,7 @@
 	}
 	b.addNotices(now, &n)
 	b.addSuspicions(now, &n)
-	b.addSpeeds(&n)
+	b.addSpeeds(now, &n)
 	return n
 }
 
@@ -101,9 +101,9 @@
 // ApplyPeerState records the state report of another host. The load sums are updated by the
 // difference, so that the cost does not grow with the number of hosts.
 func (b *Board) ApplyPeerState(now time.Time, from uint64, n PeerState) {
-	b.applySpeeds(now, from, b.sharedSpeeds(from), n.Speeds)
+	speeds := b.applySpeeds(now, from, n.Speeds)
 	b.forgetPeer(from)
-	p := &peer{receivedAt: now, loads: n.Loads, speeds: n.Speeds, demands: map[string][]Demand{}}
+	p := &peer{receivedAt: now, loads: n.Loads, speeds: speeds, demands: map[string][]Demand{}}
 	for _, d := range n.Demands {
 		p.demands[d.Service] = append(p.demands[d.Service], d.Demand)
 	}
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -81,7 +81,7 @@
 		if load.Running == 0 {
 			continue
 		}
-		slots := float64(load.Running) / float64(max(1, p.engine.Slots))
+		slots := float64(load.Running) / float64(max(1, r.speed.knee.Limit(p.engine.Slots)))
 		prefill := r.scaleTime(p.prefillModel.PrefillTime(load.Prompt)).Seconds() / max(maxQueue, minQueueSeconds)
 		used += min(1, max(slots, prefill))
 		count++
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -8,15 +8,17 @@
 )
 
 const (
-	sharedSpeedLifetime = 10 * time.Second // for which the speed that an owner reported last is used
-	stepKeepTime        = 15 * time.Second // for which a step is kept without enough samples, so that no prompts move back and forth
-	maxSharedSpeeds     = 256              // targets in one PeerState
-	maxSpeedChanges     = 64               // changes that are kept until they are taken
-	failureProbeTime    = 2 * time.Second  // after which a target that failed is tried again
-	fewFailures         = 0.05             // failure rate up to which a target may count as a fast one
-	minSuccessRate      = 0.1              // least fraction of requests that count as answered
-	stepGoalFraction    = 0.9              // fraction of the required interval between events up to which a target may slow
-	plainStepFraction   = 0.3              // fraction of the tightest goal of a plain service up to which a target may slow
+	sharedSpeedPerHost  = 10 * time.Millisecond // between two reports of speeds, for each host of the fleet
+	sharedSpeedLifetime = 10 * time.Second      // for which the speed that an owner reported last is used
+	stepKeepTime        = 15 * time.Second      // for which a step is kept without enough samples, so that no prompts move back and forth
+	maxSharedSpeeds     = 256                   // targets in one PeerState
+	maxSpeedChanges     = 64                    // changes that are kept until they are taken
+	failureProbeTime    = 2 * time.Second       // after which a target that failed is tried again
+	capacityUnit        = 1000                  // of a sum of slots at different speeds
+	fewFailures         = 0.05                  // failure rate up to which a target may count as a fast one
+	minSuccessRate      = 0.1                   // least fraction of requests that count as answered
+	stepGoalFraction    = 0.9                   // fraction of the required interval between events up to which a target may slow
+	plainStepFraction   = 0.3                   // fraction of the tightest goal of a plain service up to which a target may slow
 )
 
 // targetSpeed holds the speed of one target as this host measures it, and as its owner reports it.
@@ -128,7 +130,7 @@
 // refreshSpeeds computes the ratios of all targets.
 func (b *Board) refreshSpeeds(now time.Time) {
 	for _, p := range b.pools {
-		if !p.speeds.Due(now) {
+		if !p.speeds.Due(now, len(p.targets)) {
 			continue
 		}
 		p.speeds.Begin(now)
@@ -138,7 +140,6 @@
 		p.speeds.Finish()
 		weighted, moved := false, false
 		for _, r := range p.targets {
-			p.speeds.Update(&r.speed.estimate)
 			moved = b.refreshSpeed(now, p, r) || moved
 			weighted = weighted || r.speed.step.Value() != 0
 		}
@@ -189,6 +190,7 @@
 	if !b.measures(p, r) {
 		return s.follow(now)
 	}
+	p.speeds.Update(now, &s.estimate)
 	s.ratio = s.estimate.Ratio()
 	steady := s.estimate.Steady()
 	if r.failedLately() {
@@ -238,8 +240,13 @@
 	return changes
 }
 
-// addSpeeds adds the owned targets that differ from the mean of their service to a PeerState.
-func (b *Board) addSpeeds(n *PeerState) {
+// addSpeeds adds the owned targets that differ from the mean of their service to a PeerState. Since they change slowly, a
+// large fleet has them in few of its reports.
+func (b *Board) addSpeeds(now time.Time, n *PeerState) {
+	if now.Sub(b.speedsSentAt) < time.Duration(len(b.peers)+1)*sharedSpeedPerHost {
+		return
+	}
+	b.speedsSentAt, n.Speeds = now, []SharedSpeed{}
 	for _, p := range b.pools {
 		for _, r := range p.owned {
 			ratio, step := r.speedRatio(), r.speed.step.Value()
@@ -251,8 +258,13 @@
 }
 
 // applySpeeds takes over the speeds that the owner of targets reports. Targets that it reported before and does not
-// report any more are like the others again.
-func (b *Board) applySpeeds(now time.Time, from uint64, before, speeds []SharedSpeed) {
+// report any more are like the others again. It returns the speeds that are in force; a report without speeds leaves
+// them as they are.
+func (b *Board) applySpeeds(now time.Time, from uint64, speeds []SharedSpeed) []SharedSpeed {
+	before := b.sharedSpeeds(from)
+	if speeds == nil {
+		return before
+	}
 	for _, s := range before {
 		if r := b.targets[s.Target]; r != nil && r.owner == from {
 			r.speed.sharedAt = time.Time{}
@@ -265,6 +277,7 @@
 		}
 		r.speed.shared, r.speed.sharedAt = s, now
 	}
+	return speeds
 }
 
 // sharedSpeeds returns the speeds that a host reported last.
@@ -275,20 +288,48 @@
 	return nil
 }
 
-// weightedRendezvous is rendezvous for a service of which some targets are faster or slower than others by a step.
+// ranked is a target and its hash with a prompt.
+type ranked struct {
+	target *targetRecord
+	hash   uint64
+}
+
+// topTwo holds the two targets with the highest hashes.
+type topTwo [2]ranked
+
+// add adds a target.
+func (t *topTwo) add(r *targetRecord, hash uint64) {
+	switch {
+	case t[0].target == nil || hash > t[0].hash:
+		t[0], t[1] = ranked{target: r, hash: hash}, t[0]
+	case t[1].target == nil || hash > t[1].hash:
+		t[1] = ranked{target: r, hash: hash}
+	}
+}
+
+// weightedRendezvous is rendezvous for a service of which some targets are faster or slower than others by a step. Only
+// the best two of each step are ranked, which saves a logarithm for each target.
 func (p *pool) weightedRendezvous(a *Request, prefix uint64) (first, second *targetRecord) {
-	firstRank, secondRank := 0.0, 0.0
+	var best [speed.Steps]topTwo
 	for _, r := range p.targets {
-		if r.closed() || !a.allows(r.region) {
-			continue
+		if !r.closed() && a.allows(r.region) {
+			best[r.speed.step.Value()-speed.MinStep].add(r, hashPair(prefix, r.key))
 		}
-		rank := speed.Rank(hashPair(prefix, r.key), r.speed.step.Value())
-		switch {
-		case first == nil || rank > firstRank:
-			second, secondRank = first, firstRank
-			first, firstRank = r, rank
-		case second == nil || rank > secondRank:
-			second, secondRank = r, rank
+	}
+	firstRank, secondRank := 0.0, 0.0
+	for step := range best {
+		for _, t := range best[step] {
+			if t.target == nil {
+				break
+			}
+			rank := speed.Rank(t.hash, int8(step+speed.MinStep))
+			switch {
+			case first == nil || rank > firstRank:
+				second, secondRank = first, firstRank
+				first, firstRank = t.target, rank
+			case second == nil || rank > secondRank:
+				second, secondRank = t.target, rank
+			}
 		}
 	}
 	return first, second
@@ -304,6 +345,11 @@
 	return float64(running) / slots
 }
 
+// plainCapacity returns the slots of a plain target that may be used, at the mean speed and in units of 1/capacityUnit.
+func (r *targetRecord) plainCapacity() int {
+	return int(capacityUnit * float64(r.speed.knee.Limit(r.target.Slots)) / r.speedRatio())
+}
+
 // SpeedCounts counts the targets that this host takes for slower or faster than the mean of their service.
 type SpeedCounts struct{ Slower, Faster, Limited int }
 
--- a/speed/knee.go
+++ b/speed/knee.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// KneeInterval is the least time between two calls of Knees.Refresh.
+	// KneeInterval is the least time between two refreshes of Knees.
 	KneeInterval = 500 * time.Millisecond
 
 	curveMemory  = 4 * time.Second         // after which samples of an occupancy have lost all but 1/e of their weight
--- a/speed/mean.go
+++ b/speed/mean.go
@@ -1,11 +1,16 @@
 package speed
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	bins        = 8    // ranges of occupancy that are told apart
-	curveWeight = 0.02 // weight of the newest sample in the effect of an occupancy
-	maxCurve    = 1.5  // largest logarithm of the effect of an occupancy
+	bins             = 8                      // ranges of occupancy that are told apart
+	recentAge        = 500 * time.Millisecond // up to which the age of samples is left out of their weight
+	refreshPerTarget = 100 * time.Microsecond // between two refreshes, for each target of the service
+	curveWeight      = 0.02                   // weight of the newest sample in the effect of an occupancy
+	maxCurve         = 1.5                    // largest logarithm of the effect of an occupancy
 )
 
 // Mean holds what the targets of a service have in common.
@@ -41,8 +46,10 @@
 	e.observe(now, sample-*effect, &m.variance)
 }
 
-// Due reports whether it is time for a refresh.
-func (m *Mean) Due(now time.Time) bool { return now.Sub(m.refreshedAt) >= RefreshInterval }
+// Due reports whether it is time for a refresh, which takes longer with more targets.
+func (m *Mean) Due(now time.Time, targets int) bool {
+	return now.Sub(m.refreshedAt) >= max(RefreshInterval, time.Duration(targets)*refreshPerTarget)
+}
 
 // Begin begins a refresh. Add is called for each target of the service, then Finish, then Update for each target.
 func (m *Mean) Begin(now time.Time) { m.refreshedAt, m.sum, m.weight = now, 0, 0 }
@@ -52,8 +59,11 @@
 	if e.samples == 0 {
 		return
 	}
-	e.decay(now)
-	weight := min(1, e.slow.count/fullCount)
+	count := e.slow.count
+	if age := now.Sub(e.at); age > recentAge {
+		count *= math.Exp(-age.Seconds() / slowMemory.Seconds())
+	}
+	weight := min(1, count/fullCount)
 	m.sum += weight * e.slow.value
 	m.weight += weight
 }
@@ -66,8 +76,9 @@
 }
 
 // Update computes the ratio of a target to the mean.
-func (m *Mean) Update(e *Estimate) {
+func (m *Mean) Update(now time.Time, e *Estimate) {
 	if e.samples > 0 {
+		e.decay(now)
 		e.update(m.level, m.variance)
 	}
 }
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -14,7 +14,7 @@
 const (
 	// Alike is the ratio up to which two targets count as equally fast: 1 + 1/6.
 	Alike = 7.0 / 6
-	// RefreshInterval is the least time between two calls of Mean.Refresh.
+	// RefreshInterval is the least time between two refreshes of a Mean.
 	RefreshInterval = 100 * time.Millisecond
 
 	fastMemory      = 700 * time.Millisecond // after which samples of the fast average have lost all but 1/e of their weight
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -40,7 +40,7 @@
 
 // refresh computes the ratios if it is time.
 func (s *service) refresh() {
-	if !s.mean.Due(s.now) {
+	if !s.mean.Due(s.now, len(s.targets)) {
 		return
 	}
 	s.mean.Begin(s.now)
@@ -49,7 +49,7 @@
 	}
 	s.mean.Finish()
 	for n := range s.targets {
-		s.mean.Update(&s.targets[n])
+		s.mean.Update(s.now, &s.targets[n])
 	}
 }
 
--- a/speed/step.go
+++ b/speed/step.go
@@ -47,7 +47,7 @@
 }
 
 // weights holds the weight of each step, from MinStep on.
-var weights = func() (w [MaxStep - MinStep + 1]float64) {
+var weights = func() (w [Steps]float64) {
 	for n := range w {
 		w[n] = math.Exp(-stepWidth * float64(n+MinStep))
 	}
@@ -59,7 +59,11 @@
 	return weights[min(MaxStep, max(MinStep, int(step)))-MinStep]
 }
 
-// Rank ranks a target with a step by a hash for weighted rendezvous hashing; the highest one is chosen. With weight w, the
+// Steps is the number of steps.
+const Steps = MaxStep - MinStep + 1
+
+// Rank ranks a target with a step by a hash for weighted rendezvous hashing; the highest one is chosen. Of targets with the
+// same step, it is the one with the highest hash. With weight w, the
 // target is chosen w times as often as one with weight 1, and a changed weight moves only choices to or from it.
 func Rank(hash uint64, step int8) float64 {
 	u := (float64(hash) + 1) / (math.MaxUint64 + 2.0)
--- a/wire/news.go
+++ b/wire/news.go
@@ -19,7 +19,7 @@
 	Departures []Departure   // targets that are shutting down
 	Pauses     []Pause       // targets that asked for a pause
 	Suspicions []Suspicion   // targets that may have started again and be cold
-	Speeds     []TargetSpeed // targets owned by the sender that are faster or slower than others
+	Speeds     []TargetSpeed // targets owned by the sender that are faster or slower than others; nil: as in the last state that had them
 }
 
 // Kind returns KindHostState.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -33,6 +33,7 @@
 		&ShardState{Shard: shard, Incarnation: 2, Sequence: 3, AllTeams: true, Teams: []TeamUsage{{Team: 12, Served: 1 << 40, Waiting: 3}}},
 		&ConfigSteps{From: 3, Bodies: [][]byte{[]byte("{}")}},
 		&HostState{Boot: 7, Number: 8, Place: "p", HeldTraits: []HeldTrait{{Trait: 1 << 60, Incidents: 2, CrashAge: 300, AnsweredAge: 1}}, Speeds: []TargetSpeed{{Target: "t", Ratio: 14, Step: -1}}},
+		&HostState{Boot: 7, Number: 9, Speeds: []TargetSpeed{}},
 		&TargetCrash{Target: "t", Age: 5, SentAge: 400, Traits: []uint64{1 << 60, 3}},
 		&TraitsAnswered{Traits: []uint64{1 << 60}},
 		&TraitsProbed{Traits: []uint64{1 << 60}},
