speed: limits that hold while a knee is seen, and end with the ownership

Cause: a limit was raised while the target slowed, for want of samples against chance, and stayed at a host that lost the ownership; an ended plain request was missing in the occupancy that its time was recorded for. Change: no margin for chance once limited; released with the ownership; counted. Ruled out: a lower margin from the start: spells.

--- a/placement/congestion.go
+++ b/placement/congestion.go
@@ -46,7 +46,7 @@
 func (b *Board) RecordEventGap(now time.Time, target string, gap time.Duration) {
 	if r := b.targets[target]; r != nil {
 		r.meanEventGap += scale(gap-r.meanEventGap, gapWeight)
-		r.observeStep(now, b.pool(r.target.Service), gap-b.lateness)
+		r.observeStep(now, b.pool(r.target.Service), r.load().Running, gap-b.lateness)
 		r.eventReceived(now)
 	}
 }
@@ -66,7 +66,7 @@
 func (b *Board) RecordRemoteEventGaps(now time.Time, target string, count int, mean time.Duration) {
 	if r := b.targets[target]; r != nil && count > 0 {
 		r.meanEventGap += scale(mean-r.meanEventGap, 1-math.Pow(1-gapWeight, float64(count)))
-		r.observeStep(now, b.pool(r.target.Service), mean)
+		r.observeStep(now, b.pool(r.target.Service), r.load().Running, mean)
 	}
 }
 
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -114,9 +114,10 @@
 	}
 }
 
-// observeStep records the time of one step of a target's work: the interval between two events, or a whole answer.
-func (r *targetRecord) observeStep(now time.Time, p *pool, took time.Duration) {
-	r.speed.knee.Observe(now, r.load().Running, p.slotsOf(r), took)
+// observeStep records the time of one step of a target's work while a number of requests ran: the interval between two
+// events, or a whole answer.
+func (r *targetRecord) observeStep(now time.Time, p *pool, running int, took time.Duration) {
+	r.speed.knee.Observe(now, running, p.slotsOf(r), took)
 }
 
 // slotsOf returns the slots of a target by its configuration.
@@ -162,7 +163,10 @@
 			p.knees.Add(now, &r.speed.knee)
 		}
 		for _, r := range p.targets {
-			if b.measures(p, r) && p.knees.Update(now, &r.speed.knee, goal) {
+			switch {
+			case !b.measures(p, r):
+				r.speed.knee.Release()
+			case p.knees.Update(now, &r.speed.knee, goal):
 				b.noteSpeed(now, r)
 			}
 		}
--- a/placement/track.go
+++ b/placement/track.go
@@ -121,7 +121,7 @@
 	}
 	if p := b.pool(a.Service); o == Done && p.engine == nil {
 		p.observeSpeed(now, r, took, p.answerTime, b.latenessOf(a))
-		r.observeStep(now, p, took-b.latenessOf(a))
+		r.observeStep(now, p, r.load().Running+1, took-b.latenessOf(a))
 		p.answerTime += scale(r.meanTime(took)-p.answerTime, answerTimeWeight)
 	}
 	b.recordOutcome(now, r, o)
--- a/speed/knee.go
+++ b/speed/knee.go
@@ -71,8 +71,8 @@
 // Limited reports whether the target gets fewer requests than it has slots.
 func (k *Knee) Limited() bool { return k.limited }
 
-// Reset forgets all samples, as after a restart of the target.
-func (k *Knee) Reset() { *k = Knee{} }
+// Release lets the target have all its slots again, as when another host decides about it from now on.
+func (k *Knee) Release() { k.limited, k.seenAt = false, time.Time{} }
 
 // known returns the logarithm of the mean time in a range of occupancy, and false without enough samples.
 func (k *Knee) known(now time.Time, bin int) (float64, bool) {
@@ -136,7 +136,7 @@
 	switch {
 	case lower && now.Sub(target.seenAt) >= kneeHold:
 		target.limited, target.last, target.seenAt = true, last, time.Time{}
-	case target.limited && !target.slowAbove(now) && now.Sub(target.changedAt) >= probeTime:
+	case target.limited && !found && !target.slowAbove(now) && now.Sub(target.changedAt) >= probeTime:
 		target.last++
 		target.limited = target.last < target.top
 	default:
@@ -168,7 +168,7 @@
 			}
 			others += k.growth[high] / k.count[high]
 			after, ok := target.known(now, high)
-			if ok && after > math.Log(goal.Seconds()) && isKnee(after-before, others, low, high, target.curve) {
+			if ok && after > math.Log(goal.Seconds()) && target.slowsBetween(low, high, after-before, others) {
 				return low, true
 			}
 		}
@@ -176,10 +176,13 @@
 	return 0, false
 }
 
-// isKnee reports whether a target slows by growth from one range of occupancy to another, well more than the others do,
-// and completes hardly more there.
-func isKnee(growth, others float64, low, high int, curve *[bins]curveBin) bool {
-	chance := deviations * kneeError * math.Sqrt(1/curve[low].count+1/curve[high].count)
+// slowsBetween reports whether a target slows by growth from one range of occupancy to another, well more than the others
+// do, and completes hardly more there. One that is limited already needs no margin for chance.
+func (k *Knee) slowsBetween(low, high int, growth, others float64) bool {
+	chance := 0.0
+	if !k.limited {
+		chance = deviations * kneeError * math.Sqrt(1/k.curve[low].count+1/k.curve[high].count)
+	}
 	more := math.Log((float64(high) + 0.5) / (float64(low) + 0.5))
 	return growth-others > kneeSlowdown+chance && growth > (1-flatGain)*more
 }
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -72,9 +72,6 @@
 	steady     float64 // the same from the slow average alone
 }
 
-// Reset forgets all samples, as after a restart of the target.
-func (e *Estimate) Reset() { *e = Estimate{} }
-
 // observe adds a sample, and updates the variance of the service's samples by it.
 func (e *Estimate) observe(now time.Time, sample float64, variance *float64) {
 	sample = min(maxSample, max(-maxSample, sample))
