speed: large fleets learn the speed of plain targets at the queue's owner alone

Change: they measure in fleets of less than 24 hosts only, as the central queue begins there; note brought up to date. Ruled out: measuring while host states are younger than answers: overloaded answers are long, so it sets in when it must not.

--- a/placement/speed.go
+++ b/placement/speed.go
@@ -183,9 +183,12 @@
 }
 
 // measures reports whether this host decides about a target by its own measurements. Hosts that choose plain targets for
-// themselves do.
+// themselves do, unless host states are too old to show who uses a slot: a full target would look slow.
 func (b *Board) measures(p *pool, r *targetRecord) bool {
-	return r.owner == b.self || p.engine == nil && !p.central.enabled
+	if p.engine == nil && !p.central.enabled {
+		return len(b.peers)+1 < minCentralHosts
+	}
+	return r.owner == b.self
 }
 
 // refreshSpeed updates the ratio and the step of a target, and reports whether its step changed.
