speed: shared speeds are the steady ones, and sent when a step changes

Cause: each report within 10 ms a host had the speeds, 13 KB/s at 390 hosts if two thirds of 4,800 targets differ; the ratio of a spell was kept for as long. Change: one report in 25 ms a host and the next after a step changed, with the slow ratio, kept for 30 s. Ruled out: hashes of names: eight bytes in place of sixteen, and collisions.

--- a/placement/board.go
+++ b/placement/board.go
@@ -105,6 +105,7 @@
 	lateness     time.Duration // mean lateness of this host
 	speedChanges []SpeedChange // that were not taken yet
 	speedsSentAt time.Time     // when the last state had the speeds
+	stepsChanged bool          // a step of an owned target changed since
 
 	promisedRate float64 // cost units a second that all engines provide together, 0 if unknown
 }
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	sharedSpeedPerHost  = 10 * time.Millisecond // between two reports of speeds, for each host of the fleet
-	sharedSpeedLifetime = 10 * time.Second      // for which the speed that an owner reported last is used
+	sharedSpeedPerHost  = 25 * time.Millisecond // between two reports of speeds, for each host of the fleet
+	sharedSpeedLifetime = 30 * time.Second      // for which the speed that an owner reported last is used
 	stepKeepTime        = 15 * time.Second      // for which a step is kept without enough samples, so that no prompts move back and forth
 	maxSharedSpeeds     = 256                   // targets in one PeerState
 	maxSpeedChanges     = 64                    // changes that are kept until they are taken
@@ -199,18 +199,15 @@
 	}
 	p.speeds.Update(now, &s.estimate)
 	s.ratio = s.estimate.Ratio()
-	steady := s.estimate.Steady()
-	if r.failedLately() {
-		steady = max(0, steady)
-	}
 	if s.estimate.Known() {
 		s.knownAt = now
 	} else if now.Sub(s.knownAt) < stepKeepTime {
 		return false
 	}
-	if !s.step.Follow(now, steady) {
+	if !s.step.Follow(now, math.Log(r.steadyRatio())) {
 		return false
 	}
+	b.stepsChanged = true
 	b.noteSpeed(now, r)
 	return true
 }
@@ -247,16 +244,25 @@
 	return changes
 }
 
+// steadyRatio returns the ratio of a target over some seconds. Others use it for longer than a spell lasts.
+func (r *targetRecord) steadyRatio() float64 {
+	steady := r.speed.estimate.Steady()
+	if r.failedLately() {
+		steady = max(0, steady)
+	}
+	return math.Exp(steady)
+}
+
 // addSpeeds adds the owned targets that differ from the mean of their service to a PeerState. Since they change slowly, a
-// large fleet has them in few of its reports.
+// large fleet has them in few of its reports, and when a step changes.
 func (b *Board) addSpeeds(now time.Time, n *PeerState) {
-	if now.Sub(b.speedsSentAt) < time.Duration(len(b.peers)+1)*sharedSpeedPerHost {
+	if !b.stepsChanged && now.Sub(b.speedsSentAt) < time.Duration(len(b.peers)+1)*sharedSpeedPerHost {
 		return
 	}
-	b.speedsSentAt, n.Speeds = now, []SharedSpeed{}
+	b.speedsSentAt, b.stepsChanged, n.Speeds = now, false, []SharedSpeed{}
 	for _, p := range b.pools {
 		for _, r := range p.owned {
-			ratio, step := r.speedRatio(), r.speed.step.Value()
+			ratio, step := r.steadyRatio(), r.speed.step.Value()
 			if (ratio != 1 || step != 0) && len(n.Speeds) < maxSharedSpeeds {
 				n.Speeds = append(n.Speeds, SharedSpeed{Target: r.target.ID, Ratio: ratio, Step: step})
 			}
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -125,7 +125,7 @@
 	if !e.believed(x, &e.slow, slowMargin, variance) {
 		x = 0
 	}
-	e.steady = clampRatio(x * min(1, e.slow.count/fullCount))
+	e.steady = e.ratioOf(x)
 	recent := e.fast.value - mean
 	if e.fast.count >= minCount {
 		e.recent = e.believed(recent, &e.fast, fastMargin, variance) ||
@@ -134,13 +134,20 @@
 	if e.recent = e.recent && e.Known(); e.recent {
 		x = recent
 	}
-	e.logRatio = clampRatio(x * min(1, e.slow.count/fullCount))
-	if math.Abs(e.logRatio) < logAlike {
-		e.logRatio = 0
-	}
+	e.logRatio = e.ratioOf(x)
 	e.differs = e.logRatio != 0
 }
 
+// ratioOf returns the logarithm of the ratio for a difference to the mean. It is drawn towards 0 with few samples, and is
+// 0 where the target is like the others.
+func (e *Estimate) ratioOf(diff float64) float64 {
+	x := min(maxLogRatio, max(minLogRatio, diff*min(1, e.slow.count/fullCount)))
+	if math.Abs(x) < logAlike {
+		return 0
+	}
+	return x
+}
+
 // believed reports whether a difference is too large to be chance. A target that differed already needs no margin.
 func (e *Estimate) believed(diff float64, a *average, margin, variance float64) bool {
 	if a.count < minCount {
