--- a/placement/owner.go
+++ b/placement/owner.go
@@ -200,7 +200,7 @@
 		if r == preferred || !r.hasRoom(now, p, a) || best != nil && load.Prompt >= best.load().Prompt {
 			continue
 		}
-		if s.prefillTime(load.Prompt) <= p.queueLimit(a, s.standing, s.shareRatio, r) && r.hasPrefix(a.Chain) {
+		if r.scaleTime(s.prefillTime(load.Prompt)) <= p.queueLimit(a, s.standing, s.shareRatio, r) && r.hasPrefix(a.Chain) {
 			best = r
 		}
 	}
