--- a/placement/central.go
+++ b/placement/central.go
@@ -62,7 +62,7 @@
 		if r.closed() || r.isPaused(now, true) || !r.health.usable(now) {
 			continue
 		}
-		rate := float64(r.target.Slots) / p.answerTime.Seconds()
+		rate := r.plainCapacity() / p.answerTime.Seconds()
 		if r.warmup.Cold(now) {
 			rate = min(rate, p.coldRate)
 		}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -53,6 +53,7 @@
 	CachedTokens    int           // prompt tokens that the wanted engine has cached, as far as the caller's host knows
 	Regions         []string      // regions whose targets may serve the request, empty for all
 	Priority        int           // rank of the request, 0 is the highest
+	Lateness        time.Duration // of the host that measured its times, if that is another one
 	Place           string        // data centre of the host to which the caller is connected, empty for that of this host
 
 	preferred  preferredTargets
@@ -148,16 +149,16 @@
 		}
 		return b.refusePlain(now, p)
 	}
-	return Choice{Target: best.target.ID, Load: Load{Running: 1}, ExpectedTime: p.answerTime}
+	return Choice{Target: best.target.ID, Load: Load{Running: 1}, ExpectedTime: best.scaleTime(p.answerTime)}
 }
 
 // plainScore rates a plain target with a load, the lower the better: by its share of busy slots and its failures, and by
 // a hash of the request if the load is stale. Among equal targets, one in the data centre of the caller is preferred.
 func plainScore(a *Request, r *targetRecord, load Load, stale bool, place string) float64 {
-	score := float64(load.Running)/float64(r.target.Slots) + r.health.failures
+	score := r.occupancyScore(load.Running) + r.health.failures
 	switch {
 	case stale:
-		score += hashFraction(hashPair(a.Seed, r.key))
+		score += hashFraction(hashPair(a.Seed, r.key)) * r.speedRatio()
 	case r.target.Place != place:
 		score += 1 / float64(otherPlaceDivisor*r.target.Slots)
 	}
@@ -246,31 +247,32 @@
 		return
 	}
 	load := r.load()
-	slowdown := r.health.slowdown()
-	wait := scale(s.prefillTime(load.Prompt), slowdown)
+	delay := r.delayFactor()
+	wait := scale(s.prefillTime(load.Prompt), delay)
 	limit := p.queueLimit(a, s.standing, s.shareRatio, r)
 	if wait > limit || load.Running >= r.availableSlots(s.now, p.engine.Slots) {
 		s.recordExcess(wait - limit)
 		return
 	}
 	cached := s.cachedTokens(r)
-	prefill := s.prefillTime(a.Chain.Total - cached)
+	prefill := r.scaleTime(s.prefillTime(a.Chain.Total - cached))
 	need := Load{Prompt: a.Chain.Total - cached, Running: 1, Memory: a.Chain.Total + int(expectedOutputFraction*float64(a.MaxOutput))}
 	limit, allowed := s.restrictLimit(limit, r, cached, prefill)
 	if wait > limit || !allowed || !p.fits(load, need) {
 		s.recordExcess(wait - limit)
 		return
 	}
-	score := wait + scale(s.uncachedPrefillTime(cached, r), prefillWeight*slowdown)
+	score := wait + scale(s.uncachedPrefillTime(cached, r), prefillWeight*delay)
 	if r.target.Place != s.board.place {
 		score += remotePlacePenalty
 	}
 	if a.breakTiesByHash {
 		score += scale(maxTieBreakPenalty, hashFraction(hashPair(a.Chain.LongestPrefix(), r.key)))
 	}
+	score = r.failureScore(s.now, score)
 	if s.best.Target == "" || score < s.bestScore {
 		s.bestScore = score
-		s.best = Choice{Target: r.target.ID, Load: need, QueueTime: wait, ExpectedTime: s.baseLatency + wait + prefill}
+		s.best = Choice{Target: r.target.ID, Load: need, QueueTime: wait, ExpectedTime: r.scaleTime(s.baseLatency) + wait + prefill}
 	}
 }
 
@@ -401,6 +403,9 @@
 	if prefix == 0 {
 		return nil, nil
 	}
+	if p.weighted {
+		return p.weightedRendezvous(a, prefix)
+	}
 	var firstWeight, secondWeight uint64
 	for _, r := range p.targets {
 		if r.closed() || !a.allows(r.region) {
