held, gateway, entry: one implementation of body limits and eviction logs

Cause: both programs had their own copy of the Expect header for oversized bodies, the past deadline, the Retry-After and the rate limit of the log line about closed connections. bodyRefused took six parameters. Conclusion: no change of behaviour; go test ./held and the body and log tests of ./gateway pass.

--- a/entry/bodies.go
+++ b/entry/bodies.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"sync"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -11,16 +10,8 @@
 	"github.com/cassiachute/cassiachute/held"
 )
 
-const (
-	evictionLogInterval = time.Second            // least time between two log lines about closed connections of callers
-	noRoomRetryAfter    = 500 * time.Millisecond // Retry-After when there is no room for the body of a request
-	expectContinue      = "100-continue"         // value of the Expect header
-	// bodyCopies is the number of times that the body of a request is held: as it came, and as it is sent to a model.
-	bodyCopies = 2
-)
-
-// pastTime is a deadline that has passed, which ends a pending read.
-var pastTime = time.Unix(1, 0)
+// bodyCopies is the number of times that the body of a request is held: as it came, and as it is sent to a model.
+const bodyCopies = 2
 
 // heldBodies holds the bodies of the requests that are served, by connection.
 type heldBodies struct {
@@ -67,14 +58,9 @@
 	return int64(largest)
 }
 
-// headReceived returns the limit on the body of a request whose head was read. It makes the server call checkExpected
-// before it reads a body that is announced as too large. The server does so for requests with an Expect header.
+// headReceived returns the limit on the body of a request whose head was read.
 func (e *Entry) headReceived(head *fasthttp.RequestHeader) fasthttp.RequestConfig {
-	limit := e.bodyLimit()
-	if head.ContentLength() > limit {
-		head.Set(fasthttp.HeaderExpect, expectContinue)
-	}
-	return fasthttp.RequestConfig{MaxRequestBodySize: limit}
+	return held.LimitBody(head, e.bodyLimit())
 }
 
 // checkExpected refuses a request before its body is read if the body is announced as too large. It returns the status
@@ -109,7 +95,7 @@
 // none. The error is held.ErrNoRoom, held.ErrBodyTooLarge or that of the connection.
 func (e *Entry) readBody(ctx *fasthttp.RequestCtx, length int) error {
 	conn := ctx.Conn()
-	body := e.held.NewIncoming(func() { _ = conn.SetReadDeadline(pastTime) }) // fails only if the connection is closed
+	body := e.held.NewIncoming(func() { held.InterruptReads(conn) })
 	err := body.ReadAll(ctx.RequestBodyStream(), length, e.bodyLimit())
 	if err != nil {
 		body.Release()
@@ -135,13 +121,7 @@
 }
 
 // recordEviction counts and logs a connection of a caller that was closed for others, since more than limit were open.
-// The log gets one line per evictionLogInterval.
 func (e *Entry) recordEviction(limit int) {
 	e.metrics.evicted.Inc()
-	now := time.Now().UnixNano()
-	last := e.evictionLoggedAt.Load()
-	if now-last < int64(evictionLogInterval) || !e.evictionLoggedAt.CompareAndSwap(last, now) {
-		return
-	}
-	e.log.Warn().Int("limit", limit).Msg("connection evicted")
+	e.evictionLog.Warn().Int("limit", limit).Msg("connection evicted")
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,28 +33,28 @@
 
 // Entry is the process of one entry host.
 type Entry struct {
-	settings         Settings
-	log              zerolog.Logger
-	loop             *eventLoop
-	hub              *wire.Hub
-	pool             *link.Pool
-	platform         *platform.Client
-	store            *publish.Store
-	workers          pond.Pool
-	metrics          *metrics
-	prompts          promptMeans
-	held             *held.Budget // bytes of answers and of callers' bodies that are held
-	connections      *held.Connections
-	bodies           heldBodies
-	maxBody          atomic.Int64 // largest body of a request that any service allows, in bytes
-	evictionLoggedAt atomic.Int64 // when a closed connection was last logged, in Unix nanoseconds
-	view             atomic.Pointer[catalog.View]
-	ready            atomic.Bool
-	stopping         atomic.Bool
-	polling          atomic.Bool
-	listeners        listeners
-	server           *fasthttp.Server
-	status           *fasthttp.Server
+	settings    Settings
+	log         zerolog.Logger
+	loop        *eventLoop
+	hub         *wire.Hub
+	pool        *link.Pool
+	platform    *platform.Client
+	store       *publish.Store
+	workers     pond.Pool
+	metrics     *metrics
+	prompts     promptMeans
+	held        *held.Budget // bytes of answers and of callers' bodies that are held
+	connections *held.Connections
+	bodies      heldBodies
+	maxBody     atomic.Int64   // largest body of a request that any service allows, in bytes
+	evictionLog zerolog.Logger // for closed connections of callers, at most one line per held.EvictionLogInterval
+	view        atomic.Pointer[catalog.View]
+	ready       atomic.Bool
+	stopping    atomic.Bool
+	polling     atomic.Bool
+	listeners   listeners
+	server      *fasthttp.Server
+	status      *fasthttp.Server
 }
 
 // listeners are the listening sockets of an entry host.
@@ -128,6 +128,7 @@
 		config.Seeds = append(config.Seeds, host.Seed{Address: p.Address, Place: p.Place})
 	}
 	e.held = held.NewBudget(e.settings.Memory)
+	e.evictionLog = e.log.Sample(&zerolog.BurstSampler{Burst: 1, Period: held.EvictionLogInterval})
 	e.connections = held.NewConnections(e.settings.Memory, e.recordEviction)
 	e.metrics.watchHeld(e.held)
 	h := host.New(config)
@@ -167,7 +168,7 @@
 	switch {
 	case errors.Is(err, held.ErrNoRoom):
 		p = notRunProblem(fasthttp.StatusServiceUnavailable, "no_room", "", "this host has no room for the body")
-		p.retry = noRoomRetryAfter
+		p.retry = held.NoRoomRetryAfter
 	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, held.ErrBodyTooLarge):
 		p = notRunProblem(fasthttp.StatusRequestEntityTooLarge, "too_large", "", "the body is too large")
 	}
--- a/gateway/receive.go
+++ b/gateway/receive.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -11,14 +10,8 @@
 	"github.com/cassiachute/cassiachute/platform"
 )
 
-const (
-	noRoomRetryAfter = 500 * time.Millisecond // Retry-After when there is no room for the body of a request
-	maxJoinedBytes   = 16 << 10               // a body of at most this size is sent in one piece with its head
-	expectContinue   = "100-continue"         // value of the Expect header
-)
-
-// pastTime is a deadline that has passed, which ends a pending read.
-var pastTime = time.Unix(1, 0)
+// maxJoinedBytes is the size up to which a body is sent in one piece with its head.
+const maxJoinedBytes = 16 << 10
 
 // bodyLimit returns the limit on the body of a request, as the configuration sets it.
 func (g *Gateway) bodyLimit() int {
@@ -29,15 +22,9 @@
 	return min(maxBodyBytes, table.MaxBodyBytes)
 }
 
-// headReceived returns the limit on the body of a request whose head was read. The server reads up to 8 KiB of a body
-// before it calls the handler; it calls checkExpected first if the request has an Expect header, so a request whose
-// body is announced as too large gets one.
+// headReceived returns the limit on the body of a request whose head was read.
 func (g *Gateway) headReceived(head *fasthttp.RequestHeader) fasthttp.RequestConfig {
-	limit := g.bodyLimit()
-	if head.ContentLength() > limit {
-		head.Set(fasthttp.HeaderExpect, expectContinue)
-	}
-	return fasthttp.RequestConfig{MaxRequestBodySize: limit}
+	return held.LimitBody(head, g.bodyLimit())
 }
 
 // checkExpected refuses a request before its body is read if the body is announced as too large. It returns the status
@@ -101,17 +88,16 @@
 // there is none, and size is what has arrived.
 func (g *Gateway) refuseBody(ctx *fasthttp.RequestCtx, length, size int) {
 	call := platform.DecodeCall(&ctx.Request.Header)
-	notRun(reasonNoRoom, noRoomRetryAfter).write(&ctx.Response, call.ID)
-	used, limit := g.held.Used()
-	g.record.bodyRefused(call.ID, ctx.RemoteAddr(), length, size, used, limit)
+	notRun(reasonNoRoom, held.NoRoomRetryAfter).write(&ctx.Response, call.ID)
+	g.record.bodyRefused(refusedBody{request: call.ID, caller: ctx.RemoteAddr(), announced: length, arrived: size}, g.held)
 }
 
-// interrupt makes the pending read of a connection and all later ones fail.
+// interrupt makes the pending read of a caller's connection and all later ones fail.
 func interrupt(conn net.Conn) {
 	if c, ok := conn.(*callerConn); ok {
 		conn = c.Conn // a deadline of callerConn would count as the end of a wait for a request
 	}
-	_ = conn.SetReadDeadline(pastTime) // fails only if the connection is closed
+	held.InterruptReads(conn)
 }
 
 // encode returns the request as it is sent to a target. The body is not copied, unless it is small.
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/cassiachute/cassiachute/held"
 	"github.com/cassiachute/cassiachute/placement"
 	"github.com/cassiachute/cassiachute/platform"
 	"github.com/cassiachute/cassiachute/rotation"
@@ -74,7 +75,7 @@
 	metrics *metrics
 	times   *activityTimes
 
-	evictionLoggedAt atomic.Int64 // when a closed connection was last logged, in Unix nanoseconds
+	evictionLog zerolog.Logger // for closed connections of callers, at most one line per held.EvictionLogInterval
 
 	noDescriptor atomic.Bool // the last connection could not be accepted for lack of a file descriptor
 
@@ -86,7 +87,10 @@
 // newRecorder returns a recorder that writes to a log and updates metrics; the times appear in
 // its usage lines.
 func newRecorder(log zerolog.Logger, m *metrics, b *activityTimes) *recorder {
-	return &recorder{log: log, metrics: m, times: b, failing: map[string]bool{}, reportedTargets: map[string]bool{}}
+	return &recorder{
+		log: log, metrics: m, times: b, failing: map[string]bool{}, reportedTargets: map[string]bool{},
+		evictionLog: log.Sample(&zerolog.BurstSampler{Burst: 1, Period: held.EvictionLogInterval}),
+	}
 }
 
 // milliseconds returns a duration for the log, in milliseconds rounded to 10 µs.
@@ -199,24 +203,26 @@
 		Int64("held", used).Int64("limit", limit).Send()
 }
 
-// bodyRefused records a request that was refused since there is no room for its body. length is the announced length,
-// negative if there is none, and size is what has arrived.
-func (r *recorder) bodyRefused(request string, caller fmt.Stringer, length, size int, used, limit int64) {
+// refusedBody is the body of a request that was refused since there is no room for it.
+type refusedBody struct {
+	request   string       // ID of the request
+	caller    fmt.Stringer // its address
+	announced int          // length in bytes, negative if it was not announced
+	arrived   int          // bytes
+}
+
+// bodyRefused records that the body of a request was refused, and how full the budget is.
+func (r *recorder) bodyRefused(b refusedBody, budget *held.Budget) {
 	r.metrics.refusals.WithLabelValues(reasonNoRoom).Inc()
-	r.log.Warn().Str("event", eventBodyRefused).Str("request", request).Stringer("caller", caller).Int("announced", length).
-		Int("arrived", size).Int64("held", used).Int64("limit", limit).Send()
+	used, limit := budget.Used()
+	r.log.Warn().Str("event", eventBodyRefused).Str("request", b.request).Stringer("caller", b.caller).Int("announced", b.announced).
+		Int("arrived", b.arrived).Int64("held", used).Int64("limit", limit).Send()
 }
 
-// connectionEvicted records that a connection of a caller was closed for others, since more than limit were open. The
-// log gets one line per evictionLogInterval.
+// connectionEvicted records that a connection of a caller was closed for others, since more than limit were open.
 func (r *recorder) connectionEvicted(limit int) {
 	r.metrics.evicted.Inc()
-	now := time.Now().UnixNano()
-	last := r.evictionLoggedAt.Load()
-	if now-last < int64(evictionLogInterval) || !r.evictionLoggedAt.CompareAndSwap(last, now) {
-		return
-	}
-	r.log.Warn().Str("event", eventEvicted).Int("limit", limit).Send()
+	r.evictionLog.Warn().Str("event", eventEvicted).Int("limit", limit).Send()
 }
 
 // readerDropped records that the connection of a caller was closed since it took nothing of its answer while others
@@ -226,9 +232,6 @@
 	r.log.Warn().Str("event", eventUnread).Str("request", x.call.ID).Stringer("caller", x.caller.RemoteAddr()).Send()
 }
 
-// evictionLogInterval is the least time between two log lines about closed connections of callers.
-const evictionLogInterval = time.Second
-
 // targetLeaving records that a target announced its shutdown, either in an answer to a request
 // of this host or, with an empty request, to another host.
 func (r *recorder) targetLeaving(d *placement.Departure, request string, peer netip.AddrPort) {
