warmup, placement, gateway: names and reasons in the code of cold targets and queues

Cause: names such as CredibleTime, granting and noteCold, comments that restate a name or leave out the reason, bare numbers in the digest of targets, and a scoring function with five parameters. Change: names and comments; digestLeaving and digestCold name the bits of the digest; plainScoring holds what the score of plain targets depends on.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -7,8 +7,8 @@
 	"github.com/cassiachute/cassiachute/warmup"
 )
 
-// grantExpired returns whether a slot that was granted at a time since boot may no longer be used: its target is cold
-// or suspected of it, and the grant no longer counts there.
+// grantExpired returns whether a slot that was granted at a time since boot may no longer be used: its target is cold or
+// suspected, and the grant is older than warmup.MaxGrantAge.
 func (c *core) grantExpired(target string, grantedAt time.Duration) bool {
 	if sinceBoot()-grantedAt <= warmup.MaxGrantAge {
 		return false
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -8,8 +8,8 @@
 	"github.com/cassiachute/cassiachute/platform"
 )
 
-// applyEvacuations brings the evacuated data centres up to date with a page of the operator's table. A page that
-// was not read as a feed lists all of them.
+// applyEvacuations updates the evacuated data centres from a page of the operator's table. A page that
+// is read while configVersion is 0 lists all of them, others list changes only.
 func (w *watcher) applyEvacuations(page platform.Page) {
 	if w.configVersion == 0 || w.evacuated == nil {
 		w.evacuated = map[string]bool{}
--- a/gateway/guest.go
+++ b/gateway/guest.go
@@ -193,8 +193,8 @@
 // fromMillis returns the duration that a message carries in milliseconds.
 func fromMillis(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
-// placeOf returns the data centre of another host that may own targets, empty if it is not known. The caller holds
-// the lock.
+// placeOf returns the data centre of another host, empty if the host is not among those that may own targets. The caller
+// holds the lock.
 func (c *core) placeOf(host uint64) string {
 	for _, owner := range c.owners {
 		if owner.ID == host {
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -82,8 +82,14 @@
 	return c.digest
 }
 
+// Bits of the state of a target in the digest of a list of targets.
+const (
+	digestLeaving byte = 1 << iota
+	digestCold
+)
+
 // hashTargets returns a digest of a list of targets that does not depend on their order. The
-// time for which a target stays cold is left out, since it changes constantly.
+// time for which a target stays cold is left out, since it changes constantly; whether it is cold is included.
 func hashTargets(list []route.Target) uint64 {
 	sorted := slices.Clone(list)
 	slices.SortFunc(sorted, func(a, b route.Target) int { return cmp.Compare(a.ID, b.ID) })
@@ -91,10 +97,10 @@
 	for _, t := range sorted {
 		state := byte(0)
 		if t.Leaving {
-			state = 1
+			state |= digestLeaving
 		}
 		if t.Cold > 0 {
-			state += 2
+			state |= digestCold
 		}
 		for _, text := range []string{t.ID, t.Service, t.Address.String(), t.Place} {
 			_, _ = d.WriteString(text) // never returns an error
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -247,7 +247,7 @@
 		if choice.Load.Prompt == 0 {
 			return left // the answer of a plain target, whose end is reported next
 		}
-		c.enqueue(l.host, &wire.LeaseUpdate{Number: l.number, Begun: true, Duration: uint32(c.board.CredibleTime(now, took).Microseconds())})
+		c.enqueue(l.host, &wire.LeaseUpdate{Number: l.number, Begun: true, Duration: uint32(c.board.ReportableDuration(now, took).Microseconds())})
 	}
 	return left
 }
@@ -261,7 +261,7 @@
 		return
 	}
 	delete(c.leases, l.number)
-	m := &wire.LeaseUpdate{Number: l.number, Ended: true, Outcome: uint8(o), Duration: uint32(c.board.CredibleTime(now, took).Microseconds()), IntervalCount: uint32(x.gapCount)}
+	m := &wire.LeaseUpdate{Number: l.number, Ended: true, Outcome: uint8(o), Duration: uint32(c.board.ReportableDuration(now, took).Microseconds()), IntervalCount: uint32(x.gapCount)}
 	if left.Prompt > 0 {
 		m.IntervalCount = 0 // no event came from this target: the pauses are those of an earlier one
 	}
--- a/placement/board.go
+++ b/placement/board.go
@@ -93,11 +93,11 @@
 	evacuated  []string             // data centres whose targets get no new requests
 	regions    map[string]string    // region of each data centre
 
-	heartbeat   time.Duration // interval at which targets renew their entries
-	lastRunning time.Time     // when this host last ran, as far as it was recorded
-	resumedAt   time.Time     // when it ran again after the last suspension, zero if there was none
-	coldChanges []ColdChange  // that were not taken yet
-	formerCold  ColdCounts    // decisions about targets that are no longer listed
+	heartbeat    time.Duration // interval at which targets renew their entries
+	lastRunning  time.Time     // when this host last ran, as far as it was recorded
+	resumedAt    time.Time     // when it ran again after the last suspension, zero if there was none
+	coldChanges  []ColdChange  // that were not taken yet
+	unlistedCold ColdCounts    // decisions about targets that are no longer listed
 
 	promisedRate float64 // cost units a second that all engines provide together, 0 if unknown
 }
@@ -187,7 +187,7 @@
 		}
 		r.target.Leaving = true
 		if r.ownLoad.Running == 0 {
-			b.formerCold.addDecisions(r)
+			b.unlistedCold.addDecisions(r)
 			delete(b.targets, id)
 		}
 	}
@@ -195,7 +195,7 @@
 	b.assignOwners()
 	b.sumPeerLoads()
 	for _, r := range turnedCold {
-		b.noteCold(r, warmup.ReasonEntry)
+		b.recordColdChange(r, warmup.ReasonEntry)
 	}
 }
 
--- a/placement/central.go
+++ b/placement/central.go
@@ -10,11 +10,11 @@
 const OwnerTimeout = 50 * time.Millisecond
 
 const (
-	minCentralHosts  = 24                              // hosts from which host states are too old to show who uses a slot of a plain target
-	centralGoalRatio = 4                               // least latency goal, in OwnerTimeout, that leaves time to ask the owner
-	minCentralGoal   = centralGoalRatio * OwnerTimeout // of the routes to a service with a central queue
+	minCentralHosts  = 24                              // least hosts of a fleet whose host states are too old to show the slots in use of a plain target
+	centralGoalRatio = 4                               // multiple of OwnerTimeout that a latency goal must have, to leave time to ask a silent owner
+	minCentralGoal   = centralGoalRatio * OwnerTimeout // least latency goal of the routes to a service with a central queue
 	targetBacklog    = 1                               // requests that wait at a target itself, so that it does not idle until its owner hears of a free slot
-	returnRoom       = 0.5                             // fraction of the capacity that is kept for callers that come back after a refusal
+	retryFraction    = 0.5                             // fraction of the capacity that is planned for retries of refused callers; the rest is for new ones
 )
 
 // centralQueue is the queue of a plain service with few slots in a large fleet. One host, the owner, decides about all
@@ -23,7 +23,7 @@
 type centralQueue struct {
 	enabled    bool
 	owner      uint64    // ID of the host
-	nextReturn time.Time // when the next caller that is refused is asked to come back
+	nextReturn time.Time // when the next refused caller is asked to retry
 }
 
 // updateCentralQueue decides whether a service has a central queue, and who owns it.
@@ -35,7 +35,8 @@
 // ownsQueue reports whether this host owns the central queue of a service.
 func (b *Board) ownsQueue(p *pool) bool { return p.central.enabled && p.central.owner == b.self }
 
-// referToQueue returns a referral to the owner of the central queue. Each request is referred there once.
+// referToQueue returns a referral to the owner of the central queue. Each request is referred there once. No engine is
+// named, so the empty name marks in a.asked that the owner was asked.
 func (p *pool) referToQueue(a *Request) (Referral, bool) {
 	if a.waitAsked {
 		return Referral{}, false
@@ -45,7 +46,7 @@
 	return Referral{Host: p.central.owner, MayWait: true, AnyEngine: true}, true
 }
 
-// plainSlots returns how many requests a plain target may have from this host's point of view.
+// plainSlots returns how many requests this host may have running at a plain target, those that wait there included.
 func (b *Board) plainSlots(now time.Time, p *pool, r *targetRecord) int {
 	slots := r.availableSlots(now, r.target.Slots)
 	if b.ownsQueue(p) {
@@ -54,8 +55,8 @@
 	return slots
 }
 
-// timePerRequest returns the mean time between two requests that the usable targets of a plain service complete. Cold
-// targets complete what they may be sent.
+// timePerRequest returns the mean time between two requests that the usable targets of a plain service complete. A cold
+// target completes at most its cold rate.
 func (p *pool) timePerRequest(now time.Time) time.Duration {
 	perSecond := 0.0
 	for _, r := range p.targets {
@@ -79,8 +80,8 @@
 	return time.Duration(ahead) * p.timePerRequest(now)
 }
 
-// refusePlain returns the choice for a request of a plain service whose targets are full. Callers that are refused are
-// asked to come back one after the other, as there is room for them beside new ones.
+// refusePlain returns the choice for a request of a plain service whose targets are full. The owner of a central queue
+// spreads the Retry-After of refused callers over the time when there will be room for them beside new ones.
 func (b *Board) refusePlain(now time.Time, p *pool) Choice {
 	c := Choice{Reason: ReasonFull, RetryAfter: max(minRetryAfter, p.answerTime)}
 	if b.ownsQueue(p) {
@@ -89,7 +90,7 @@
 	return c
 }
 
-// returnTime returns when the next caller that is refused is asked to come back.
+// returnTime returns when the next refused caller is asked to retry.
 func (p *pool) returnTime(now time.Time) time.Time {
 	earliest := now.Add(max(minRetryAfter, p.answerTime, p.expectedWait(now, len(p.queue))))
 	if p.central.nextReturn.Before(earliest) {
@@ -98,12 +99,13 @@
 	return p.central.nextReturn
 }
 
-// recordRefused records that a caller is refused, so that the next one is asked to come back after it.
+// recordRefused records that a caller is refused, so that the next one is asked to retry later than it. Beyond
+// maxRetryAfter all are told the same time.
 func (b *Board) recordRefused(now time.Time, p *pool) {
 	if !b.ownsQueue(p) {
 		return
 	}
 	if at := p.returnTime(now); at.Sub(now) < maxRetryAfter {
-		p.central.nextReturn = at.Add(scale(p.timePerRequest(now), 1/returnRoom))
+		p.central.nextReturn = at.Add(scale(p.timePerRequest(now), 1/retryFraction))
 	}
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -121,7 +121,7 @@
 	bestScore := 0.0
 	usable := 0
 	stale := StatePeriod(len(b.peers)+1) > scale(p.answerTime, staleAnswerTimes) && !b.ownsQueue(p)
-	place := cmp.Or(a.Place, b.place)
+	score := plainScoring{seed: a.Seed, stale: stale, place: cmp.Or(a.Place, b.place)}
 	for _, r := range p.targets {
 		if !r.usable(now, a) {
 			continue
@@ -130,16 +130,11 @@
 		if !r.warmup.Allows(now) {
 			continue
 		}
-		load := r.load()
-		if stale {
-			load = r.ownLoad
-		}
-		if load.Running >= b.plainSlots(now, p, r) {
+		if score.load(r).Running >= b.plainSlots(now, p, r) {
 			continue
 		}
-		score := plainScore(a, r, load, stale, place)
-		if best == nil || score < bestScore {
-			best, bestScore = r, score
+		if s := score.of(r); best == nil || s < bestScore {
+			best, bestScore = r, s
 		}
 	}
 	if best == nil {
@@ -151,14 +146,29 @@
 	return Choice{Target: best.target.ID, Load: Load{Running: 1}, ExpectedTime: p.answerTime}
 }
 
-// plainScore rates a plain target with a load, the lower the better: by its share of busy slots and its failures, and by
-// a hash of the request if the load is stale. Among equal targets, one in the data centre of the caller is preferred.
-func plainScore(a *Request, r *targetRecord, load Load, stale bool, place string) float64 {
-	score := float64(load.Running)/float64(r.target.Slots) + r.health.failures
+// plainScoring rates plain targets for one request.
+type plainScoring struct {
+	seed  uint64 // of the request
+	stale bool   // the loads that other hosts report are too old to use
+	place string // data centre of the caller's host
+}
+
+// load returns the load of a target that counts.
+func (p plainScoring) load(r *targetRecord) Load {
+	if p.stale {
+		return r.ownLoad
+	}
+	return r.load()
+}
+
+// of returns the score of a target, the lower the better: its share of busy slots and its failures, and a hash of the
+// request if reported loads are stale. Otherwise, among equal targets, one in the caller's data centre is preferred.
+func (p plainScoring) of(r *targetRecord) float64 {
+	score := float64(p.load(r).Running)/float64(r.target.Slots) + r.health.failures
 	switch {
-	case stale:
-		score += hashFraction(hashPair(a.Seed, r.key))
-	case r.target.Place != place:
+	case p.stale:
+		score += hashFraction(hashPair(p.seed, r.key))
+	case r.target.Place != p.place:
 		score += 1 / float64(otherPlaceDivisor*r.target.Slots)
 	}
 	return score
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -22,12 +22,13 @@
 	Until  time.Time
 }
 
-// ColdChange records that a target owned by this host counts as cold, or no longer as suspected.
+// ColdChange is a change of a target owned by this host: it counts as cold or suspected from now on, or an answer ended
+// the suspicion.
 type ColdChange struct {
 	Target  string
 	Reason  warmup.Reason
 	Until   time.Time // when it will be warm
-	Granted uint64    // requests that it got while it was cold, so far
+	Granted uint64    // requests granted so far while it was cold or suspected
 }
 
 // SetHeartbeat sets the interval at which targets renew their entries.
@@ -39,16 +40,16 @@
 	r.warmup.Configure(p.coldStart, p.coldRate)
 }
 
-// updateCold takes over what the entry of a target says of its cold start, and reports whether a cold period began.
-// The entry before it said that the period ends at another time, or came from another process.
-func (b *Board) updateCold(r *targetRecord, before time.Time, restarted bool) bool {
+// updateCold applies the cold start in the entry of a target, and reports whether a cold period began. previousUntil is the
+// end of the cold start in the entry before; an entry that is listed again without a change is not new information.
+func (b *Board) updateCold(r *targetRecord, previousUntil time.Time, restarted bool) bool {
 	b.configureCold(r)
-	return (restarted || !before.Equal(r.target.ColdUntil)) && r.warmup.SetCold(r.target.ColdUntil, restarted)
+	return (restarted || !previousUntil.Equal(r.target.ColdUntil)) && r.warmup.SetCold(r.target.ColdUntil, restarted)
 }
 
-// KeepCold records that the list of targets was still current at a time. Targets that are cold by that list are cold for
-// a while after it, whatever the list said of the end. Hosts do not pass on a list in which only the remaining times
-// changed, as they do when a target becomes cold again before it was warm.
+// KeepCold records that the list of targets was still current at a time. Targets that are cold according to it stay cold
+// for coldListLifetime after that time, whatever end the list gave. Hosts do not pass on a list in which only the
+// remaining times changed, which is the case if a target becomes cold again before it was warm.
 func (b *Board) KeepCold(at time.Time) {
 	for _, r := range b.targets {
 		if r.target.Cold > 0 {
@@ -60,35 +61,35 @@
 // suspectCold records that a target may have started again at a time.
 func (b *Board) suspectCold(r *targetRecord, at time.Time, reason warmup.Reason) {
 	if r.warmup.Suspect(at, suspicionHeartbeats*b.heartbeat) {
-		b.noteCold(r, reason)
+		b.recordColdChange(r, reason)
 	}
 }
 
-// CredibleTime returns how long an answer took, as far as that may show to the owner of the target that the process of
-// the target was there before. An answer that is read right after a suspension of this host may have come long before,
-// and shows nothing.
-func (b *Board) CredibleTime(now time.Time, took time.Duration) time.Duration {
+// ReportableDuration returns the duration of an answer as it is reported to the owner of the target, which takes it as
+// proof that the target's process was running when the answer began. An answer that is read right after a suspension of
+// this host may have arrived long before, so its duration is cut to one that proves nothing.
+func (b *Board) ReportableDuration(now time.Time, took time.Duration) time.Duration {
 	if b.justResumed(now) {
 		return min(took, warmup.EvidenceMargin)
 	}
 	return took
 }
 
-// justResumed reports whether this host was suspended until shortly before.
+// justResumed records that this host runs, and reports whether it was suspended until shortly before.
 func (b *Board) justResumed(now time.Time) bool {
 	b.RecordRunning(now)
 	return !b.resumedAt.IsZero() && now.Sub(b.resumedAt) < warmup.Window
 }
 
-// recordAlive records that the process of a target which ran at a time still answers.
+// recordAlive records an answer of a process of a target that ran at ranAt already.
 func (b *Board) recordAlive(now time.Time, r *targetRecord, ranAt time.Time) {
 	if !b.justResumed(now) && r.warmup.RecordAlive(now, ranAt) {
-		b.noteCold(r, warmup.ReasonAlive)
+		b.recordColdChange(r, warmup.ReasonAlive)
 	}
 }
 
-// noteCold keeps a change of a target that this host owns.
-func (b *Board) noteCold(r *targetRecord, reason warmup.Reason) {
+// recordColdChange keeps a change of a target for the log of its owner. Changes beyond maxColdChanges are dropped.
+func (b *Board) recordColdChange(r *targetRecord, reason warmup.Reason) {
 	if r.owner != b.self || !r.warmup.Limited() || len(b.coldChanges) >= maxColdChanges {
 		return
 	}
@@ -112,13 +113,13 @@
 		return
 	}
 	if gap > maxRunningGap && !b.lastRunning.IsZero() {
-		b.resumeCold(now, gap)
+		b.resumeAfter(now, gap)
 	}
 	b.lastRunning = now
 }
 
-// resumeCold tells the limiters of all targets that this host was suspended.
-func (b *Board) resumeCold(now time.Time, gap time.Duration) {
+// resumeAfter applies a suspension of this host to the limiters of all targets.
+func (b *Board) resumeAfter(now time.Time, gap time.Duration) {
 	b.resumedAt = now
 	for _, r := range b.targets {
 		r.warmup.Suspend()
@@ -128,21 +129,21 @@
 	}
 }
 
-// addSuspicions adds the targets that this host itself has come to suspect to a PeerState.
-func (b *Board) addSuspicions(now time.Time, n *PeerState) {
+// addSuspicions adds the suspicions that this host found itself to a PeerState.
+func (b *Board) addSuspicions(now time.Time, s *PeerState) {
 	for id, r := range b.targets {
 		since, until, ok := r.warmup.OwnSuspicion(now)
-		if ok && len(n.Suspicions) < maxSuspicions {
-			n.Suspicions = append(n.Suspicions, Suspicion{Target: id, Since: since, Until: until})
+		if ok && len(s.Suspicions) < maxSuspicions {
+			s.Suspicions = append(s.Suspicions, Suspicion{Target: id, Since: since, Until: until})
 		}
 	}
 }
 
-// applySuspicion takes over the suspicion of another host.
+// applySuspicion applies the suspicion of another host.
 func (b *Board) applySuspicion(s Suspicion) {
 	r := b.targets[s.Target]
 	if r != nil && r.warmup.SuspectUntil(s.Since, s.Until) {
-		b.noteCold(r, warmup.ReasonPeer)
+		b.recordColdChange(r, warmup.ReasonPeer)
 	}
 }
 
@@ -178,7 +179,7 @@
 	return min(untilWarm, seconds(float64(ahead)/perSecond))
 }
 
-// ColdCounts holds the cold targets of a board, and what those owned by this host were granted and refused.
+// ColdCounts holds the numbers of cold and suspected targets, and of the requests that this host granted and refused them.
 type ColdCounts struct {
 	Cold, Suspected  int
 	Granted, Refused uint64
@@ -186,7 +187,7 @@
 
 // ColdCounts counts the targets that are cold or suspected, and the decisions of this host about them.
 func (b *Board) ColdCounts(now time.Time) ColdCounts {
-	c := b.formerCold
+	c := b.unlistedCold
 	for _, r := range b.targets {
 		switch {
 		case !r.warmup.Cold(now):
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -264,11 +264,11 @@
 	since := f.now.Add(-2 * time.Second)
 	f.board.ApplyPeerState(f.now, 7, placement.PeerState{Suspicions: []placement.Suspicion{{Target: "a", Since: since, Until: f.now.Add(time.Minute)}}})
 	took := 5 * time.Second
-	require.Less(t, f.board.CredibleTime(f.now, took), time.Second)
+	require.Less(t, f.board.ReportableDuration(f.now, took), time.Second)
 	f.board.RecordFirstEvent(f.now, smallRequest("model"), placement.Choice{Target: "a"}, took)
 	f.idle(2 * time.Second)
 	require.True(t, f.board.MayBeCold(f.now, "a"))
-	require.Equal(t, took, f.board.CredibleTime(f.now, took))
+	require.Equal(t, took, f.board.ReportableDuration(f.now, took))
 	f.board.RecordFirstEvent(f.now, smallRequest("model"), placement.Choice{Target: "a"}, 2*took)
 	require.False(t, f.board.MayBeCold(f.now, "a"))
 }
--- a/placement/evacuation.go
+++ b/placement/evacuation.go
@@ -16,15 +16,15 @@
 }
 
 // SetEvacuated sets the data centres whose targets get no new requests. Requests that run there continue.
-// Prompts that are cached there get other preferred engines until the data centre is used again. Its targets may be
-// cold then.
+// Prompts that are cached there get other preferred engines until the evacuation ends. Its targets count as suspected
+// for a cold start from then on, since they may have become cold meanwhile.
 func (b *Board) SetEvacuated(now time.Time, places []string) {
 	b.evacuated = slices.Clone(places)
 	for _, r := range b.targets {
 		before := r.evacuated
 		r.evacuated = b.isEvacuated(r.target.Place)
 		if before && !r.evacuated && r.warmup.ReturnToUse(now) {
-			b.noteCold(r, warmup.ReasonEvacuated)
+			b.recordColdChange(r, warmup.ReasonEvacuated)
 		}
 	}
 	for _, p := range b.pools {
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -11,18 +11,19 @@
 const (
 	// Window is the span in which the requests to a cold target are counted.
 	Window = time.Second
-	// MaxGrantAge is the age at which a slot at a cold target is no longer used. One that is older, as after a
-	// suspension of the host, would fall into the window of later ones.
+	// MaxGrantAge is the age beyond which a granted slot at a cold target is not used. The owner no longer counts an old
+	// grant, as after a suspension of the host, so its request would come on top of later ones.
 	MaxGrantAge = 250 * time.Millisecond
 	// RampTime is the time over which a target that became warm returns to using all its slots.
 	RampTime = time.Second
-	// EvidenceMargin is the time after a suspicion in which an answer proves nothing. It may have come before, and may be
-	// read as late as this at a host whose suspension is too short to be noticed.
+	// EvidenceMargin is the time after a failure to reach a target in which an answer does not show that its process
+	// survived. The answer may have arrived before the failure and be read this much later: shorter suspensions of the
+	// host are not detected.
 	EvidenceMargin = 500 * time.Millisecond
 
-	rampFraction = 0.25                   // fraction of the slots that is used right after a target became warm
+	rampFraction = 0.25                   // fraction of the slots in use right after a target became warm
 	periodSlack  = 500 * time.Millisecond // ends of one cold period, as heard at different times, differ by less
-	maxGrants    = 64                     // grants that are remembered, which bounds the rate
+	maxGrants    = 64                     // grants that are kept; also the highest rate, since each grant of a second is needed
 )
 
 // Reason says why a target counts as cold or suspected.
@@ -42,28 +43,28 @@
 	rate  float64       // requests per second that the cold target can take, 0 if it is never cold
 	start time.Duration // for which a target is cold after its start
 
-	// What the target says.
-	coldUntil time.Time // end of its cold period, zero if there was none
-	saidWarm  bool      // it said since that it is warm; the next call with a time ends the cold period
+	// State according to the entry of the target.
+	coldUntil time.Time // end of the cold period, zero if there was none
+	saidWarm  bool      // the last entry says warm; settle has not ended the cold period yet
 
 	// The suspicion that it has started again, as it could not be reached.
 	suspectedSince time.Time // when it was first found unreachable
 	suspectedLast  time.Time // when it was last found unreachable
 	suspectedUntil time.Time // end of the suspicion
-	foundUntil     time.Time // end of the suspicion as far as this host itself found the target unreachable
-	aliveAt        time.Time // when the process that runs was last seen to have run
+	foundUntil     time.Time // end of the part of the suspicion that this host found itself
+	aliveAt        time.Time // latest time at which the current process is known to have run; earlier suspicions are ignored
 
 	// Other times in which it may be cold.
-	returnedUntil time.Time // after its data centre was evacuated
-	distrustUntil time.Time // after this host was suspended
+	returnedUntil time.Time // end of the cold start assumed after its data centre was evacuated
+	distrustUntil time.Time // end of the time in which this host knows too little, after it was suspended
 
-	// The ownership and the use that this host makes of it.
+	// Ownership and grants of this host.
 	owned     bool        // this host owns the target
-	acquired  bool        // it owns the target since the last call of Allows
-	holdUntil time.Time   // end of the first second of the ownership
-	grants    []time.Time // of the last requests, in their order
-	refused   uint64      // while the target was cold or suspected
-	granted   uint64      // while the target was cold or suspected
+	acquired  bool        // the ownership began after the last call of Allows, which sets holdUntil
+	holdUntil time.Time   // end of the first second of the ownership, in which nothing is granted
+	grants    []time.Time // times of the last requests, oldest first
+	refused   uint64      // requests refused while the target was cold or suspected
+	granted   uint64      // requests granted while the target was cold or suspected
 }
 
 // Configure sets for how long a target is cold after its start, and how many requests per second it can take then.
@@ -90,9 +91,10 @@
 // until this host has heard of it.
 func (l *Limiter) Distrust(now time.Time) { l.distrustUntil = now.Add(Window) }
 
-// SetCold sets until when the target is cold by its own word, zero if it is warm. Restarted tells that its process is
-// another one than before. SetCold reports whether a cold period began. It leaves a suspicion as it is: the entry may
-// have been written before the target became unreachable, up to three seconds before it is read here.
+// SetCold sets until when the target is cold according to its entry, zero if it is warm. restarted is true if the entry
+// is that of another process than the one before. SetCold reports whether a cold period began. It leaves a suspicion as
+// it is: the entry may have been written before the target became unreachable, up to three seconds before it is read
+// here.
 func (l *Limiter) SetCold(until time.Time, restarted bool) bool {
 	begins := l.saidWarm || until.After(l.coldUntil.Add(periodSlack))
 	l.saidWarm = until.IsZero() && !l.coldUntil.IsZero()
@@ -107,24 +109,24 @@
 	return begins
 }
 
-// KeepCold records that the target still says that it is cold, so that it is not warm before a time.
+// KeepCold records that the entry still says that the target is cold, so that it is not warm before until.
 func (l *Limiter) KeepCold(until time.Time) {
 	if !l.saidWarm {
 		l.coldUntil = latest(l.coldUntil, until)
 	}
 }
 
-// Suspect records that the target could not be reached at a time and may have started again. It counts as cold while
-// it may take to say so, and for a cold start. Suspect reports whether it was not suspected until now.
-func (l *Limiter) Suspect(at time.Time, notice time.Duration) bool {
-	until := at.Add(notice + l.start)
+// Suspect records that the target could not be reached at a time and may have started again. It counts as cold for
+// entryDelay, the time until its entry says so, and for a cold start. Suspect reports whether the suspicion is new.
+func (l *Limiter) Suspect(at time.Time, entryDelay time.Duration) bool {
+	until := at.Add(entryDelay + l.start)
 	if l.Limited() && !at.Before(l.aliveAt) {
 		l.foundUntil = latest(l.foundUntil, until)
 	}
 	return l.SuspectUntil(at, until)
 }
 
-// SuspectUntil is Suspect with the end of the suspicion, as another host knows it.
+// SuspectUntil records a suspicion that another host found, and reports whether it is new.
 func (l *Limiter) SuspectUntil(at, until time.Time) bool {
 	if !l.Limited() || at.Before(l.aliveAt) {
 		return false
@@ -152,8 +154,8 @@
 	return true
 }
 
-// RecordAlive records that a process which ran at a time still answers now. It ends a suspicion that began later, and
-// reports whether it did.
+// RecordAlive records an answer of a process that ran at ranAt already. It ends a suspicion that began later, and reports
+// whether it did.
 func (l *Limiter) RecordAlive(now, ranAt time.Time) bool {
 	if !l.Limited() || l.suspectedSince.IsZero() || !ranAt.Before(l.suspectedSince) || now.Sub(l.suspectedLast) < EvidenceMargin {
 		return false
@@ -195,9 +197,9 @@
 // Suspected returns for how long the target remains suspected, 0 if it is not.
 func (l *Limiter) Suspected(now time.Time) time.Duration { return max(0, l.suspicionEnd().Sub(now)) }
 
-// OwnSuspicion returns the suspicion that this host has found by itself, to be told to other hosts, and false if there is
-// none. What it heard is not passed on: hosts that tell each other of one suspicion, each a little later, would keep it
-// alive. All hosts know of the return of a data centre; only the owner tells it, to hosts that start after it.
+// OwnSuspicion returns the suspicion that this host found itself, to be sent to other hosts, and false if there is none.
+// Suspicions received from others are not passed on: hosts that exchange one, each a little later, would never let it
+// end. All hosts know of the return of a data centre; only the owner sends it, for hosts that start later.
 func (l *Limiter) OwnSuspicion(now time.Time) (since, until time.Time, ok bool) {
 	since, until = l.suspectedSince, l.foundUntil
 	if l.owned && l.returnedUntil.After(until) {
@@ -206,7 +208,7 @@
 	return since, until, now.Before(until)
 }
 
-// Allows reports whether a request may be sent to the target now.
+// Allows reports whether a request may be sent to the target now. It counts refusals; Record counts what is sent.
 func (l *Limiter) Allows(now time.Time) bool {
 	if !l.Limited() {
 		return true
@@ -217,15 +219,15 @@
 	if !l.Cold(now) {
 		return true
 	}
-	allowed := l.owned && !now.Before(l.holdUntil) && l.granting(now)
+	allowed := l.owned && !now.Before(l.holdUntil) && l.withinRate(now)
 	if !allowed {
 		l.refused++
 	}
 	return allowed
 }
 
-// granting reports whether the rate leaves room for a request.
-func (l *Limiter) granting(now time.Time) bool {
+// withinRate reports whether the rate leaves room for a request.
+func (l *Limiter) withinRate(now time.Time) bool {
 	limit, span := l.limit()
 	return len(l.grants) < limit || now.Sub(l.grants[len(l.grants)-limit]) > span
 }
