--- a/bodies/shapes_test.go
+++ b/bodies/shapes_test.go
@@ -237,7 +237,7 @@
 // Callers together made the process exceed the memory of its host, which ends it and the requests of all others.
 func TestGatewayStaysWithinItsMemory(t *testing.T) { testShapes(t, startGateway) }
 
-// As above, for the other program that serves callers.
+// Callers together made cassia-entry exceed the memory of its host, as they did cassia-gateway.
 func TestEntryStaysWithinItsMemory(t *testing.T) { testShapes(t, startEntry) }
 
 // The bounds must not refuse a single request within the limits: each of these bodies is served while no one else is
--- a/held/incoming.go
+++ b/held/incoming.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	callerFraction = 3.0 / 4 // of the budget, for bodies of callers; answers of targets may use all of it
+	callerFraction = 3.0 / 4 // of the budget, for bodies of callers; the rest is left for answers of requests that have run
 	firstChunk     = 4 << 10 // bytes of the first buffer of a body whose length is not announced
 	progressBytes  = 4 << 10 // a body makes progress when this many bytes of it have arrived
 	// stallTime is the time without progress after which a body may be evicted. A caller that sends 8 KiB a second or
@@ -40,20 +40,20 @@
 // methods but those of the budget are called by one goroutine. A nil Incoming is an empty body.
 type Incoming struct {
 	budget     *Budget
-	wake       func()       // makes the pending read of the body fail
+	interrupt  func()       // makes the pending read of the body fail
 	chunks     Chunks       // that have arrived
 	bytes      int64        // that are counted; guarded by the lock of the budget
 	complete   bool         // not to be evicted any more; guarded by the lock of the budget
 	progress   atomic.Int64 // when bytes last arrived, in Unix nanoseconds
-	unreported int          // bytes that have arrived since
-	counted    bool         // bytes were counted at some time
+	unreported int          // bytes that have arrived since progress was set
+	counted    bool         // bytes were counted at some time; until then the budget is not locked
 	evicted    atomic.Bool
 }
 
-// NewIncoming returns an Incoming that holds nothing yet. wake makes a pending read of the body fail; it is called if
-// the body is evicted.
-func (b *Budget) NewIncoming(wake func()) *Incoming {
-	i := &Incoming{budget: b, wake: wake}
+// NewIncoming returns an Incoming that holds nothing yet. interrupt makes a pending read of the body fail; it is called
+// if the body is evicted.
+func (b *Budget) NewIncoming(interrupt func()) *Incoming {
+	i := &Incoming{budget: b, interrupt: interrupt}
 	i.progress.Store(b.now().UnixNano())
 	return i
 }
@@ -72,14 +72,14 @@
 	if length > limit {
 		return ErrBodyTooLarge
 	}
-	if length > FreeBytes && !i.budget.hasRoom(i, int64(length-FreeBytes)) {
+	if length > FreeBytes && !i.budget.ensureRoom(i, int64(length-FreeBytes)) {
 		return ErrNoRoom
 	}
 	end := length
 	if length < 0 {
 		end = limit + 1 // one byte more shows that the body is too large
 	}
-	err := i.readUntil(body, end, length < 0)
+	err := i.readUntil(body, end, length >= 0)
 	size := i.chunks.Len()
 	switch {
 	case i.evicted.Load():
@@ -94,10 +94,11 @@
 	return i.finish()
 }
 
-// readUntil reads a body to its end, or to a number of bytes. The error is io.EOF at the end.
-func (i *Incoming) readUntil(body io.Reader, end int, chunked bool) error {
+// readUntil reads a body to its end, or to a number of bytes. The error is io.EOF at the end. Buffers begin small and
+// double, so that a body takes little more room than has arrived.
+func (i *Incoming) readUntil(body io.Reader, end int, announced bool) error {
 	next, size := firstChunk, 0
-	if !chunked {
+	if announced {
 		next = FreeBytes
 	}
 	for size < end {
@@ -112,8 +113,8 @@
 		if err != nil {
 			return err
 		}
-		if size = i.chunks.Len(); !chunked && end <= maxChunk {
-			next = end - size
+		if size = i.chunks.Len(); announced && end <= maxChunk {
+			next = end - size // the rest of a short body comes in one buffer
 		} else {
 			next = min(2*next, maxChunk)
 		}
@@ -217,16 +218,16 @@
 	i.budget.removeBody(i)
 }
 
-// hasRoom returns whether a body could hold a number of bytes more at present. Stalled bodies are evicted if that
-// makes the room.
-func (b *Budget) hasRoom(i *Incoming, more int64) bool {
+// ensureRoom returns whether a body can hold a number of bytes more at present. Others are evicted as far as that is
+// needed.
+func (b *Budget) ensureRoom(i *Incoming, more int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.makeRoom(i, more)
 }
 
-// makeRoom evicts stalled bodies, those without progress for the longest time first, until a body can hold a number of
-// bytes more. It returns false if that is not possible. The caller holds the lock.
+// makeRoom evicts stalled bodies, those without progress for the longest time first, and then answers that are not read,
+// until a body can hold a number of bytes more. It returns false if that is not possible. The caller holds the lock.
 func (b *Budget) makeRoom(i *Incoming, more int64) bool {
 	limit := int64(callerFraction * float64(b.limit))
 	if more <= 0 {
@@ -259,7 +260,7 @@
 	}
 	victim.evicted.Store(true)
 	b.removeBody(victim)
-	victim.wake()
+	victim.interrupt()
 	return true
 }
 
--- a/held/incoming_test.go
+++ b/held/incoming_test.go
@@ -29,10 +29,10 @@
 	return b, c
 }
 
-// newTestBody returns an Incoming and how often its read was ended.
+// newTestBody returns an Incoming and how often its read was interrupted.
 func newTestBody(b *Budget) (*Incoming, *int) {
-	woken := new(int)
-	return b.NewIncoming(func() { *woken++ }), woken
+	interrupted := new(int)
+	return b.NewIncoming(func() { *interrupted++ }), interrupted
 }
 
 // A caller that announces a large body and sends nothing must not take room: only what has arrived counts.
@@ -50,7 +50,8 @@
 	require.Zero(t, used)
 }
 
-// Bodies are read whole up to the limit, however their bytes arrive and whether or not their length is announced.
+// A body within the limit must not lose bytes or be refused, and one over it must not be accepted, however its bytes
+// arrive and whether or not its length is announced.
 func TestBodyIsReadUpToTheLimit(t *testing.T) {
 	for _, size := range []int{1, firstChunk - 1, firstChunk, FreeBytes, FreeBytes + 1, 500_000} {
 		want := bytes.Repeat([]byte("0123456789"), size/10+1)[:size]
@@ -87,11 +88,11 @@
 func TestStalledBodyIsEvictedFirst(t *testing.T) {
 	b, clock := newTestBudget()
 	var bodies []*Incoming
-	var woken []*int
+	var interrupted []*int
 	for range 6 {
 		i, n := newTestBody(b)
 		require.True(t, i.resize(bodySize))
-		bodies, woken = append(bodies, i), append(woken, n)
+		bodies, interrupted = append(bodies, i), append(interrupted, n)
 		clock.now = clock.now.Add(stallTime / 10)
 	}
 	next, _ := newTestBody(b)
@@ -101,7 +102,7 @@
 		i.observeProgress(progressBytes)
 	}
 	require.True(t, next.resize(bodySize))
-	for n, count := range woken {
+	for n, count := range interrupted {
 		require.Equal(t, n == 0, *count == 1, n)
 	}
 	require.False(t, bodies[0].resize(bodySize), "it stays evicted")
@@ -111,7 +112,7 @@
 // A few bytes now and then are no progress, or a caller could keep its room for as long as it likes.
 func TestTrickleIsNoProgress(t *testing.T) {
 	b, clock := newTestBudget()
-	i, woken := newTestBody(b)
+	i, interrupted := newTestBody(b)
 	require.True(t, i.resize(callersLimit+FreeBytes))
 	for range 20 {
 		clock.now = clock.now.Add(stallTime / 10)
@@ -119,13 +120,13 @@
 	}
 	next, _ := newTestBody(b)
 	require.True(t, next.resize(bodySize))
-	require.Equal(t, 1, *woken)
+	require.Equal(t, 1, *interrupted)
 }
 
 // A request that a target may already run must not lose its body.
 func TestCompleteBodyIsNotEvicted(t *testing.T) {
 	b, clock := newTestBudget()
-	i, woken := newTestBody(b)
+	i, interrupted := newTestBody(b)
 	require.True(t, i.resize(callersLimit+FreeBytes))
 	require.NoError(t, i.finish())
 	clock.now = clock.now.Add(longStall)
@@ -133,7 +134,7 @@
 	require.ErrorIs(t, next.ReadAll(strings.NewReader(""), bodySize, bodyLimit), ErrNoRoom)
 	a, _ := newCountedAnswer(b, "target")
 	require.False(t, a.Resize(testLimit))
-	require.Zero(t, *woken)
+	require.Zero(t, *interrupted)
 }
 
 // Bodies of callers must leave room for answers of targets, which have run their requests.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -113,8 +113,9 @@
 	requireNoViolations(t, runSoak(t, 1, soak.FaultUnframedAnswer, soak.FaultSpoiledEvent, soak.FaultBrokenAnswer, soak.FaultGatewayPause))
 }
 
-// Targets start again cold under their identities and a place is evacuated, while gateways are suspended, restart and
-// get changed configurations. Meanwhile there is little capacity, so that more requests are refused than otherwise.
+// Floods of cold targets and requests to evacuated places must not occur while gateways are suspended, restart and get
+// changed configurations: a host then knows too little or too late. Capacity is scarce in this run, so more requests are
+// refused than in others.
 func TestSoakOfColdAndEvacuatedTargets(t *testing.T) {
 	knownred.Skip(t)
 	r := runSoakFor(t, coldDuration, 148, soak.FaultColdRestart, soak.FaultEvacuation, soak.FaultConfigChange, soak.FaultGatewayPause, soak.FaultGatewayRestart)
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -243,8 +243,8 @@
 	require.Equal(t, []time.Duration{2 * time.Second, 0}, []time.Duration{notices[0].Wait, notices[1].Wait})
 }
 
-// A target that crashes resets its connections, also of a request that waits for a slot, refuses new ones for a time
-// and serves again under the same ID.
+// Tests of restarts would show nothing if the stand-in kept a connection or a waiting request through its crash, accepted
+// connections while it is down, or came back under another ID.
 func TestCrashedTargetServesAgain(t *testing.T) {
 	s := newTestTarget(t, false)
 	s.Arm(target.Fault{Kind: target.KindPause, Position: target.PositionBeforeHead, Length: testTimeout})
