--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	drainTime  = 500 * time.Millisecond // for what a caller still sends after its request was refused
-	drainBytes = 4 << 10                // that are discarded at once
+	drainTime  = 500 * time.Millisecond // for which what a caller still sends after its request was refused is discarded
+	drainBytes = 4 << 10                // of the buffer for one read of it
 )
 
 // Reasons, as they are logged, for which a host closes a connection that waits for its next request.
@@ -206,8 +206,8 @@
 	return c.Close()
 }
 
-// discardRest ends what this host sends and discards what the caller sends until it ends, at most for drainTime. It
-// ends as well if the connection is closed meanwhile.
+// discardRest closes the sending side of the connection and discards what the caller sends, until its end or for
+// drainTime at most. A close of the connection ends it as well.
 func (c *callerConn) discardRest() {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(drainTime)) != nil {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -78,30 +78,36 @@
 	aborted bool         // abort was called
 }
 
-// newExchange returns the exchange of a request that was admitted for a route and a team. It
-// copies the head of the request, as the server reuses the one in ctx.
-func newExchange(g *Gateway, ctx *fasthttp.RequestCtx, call platform.Call, r *route.Route, team string, body *held.Incoming) *exchange {
+// admittedRequest is a request that was admitted for a route and a team.
+type admittedRequest struct {
+	call  platform.Call
+	route *route.Route
+	team  string
+	body  *held.Incoming
+}
+
+// newExchange returns the exchange of an admitted request. It copies the head of the request, as the
+// server reuses the one in ctx.
+func newExchange(g *Gateway, ctx *fasthttp.RequestCtx, a admittedRequest) *exchange {
+	call, r := a.call, a.route
 	x := &exchange{
-		gateway: g, call: call, route: r, team: team, arrived: time.Now(), caller: ctx.Conn(),
+		gateway: g, call: call, route: r, team: a.team, arrived: time.Now(), caller: ctx.Conn(),
 		grants: make(chan placement.Choice, 1), abortSignal: make(chan struct{}), request: &fasthttp.Request{},
-		body: body, lastEvent: call.LastEvent,
-	}
-	table := g.core.table.Load()
-	if table != nil {
-		x.version = table.Version
+		body: a.body, lastEvent: call.LastEvent,
 	}
 	x.service = pickService(r, &call)
 	x.expectedEvents = g.core.expectedEvents(x.service, call.MaxOutput)
 	x.limit = x.arrived.Add(r.TimeLimit(call.Deadline))
 	x.ask = placement.Request{
-		Service: x.service, Team: team, MaxOutput: call.MaxOutput, Seed: xxhash.Sum64String(call.ID), LatencyGoal: r.TargetLatency, AnswerTimeLimit: r.TimeLimit(call.Deadline),
+		Service: x.service, Team: a.team, MaxOutput: call.MaxOutput, Seed: xxhash.Sum64String(call.ID), LatencyGoal: r.TargetLatency, AnswerTimeLimit: r.TimeLimit(call.Deadline),
 		Chain: placement.NewPrefixChain(placementParts(call.Parts), call.PromptTokens),
 	}
-	if table != nil {
-		x.ask.Priority, x.ask.Regions = table.Priority(r, team), table.AllowedRegions(r, team)
+	if table := g.core.table.Load(); table != nil {
+		x.version = table.Version
+		x.ask.Priority, x.ask.Regions = table.Priority(r, a.team), table.AllowedRegions(r, a.team)
 	}
 	ctx.Request.Header.CopyTo(&x.request.Header)
-	x.traits = requestTraits(team, x.request.Header.RequestURI(), body.Chunks(), &x.call)
+	x.traits = requestTraits(a.team, x.request.Header.RequestURI(), a.body.Chunks(), &x.call)
 	return x
 }
 
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -42,7 +42,7 @@
 		g.inFlight.Add(-1)
 		return
 	}
-	x = newExchange(g, ctx, call, r, team, body)
+	x = newExchange(g, ctx, admittedRequest{call: call, route: r, team: team, body: body})
 	g.core.register(x)
 	g.record.times.addSince(activityAdmit, began)
 	if r.Kind == route.Stream {
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -16,14 +16,14 @@
 	testColdRate  = 10
 )
 
-// coldFleet is a board with engines of a service whose targets have cold starts. It owns all of them.
+// coldFleet is the board of a host that owns all engines of a service with cold starts.
 type coldFleet struct {
 	board   *placement.Board
 	targets []route.Target
 	now     time.Time
 }
 
-// newColdFleet returns a fleet of warm engines that this host has owned for long.
+// newColdFleet returns a fleet of warm engines whose first second of ownership is over.
 func newColdFleet(ids ...string) *coldFleet {
 	f := &coldFleet{board: placement.NewBoard("place1"), now: time.Unix(1000, 0)}
 	f.board.SetHeartbeat(1200 * time.Millisecond)
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -64,7 +64,7 @@
 }
 
 // compareQueued orders the queue by the times at which first events are due. In a plain service, requests of a higher
-// rank come first. A new request y comes behind those that are equal.
+// rank come first. It is never 0, so that a new request y comes behind those that are equal.
 func (p *pool) compareQueued(x, y queuedRequest) int {
 	if p.engine == nil && x.ask.Priority != y.ask.Priority {
 		return cmp.Compare(x.ask.Priority, y.ask.Priority)
