soak, capacity, bodies: names of what a target, a sample and a pattern is

Cause: 'leaving' also meant targets that start again, sample sizes were called requestsPerWarm and requestsPerUsed, and comments of patterns repeated the names. Change: names and comments only; names in the printed tables stay.

--- a/bodies/shapes_test.go
+++ b/bodies/shapes_test.go
@@ -45,7 +45,7 @@
 	send    func(h *host, conn net.Conn, id string) error // ends when all is sent, or with the error of a connection that the host closed
 }
 
-// shapes are all ways.
+// shapes are the patterns of uncontrolled requests that the tests play, one at a time.
 var shapes = []shape{
 	{"large chunks, one short of the end", bodyCallers, sendLargeChunks},
 	{"chunks of one to three bytes", bodyCallers, sendTinyChunks},
@@ -58,10 +58,10 @@
 	{"half a long head", headCallers, sendHalfLongHead},
 }
 
-// part is what callers write at once.
+// part is one write of a caller: a piece of a body with a declared length.
 var part = strings.Repeat("b", partBytes)
 
-// chunk is a part as a chunk.
+// chunk is part in the encoding of a chunked body.
 var chunk = fmt.Sprintf("%x\r\n%s\r\n", partBytes, part)
 
 // chunkedHead returns the head of a request with a chunked body.
--- a/capacity/uneven.go
+++ b/capacity/uneven.go
@@ -9,13 +9,13 @@
 )
 
 const (
-	sampleColdStart  = 3 * time.Second
-	sampleColdRate   = 10.0 // requests per second that a cold target can take
-	requestsPerWarm  = 30   // requests to a target since its host started, fewer than a limiter keeps
-	requestsPerUsed  = 1000 // more than a limiter keeps
-	sampleNumber     = 1_000_000
-	sampleDuration   = 60_000 // microseconds of a plain request
-	suspicionLasting = 6600   // milliseconds of a suspicion: three heartbeats and a cold start
+	sampleColdStart = 3 * time.Second
+	sampleColdRate  = 10.0 // requests per second that a cold target can take
+	fewRequests     = 30   // requests to a target since the host started, fewer than a limiter keeps
+	manyRequests    = 1000 // the same, more than a limiter keeps
+	sampleNumber    = 1_000_000
+	sampleDuration  = 60_000 // microseconds of a plain request
+	suspicionLeft   = 6600   // milliseconds of a suspicion: three heartbeats and a cold start
 )
 
 // measureUneven measures the state and the messages of cold targets, evacuated places and central queues.
@@ -26,8 +26,8 @@
 	}
 	return []Slope{
 		measureSeries(Slope{Name: "warm-up limiter, no request yet", Unit: "bytes", SizeName: "targets"}, targets, limiters(0)),
-		measureSeries(Slope{Name: "warm-up limiter, 30 requests", Unit: "bytes", SizeName: "targets"}, targets, limiters(requestsPerWarm)),
-		measureSeries(Slope{Name: "warm-up limiter, 1,000 requests", Unit: "bytes", SizeName: "targets"}, targets, limiters(requestsPerUsed)),
+		measureSeries(Slope{Name: "warm-up limiter, 30 requests", Unit: "bytes", SizeName: "targets"}, targets, limiters(fewRequests)),
+		measureSeries(Slope{Name: "warm-up limiter, 1,000 requests", Unit: "bytes", SizeName: "targets"}, targets, limiters(manyRequests)),
 		measureSeries(Slope{Name: "host state", Unit: "bytes", SizeName: "suspicions"}, []int{0, 4, 16, 64},
 			func(n int) float64 { return encodedSize(sampleHostState(n)) }),
 		measureSeries(Slope{Name: "reply without changes", Unit: "bytes", SizeName: "evacuated places"}, []int{0, 1, 4, 16},
@@ -57,11 +57,11 @@
 // sampleTargetID returns the ID of the n-th target.
 func sampleTargetID(n int) string { return fmt.Sprintf("engine%05d", n) }
 
-// sampleHostState returns a report of a host that suspects a number of targets, and has nothing else to tell.
+// sampleHostState returns the state of a host that suspects a number of targets, and reports nothing else.
 func sampleHostState(suspicions int) *wire.HostState {
 	m := &wire.HostState{Boot: 1 << 40, Number: sampleNumber, Revision: 8000, Age: 250, Place: "place01"}
 	for n := range suspicions {
-		m.Suspicions = append(m.Suspicions, wire.Suspicion{Target: sampleTargetID(n), Age: 1000, Left: suspicionLasting})
+		m.Suspicions = append(m.Suspicions, wire.Suspicion{Target: sampleTargetID(n), Age: 1000, Left: suspicionLeft})
 	}
 	return m
 }
--- a/soak/uneven.go
+++ b/soak/uneven.go
@@ -51,12 +51,12 @@
 }
 
 // restartTarget restarts a target, whose entry says after a delay that it is cold. It does nothing if the target is
-// leaving or starts again already.
+// unavailable already.
 func (f *fleet) restartTarget(ctx context.Context, n int, down, entryDelay time.Duration) error {
-	if !f.setLeaving(n, true) {
+	if !f.setUnavailable(n, true) {
 		return nil
 	}
-	defer f.setLeaving(n, false)
+	defer f.setUnavailable(n, false)
 	f.targets[n].Crash(down)
 	sleep(ctx, down)
 	startedAt := time.Now()
--- a/soak/world.go
+++ b/soak/world.go
@@ -38,11 +38,11 @@
 	cancel   context.CancelFunc
 	done     []<-chan struct{} // closed when the stand-ins have ended
 
-	configMu   sync.Mutex
-	config     operator.Config
-	badEntries int             // number of invalid entries listed so far
-	leaving    []bool          // by target: it is leaving or starts again, and has not come back yet
-	evacuated  map[string]bool // by place: its evacuation has not ended
+	configMu    sync.Mutex
+	config      operator.Config
+	badEntries  int             // number of invalid entries listed so far
+	unavailable []bool          // by target: it is leaving or starting again, and does not take requests as usual yet
+	evacuated   map[string]bool // by place: its evacuation has not ended
 
 	evacuations []Evacuation
 
@@ -52,7 +52,7 @@
 // newFleet returns the fleet of a plan.
 func newFleet(p Plan, progress io.Writer) *fleet {
 	f := &fleet{
-		plan: p, ledger: &target.Ledger{}, progress: progress, config: operator.FirstConfig(), leaving: make([]bool, len(p.Targets)),
+		plan: p, ledger: &target.Ledger{}, progress: progress, config: operator.FirstConfig(), unavailable: make([]bool, len(p.Targets)),
 		evacuated: map[string]bool{},
 	}
 	if p.faultCounts()[FaultColdRestart] > 0 {
@@ -254,9 +254,9 @@
 }
 
 // replaceTarget makes a target leave, announced in the list or in its answers, and come back with a new
-// identity. It does nothing if the target is already leaving.
+// identity. It does nothing if the target is already unavailable.
 func (f *fleet) replaceTarget(ctx context.Context, e ScheduledFault) error {
-	if !f.setLeaving(e.Index, true) {
+	if !f.setUnavailable(e.Index, true) {
 		return nil
 	}
 	t := f.targets[e.Index]
@@ -273,15 +273,15 @@
 	operator.DeleteEntry(f.store, oldID)
 	sleep(ctx, addressReuseDelay)
 	t.Restart(fmt.Sprintf("t%d-%d", e.Index, e.At.Milliseconds()))
-	f.setLeaving(e.Index, false)
+	f.setUnavailable(e.Index, false)
 	return f.listTarget(e.Index, operator.StateReady, time.Now(), 0)
 }
 
-// setLeaving sets whether a target is leaving or starts again. It returns false if that was set before.
-func (f *fleet) setLeaving(index int, leaving bool) bool {
+// setUnavailable sets whether a target is leaving or starting again. It returns false if that was set before.
+func (f *fleet) setUnavailable(index int, unavailable bool) bool {
 	f.configMu.Lock()
 	defer f.configMu.Unlock()
-	changed := f.leaving[index] != leaving
-	f.leaving[index] = leaving
+	changed := f.unavailable[index] != unavailable
+	f.unavailable[index] = unavailable
 	return changed
 }
