placement, warmup: retry time of refused callers, delay of entries in tests

Cause: the time at which a refused caller is to retry was called its return, as is the return of a data centre; 'notice' in tests stood for the delay of an entry. Change: names and comments only. Conclusion: go test ./warmup and the tests of queues, cold targets and evacuations in ./placement pass.

--- a/placement/central.go
+++ b/placement/central.go
@@ -23,7 +23,7 @@
 type centralQueue struct {
 	enabled    bool
 	owner      uint64    // ID of the host
-	nextReturn time.Time // when the next refused caller is asked to retry
+	nextRetry time.Time // when the next refused caller is asked to retry
 }
 
 // updateCentralQueue decides whether a service has a central queue, and who owns it.
@@ -85,18 +85,18 @@
 func (b *Board) refusePlain(now time.Time, p *pool) Choice {
 	c := Choice{Reason: ReasonFull, RetryAfter: max(minRetryAfter, p.answerTime)}
 	if b.ownsQueue(p) {
-		c.RetryAfter = min(maxRetryAfter, p.returnTime(now).Sub(now))
+		c.RetryAfter = min(maxRetryAfter, p.retryTime(now).Sub(now))
 	}
 	return c
 }
 
-// returnTime returns when the next refused caller is asked to retry.
-func (p *pool) returnTime(now time.Time) time.Time {
+// retryTime returns when the next refused caller is asked to retry.
+func (p *pool) retryTime(now time.Time) time.Time {
 	earliest := now.Add(max(minRetryAfter, p.answerTime, p.expectedWait(now, len(p.queue))))
-	if p.central.nextReturn.Before(earliest) {
+	if p.central.nextRetry.Before(earliest) {
 		return earliest
 	}
-	return p.central.nextReturn
+	return p.central.nextRetry
 }
 
 // recordRefused records that a caller is refused, so that the next one is asked to retry later than it. Beyond
@@ -105,7 +105,7 @@
 	if !b.ownsQueue(p) {
 		return
 	}
-	if at := p.returnTime(now); at.Sub(now) < maxRetryAfter {
-		p.central.nextReturn = at.Add(scale(p.timePerRequest(now), 1/retryFraction))
+	if at := p.retryTime(now); at.Sub(now) < maxRetryAfter {
+		p.central.nextRetry = at.Add(scale(p.timePerRequest(now), 1/retryFraction))
 	}
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -127,7 +127,7 @@
 			continue
 		}
 		usable++
-		if !r.warmup.Allows(now) {
+		if !r.warmup.Allows(now) { // a cold target whose rate is used up counts as full
 			continue
 		}
 		if score.load(r).Running >= b.plainSlots(now, p, r) {
@@ -252,7 +252,7 @@
 // first, since most engines are full while requests flood in.
 func (s *search) evaluate(r *targetRecord) {
 	p, a := s.pool, s.ask
-	if !r.warmup.Allows(s.now) {
+	if !r.warmup.Allows(s.now) { // a cold target whose rate is used up counts as full
 		return
 	}
 	load := r.load()
--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	coldStart = 3 * time.Second
-	coldRate  = 10.0
-	notice    = 3 * time.Second
-	step      = 5 * time.Millisecond // between two requests that look for a target
+	coldStart  = 3 * time.Second
+	coldRate   = 10.0
+	entryDelay = 3 * time.Second      // from a restart until the entry says so
+	step       = 5 * time.Millisecond // between two requests that look for a target
 )
 
 // start is when all tests begin.
@@ -23,7 +23,7 @@
 // at returns a time after the start.
 func at(after time.Duration) time.Time { return start.Add(after) }
 
-// newLimiter returns the limiter of a target, at a host that owns it for long.
+// newLimiter returns the limiter of a target, at a host whose first second of ownership is over.
 func newLimiter() *warmup.Limiter {
 	l := &warmup.Limiter{}
 	l.Configure(coldStart, coldRate)
@@ -130,10 +130,10 @@
 	l := newLimiter()
 	l.SetOwned(false)
 	require.True(t, l.Allows(at(0)), "warm")
-	l.Suspect(at(0), notice)
+	l.Suspect(at(0), entryDelay)
 	require.False(t, l.Allows(at(time.Second)))
-	require.False(t, l.Allows(at(coldStart+notice-step)))
-	require.True(t, l.Allows(at(coldStart+notice)))
+	require.False(t, l.Allows(at(coldStart+entryDelay-step)))
+	require.True(t, l.Allows(at(coldStart+entryDelay)))
 }
 
 // TestSuspicionEnds guards against targets that stay limited although they never started again: a broken connection
@@ -151,7 +151,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			l := newLimiter()
-			require.True(t, l.Suspect(at(0), notice))
+			require.True(t, l.Suspect(at(0), entryDelay))
 			require.Equal(t, c.want, l.RecordAlive(at(c.now), at(c.ranAt)))
 			require.Equal(t, !c.want, l.Cold(at(c.now)))
 			if c.want {
@@ -196,7 +196,7 @@
 	l := &warmup.Limiter{}
 	l.Configure(0, coldRate)
 	l.SetCold(at(time.Minute), true)
-	require.False(t, l.Suspect(at(0), notice))
+	require.False(t, l.Suspect(at(0), entryDelay))
 	require.True(t, l.Allows(at(0)))
 	require.Equal(t, 24, l.Slots(at(0), 24))
 }
@@ -222,12 +222,12 @@
 func TestEntryDoesNotEndSuspicion(t *testing.T) {
 	for _, restarted := range []bool{false, true} {
 		l := newLimiter()
-		l.Suspect(at(0), notice)
+		l.Suspect(at(0), entryDelay)
 		l.SetCold(at(time.Second), restarted)
-		require.True(t, l.Cold(at(notice+coldStart-step)), "restarted: %v", restarted)
+		require.True(t, l.Cold(at(entryDelay+coldStart-step)), "restarted: %v", restarted)
 		l.SetCold(time.Time{}, false)
-		require.True(t, l.Cold(at(notice+coldStart-step)), "restarted: %v", restarted)
-		require.False(t, l.Cold(at(notice+coldStart)))
+		require.True(t, l.Cold(at(entryDelay+coldStart-step)), "restarted: %v", restarted)
+		require.False(t, l.Cold(at(entryDelay+coldStart)))
 	}
 }
 
@@ -235,8 +235,8 @@
 // unreachable, where it was suspected before that.
 func TestAnswerProvesNothingOfLaterSuspicion(t *testing.T) {
 	l := newLimiter()
-	l.Suspect(at(0), notice)
-	l.Suspect(at(2*time.Second), notice)
+	l.Suspect(at(0), entryDelay)
+	l.Suspect(at(2*time.Second), entryDelay)
 	require.False(t, l.RecordAlive(at(2100*time.Millisecond), at(-time.Second)))
 	require.True(t, l.RecordAlive(at(2500*time.Millisecond), at(-time.Second)))
 }
