placement: gofmt of central.go

Cause: the rename before left two fields unaligned, which gofmt -l reports. Conclusion: gofmt -l . reports nothing.

--- a/placement/central.go
+++ b/placement/central.go
@@ -21,8 +21,8 @@
 // its targets. Hosts that decide each for themselves do not know which slots the others use: some targets reject
 // requests while others are idle.
 type centralQueue struct {
-	enabled    bool
-	owner      uint64    // ID of the host
+	enabled   bool
+	owner     uint64    // ID of the host
 	nextRetry time.Time // when the next refused caller is asked to retry
 }
 
