--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -16,14 +16,14 @@
 	testColdRate  = 10
 )
 
-// coldFleet is a board with engines of a service whose targets have cold starts. It owns all of them.
+// coldFleet is the board of a host that owns all engines of a service with cold starts.
 type coldFleet struct {
 	board   *placement.Board
 	targets []route.Target
 	now     time.Time
 }
 
-// newColdFleet returns a fleet of warm engines that this host has owned for long.
+// newColdFleet returns a fleet of warm engines whose first second of ownership is over.
 func newColdFleet(ids ...string) *coldFleet {
 	f := &coldFleet{board: placement.NewBoard("place1"), now: time.Unix(1000, 0)}
 	f.board.SetHeartbeat(1200 * time.Millisecond)
@@ -264,11 +264,11 @@
 	since := f.now.Add(-2 * time.Second)
 	f.board.ApplyPeerState(f.now, 7, placement.PeerState{Suspicions: []placement.Suspicion{{Target: "a", Since: since, Until: f.now.Add(time.Minute)}}})
 	took := 5 * time.Second
-	require.Less(t, f.board.CredibleTime(f.now, took), time.Second)
+	require.Less(t, f.board.ReportableDuration(f.now, took), time.Second)
 	f.board.RecordFirstEvent(f.now, smallRequest("model"), placement.Choice{Target: "a"}, took)
 	f.idle(2 * time.Second)
 	require.True(t, f.board.MayBeCold(f.now, "a"))
-	require.Equal(t, took, f.board.CredibleTime(f.now, took))
+	require.Equal(t, took, f.board.ReportableDuration(f.now, took))
 	f.board.RecordFirstEvent(f.now, smallRequest("model"), placement.Choice{Target: "a"}, 2*took)
 	require.False(t, f.board.MayBeCold(f.now, "a"))
 }
--- a/placement/speed_owner_test.go
+++ b/placement/speed_owner_test.go
@@ -85,11 +85,11 @@
 
 // Guards against plain targets that get as many requests as faster ones, from one queue for all of them.
 func TestPlainTargetsGetWhatTheyCanServe(t *testing.T) {
-	d := newDesk(t, true, 6)
-	d.factors = map[string]float64{"t0": 1.7, "t1": 1, "t2": 0.7, "t3": 1.7, "t4": 1, "t5": 0.7}
-	d.play(0.95, func(time.Duration) {})
-	require.Greater(t, float64(d.inGoal)/float64(d.asked), 0.98)
-	counts := d.boards[0].SpeedCounts()
+	f := newPlainFleet(t, true, 6)
+	f.factors = map[string]float64{"t0": 1.7, "t1": 1, "t2": 0.7, "t3": 1.7, "t4": 1, "t5": 0.7}
+	f.play(0.95, func(time.Duration) {})
+	require.Greater(t, float64(f.inGoal)/float64(f.asked), 0.98)
+	counts := f.boards[0].SpeedCounts()
 	require.Equal(t, 2, counts.Slower)
 	require.Equal(t, 2, counts.Faster)
 }
