--- a/placement/speed_test.go
+++ b/placement/speed_test.go
@@ -151,12 +151,13 @@
 	u.board.RecordAdmitted(u.now, a)
 	a.AnyEngine = true
 	c := u.board.Choose(u.now, a)
-	if c.Target != "" {
+	switch {
+	case c.Target != "":
 		u.board.RecordSent(u.now, a, &c)
 		u.send(r, c)
-	} else if u.board.Wait(u.now, u.next, a) {
+	case u.board.Wait(u.now, u.next, a):
 		u.waiting[u.next] = r
-	} else {
+	default:
 		u.refuse(r)
 	}
 }
--- a/speed/step.go
+++ b/speed/step.go
@@ -11,8 +11,9 @@
 	stepHold    = 3 * time.Second // for which it must have left, so that spells of a target move no prompts
 	minStepHold = 5 * time.Second // between two changes of a step
 
-	// MinStep and MaxStep bound the steps: from half the mean time to four times.
+	// MinStep is the step of the fastest targets, which take half of the mean time.
 	MinStep = -2
+	// MaxStep is the step of the slowest targets, which take four times the mean time.
 	MaxStep = 4
 )
 
