placement: requests that can wait avoid engines too slow for their answers

At a third of the speed the interval between events is 60 ms where callers allow 40, so a whole stream at the slow engine is late (computed), however well its ratio is known. Requests went there at once as soon as the other engines were full, also when they could have waited.

Change: a request that may wait is not sent to an engine that is slow by both its ratio and its step while the mean interval between its events is longer than the answer of the request allows. When its wait ends, it is. Request.NoWait marks requests that are not queued; the gateway sets it, and they go to such engines as before.

--- a/gateway/guest.go
+++ b/gateway/guest.go
@@ -41,7 +41,7 @@
 		return
 	}
 	ask, consistent := askFromMessage(m)
-	ask.Place = c.placeOf(from)
+	ask.Place, ask.NoWait = c.placeOf(from), !m.MayWait
 	r := &remoteRequest{ask: ask, lastListed: now, askedAt: now}
 	choice := placement.Choice{Reason: placement.ReasonNoTarget, RetryAfter: staleRetryAfter}
 	known := consistent && c.board.HasService(m.Service)
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -87,6 +87,7 @@
 // decide chooses a target for a request at this host, or queues the request if it may wait and
 // all targets are full. The caller holds the lock.
 func (c *core) decide(now time.Time, x *exchange, wait bool) placementStep {
+	x.ask.NoWait = !wait
 	s := placementStep{choice: c.board.Choose(now, &x.ask)}
 	switch {
 	case s.choice.Target != "":
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -46,6 +46,7 @@
 	Elapsed         time.Duration // since the request arrived
 	Excluded        []string      // targets that already failed this request
 	AnyEngine       bool          // engines that have not cached its shared prefix are allowed too
+	NoWait          bool          // it is not queued if there is no target now
 	WantedEngine    string        // engine for which this host decides as its owner; empty if any engine will do
 	Remote          bool          // the caller is connected to another host, which receives the events
 	PreferredQueue  time.Duration // queue at the preferred engine, as reported by its owner
@@ -218,6 +219,7 @@
 	standing      Standing
 	shareRatio    float64       // of the team's share to the service it received
 	starved       bool          // the team received far less than others
+	mayWait       bool          // the request can be queued if no engine suits it
 	atSlotLimit   bool          // the team has all the slots it may have through this host
 	perToken      float64       // time to prefill one prompt token
 	baseLatency   time.Duration // time to the first event of an empty prompt
@@ -236,6 +238,7 @@
 		atSlotLimit: b.atSlotLimit(now, p, a, standing), perToken: p.prefillModel.SecondsPerToken(), baseLatency: seconds(p.prefillModel.BaseLatency()), minExcess: -1,
 	}
 	s.first, s.second = p.preferredTargets(a)
+	s.mayWait = !a.NoWait && len(p.queue) < maxQueuedRequests && b.MaxWait(a) > 0
 	return s
 }
 
@@ -254,6 +257,9 @@
 		s.recordExcess(wait - limit)
 		return
 	}
+	if s.mayWait && r.tooSlowFor(a, p.engine.TokensPerEvent) {
+		return
+	}
 	cached := s.cachedTokens(r)
 	prefill := r.scaleTime(s.prefillTime(a.Chain.Total - cached))
 	need := Load{Prompt: a.Chain.Total - cached, Running: 1, Memory: a.Chain.Total + int(expectedOutputFraction*float64(a.MaxOutput))}
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -156,7 +156,7 @@
 // wherever the shared prefix is cached, among those whose owners have not been asked yet.
 func (b *Board) bestUnaskedEngine(now time.Time, a *Request) *targetRecord {
 	spill := *a
-	spill.WantedEngine, spill.AnyEngine, spill.breakTiesByHash = "", true, true
+	spill.WantedEngine, spill.AnyEngine, spill.NoWait, spill.breakTiesByHash = "", true, true, true
 	spill.Excluded = slices.Concat(a.Excluded, a.asked)
 	return b.targets[b.Choose(now, &spill).Target]
 }
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -148,7 +148,7 @@
 				remaining = append(remaining, t)
 				continue
 			}
-			t.ask.AnyEngine = true
+			t.ask.AnyEngine, t.ask.NoWait = true, true
 			grants = append(grants, Grant{ID: t.id, Choice: b.Choose(now, t.ask)})
 			if last := &grants[len(grants)-1]; last.Choice.Target != "" {
 				b.RecordSent(now, t.ask, &last.Choice)
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -81,6 +81,17 @@
 	return r.health.slowdown()
 }
 
+// tooSlowFor reports whether a target has been slower than its service for some seconds, and the interval between its
+// events is too long for the answer of a request to be complete in time. Both are needed: the interval alone also grows
+// in short spells, and stays as it was when no streams run.
+func (r *targetRecord) tooSlowFor(a *Request, tokensPerEvent int) bool {
+	if r.speed.step.Value() <= 0 || r.speedRatio() <= 1 {
+		return false
+	}
+	required := a.requiredEventGap(tokensPerEvent)
+	return required > 0 && r.meanEventGap > required
+}
+
 // failureScore returns the score of a target in which the requests that fail there count: each one that is answered takes
 // several. After a time without failures, the target gets requests again, which show whether it still fails.
 func (r *targetRecord) failureScore(now time.Time, score time.Duration) time.Duration {
