held: connections that callers keep are closed last

Change: the bound of half the memory at 120 KiB holds for connections that have had no whole request; all have three quarters at 64 KiB, their read buffer: 2,208 at 184 MB. Ruled out: the drain of refused requests and panics: no log line of either kind.

--- a/held/connections.go
+++ b/held/connections.go
@@ -9,22 +9,29 @@
 )
 
 const (
-	connectionBytes    = 120 << 10 // of a connection with a request: read buffer, head and its copies, FreeBytes, stack
-	connectionFraction = 1.0 / 2   // of the memory of the host, for connections of callers
+	newConnectionBytes    = 120 << 10 // of a connection with a request: read buffer, head and its copies, FreeBytes, stack
+	newConnectionFraction = 1.0 / 2   // of the memory of the host, for connections without a whole request so far
+	connectionBytes       = 64 << 10  // of the read buffer, which a connection keeps between its requests
+	connectionFraction    = 3.0 / 4   // of the memory of the host, for the read buffers of all connections
 )
 
 // Connections bounds the connections of callers, since each holds buffers whether or not its caller sends anything. If
-// there are too many, the one whose state last changed longest ago is closed, unless its request is served.
+// there are too many, the one whose state last changed longest ago is closed, unless its request is served. Those that
+// have had no whole request are bounded more closely, since callers within the limits send one at once and keep their
+// connections for the next ones.
 type Connections struct {
-	mu     sync.Mutex
-	limit  int
-	open   map[net.Conn]*connection
-	closed uint64
-	onFull func(limit int) // called when a connection is closed for others
+	mu       sync.Mutex
+	limit    int // of all connections
+	newLimit int // of those that have had no whole request
+	unused   int // connections that have had no whole request
+	open     map[net.Conn]*connection
+	closed   uint64
+	onFull   func(limit int) // called when a connection is closed for others
 }
 
 // connection is the state of an open connection.
 type connection struct {
+	used    bool      // a request was received whole
 	serving bool      // its request was received whole and is not answered yet
 	evicted bool      // it is closed for others
 	since   time.Time // when it was opened, a request began or a request was answered
@@ -43,6 +50,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.limit = max(1, int(memoryBytes(memory)*connectionFraction/connectionBytes))
+	c.newLimit = max(1, int(memoryBytes(memory)*newConnectionFraction/newConnectionBytes))
 }
 
 // Track records a change of the state of a connection, as a fasthttp.Server reports it.
@@ -66,6 +74,10 @@
 	if known == nil {
 		return true // not served by the server that reports to Track
 	}
+	if !known.used {
+		known.used = true
+		c.unused--
+	}
 	known.serving = !known.evicted
 	return known.serving
 }
@@ -106,25 +118,36 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open[conn] = &connection{since: time.Now()}
-	if len(c.open) <= c.limit {
-		return nil, c.limit
+	c.unused++
+	limit := c.limit
+	var victim net.Conn
+	switch {
+	case c.unused > c.newLimit:
+		limit = c.newLimit
+		victim = c.longestUnchanged(true)
+	case len(c.open) > c.limit:
+		victim = c.longestUnchanged(false)
+	default:
+		return nil, limit
 	}
-	victim := c.longestUnchanged()
 	if victim == nil {
 		victim = conn
 	}
 	c.open[victim].evicted = true
 	c.closed++
-	return victim, c.limit
+	return victim, limit
 }
 
-// longestUnchanged returns the connection whose state last changed longest ago, of those that are not served. The
-// caller holds the lock.
-func (c *Connections) longestUnchanged() net.Conn {
+// longestUnchanged returns the connection whose state last changed longest ago, of those that are not served and, if
+// onlyNew is set, have had no whole request. The caller holds the lock.
+func (c *Connections) longestUnchanged(onlyNew bool) net.Conn {
 	var victim net.Conn
 	var since time.Time
 	for conn, state := range c.open {
-		if !state.serving && !state.evicted && (victim == nil || state.since.Before(since)) {
+		if state.serving || state.evicted || onlyNew && state.used {
+			continue
+		}
+		if victim == nil || state.since.Before(since) {
 			victim, since = conn, state.since
 		}
 	}
@@ -144,5 +167,8 @@
 func (c *Connections) remove(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if known := c.open[conn]; known != nil && !known.used {
+		c.unused--
+	}
 	delete(c.open, conn)
 }
