placement: only engines at twice the mean time are a reason to wait

Change: the rule needs two steps, twice the mean time. Engines of 1.3 or 1.7 get requests at once as before.

--- a/placement/speed.go
+++ b/placement/speed.go
@@ -16,6 +16,7 @@
 	failureProbeTime    = 2 * time.Second       // after which a target that failed is tried again
 	fewFailures         = 0.05                  // failure rate up to which a target may count as a fast one
 	minSuccessRate      = 0.1                   // least fraction of requests that count as answered
+	minSlowStep         = 2                     // step from which a request waits for another target: twice the mean time
 	stepGoalFraction    = 0.9                   // fraction of the required interval between events up to which a target may slow
 	plainStepFraction   = 0.3                   // fraction of the tightest goal of a plain service up to which a target may slow
 )
@@ -81,11 +82,11 @@
 	return r.health.slowdown()
 }
 
-// tooSlowFor reports whether a target has been slower than its service for some seconds, and the interval between its
+// tooSlowFor reports whether a target has taken twice the mean time of its service for some seconds, and the interval between its
 // events is too long for the answer of a request to be complete in time. Both are needed: the interval alone also grows
 // in short spells, and stays as it was when no streams run.
 func (r *targetRecord) tooSlowFor(a *Request, tokensPerEvent int) bool {
-	if r.speed.step.Value() <= 0 || r.speedRatio() <= 1 {
+	if r.speed.step.Value() < minSlowStep || r.speedRatio() <= 1 {
 		return false
 	}
 	required := a.requiredEventGap(tokensPerEvent)
