--- a/review/kit-2/case6.go
+++ b/review/kit-2/case6.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -49,8 +48,8 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		h := halfSent{id: fmt.Sprintf("crowd-%d", c.opened.Add(1)), conn: conn}
-		fmt.Fprintf(conn, "POST /orders/1 HTTP/1.1\r\nHost: svc.example\r\nX-Attempt-Id: %s\r\nX-Key: %s\r\nX-Deadline-Ms: 1500\r\n"+
+		h := halfSent{id: sprintf("crowd-%d", c.opened.Add(1)), conn: conn}
+		fprintf(conn, "POST /orders/1 HTTP/1.1\r\nHost: svc.example\r\n{attempt}: %s\r\nX-Key: %s\r\nX-Deadline-Ms: 1500\r\n"+
 			"Transfer-Encoding: chunked\r\n\r\n5\r\norder\r\n", h.id, teamKey)
 		if due, ok := c.add(h); ok {
 			c.pending.Add(1)
@@ -116,7 +115,7 @@
 	front := w.gateways[0].front
 	var broken atomic.Int64
 	judge := func(r result) {
-		if r.status/100 == 2 && r.head.Get("X-Replica-Seal") != sealOf(r.id) {
+		if r.status/100 == 2 && r.head.Get(names["seal"]) != sealOf(r.id) {
 			broken.Add(1)
 			note("BROKEN MIXED: a success without the signature of a replica: %s", r)
 		}
@@ -132,7 +131,7 @@
 		wg.Go(func() {
 			for i := 0; !over(); i++ {
 				q := request{
-					method: "POST", path: "/orders/1", id: fmt.Sprintf("ordinary-%d-%d", n, i), key: teamKey, deadline: 1500, body: "order",
+					method: "POST", path: "/orders/1", id: sprintf("ordinary-%d-%d", n, i), key: teamKey, deadline: 1500, body: "order",
 					wait: 3 * time.Second,
 				}
 				r := q.do(front)
--- a/review/kit-2/case7.go
+++ b/review/kit-2/case7.go
@@ -55,7 +55,7 @@
 		return a.whole(http.StatusOK, "found")
 	}
 	for n := range 3 {
-		newReplica(w.store, fmt.Sprintf("i-desk-%d", n+1), "desk", "z-a", "127.0.40.1:0", desk)
+		newReplica(w.store, sprintf("i-desk-%d", n+1), "desk", "z-a", "127.0.40.1:0", desk)
 	}
 	var mu sync.Mutex
 	seconds := map[string]map[int64]*tenantSecond{}
@@ -71,7 +71,7 @@
 		return s
 	}
 	for n := range 2 {
-		newReplica(w.store, fmt.Sprintf("i-model-%d", n+1), "model", "z-a", "127.0.41.1:0", func(a *arrival) bool {
+		newReplica(w.store, sprintf("i-model-%d", n+1), "model", "z-a", "127.0.41.1:0", func(a *arrival) bool {
 			mu.Lock()
 			at(a.request.Header.Get("X-Tenant"), time.Now()).begun++
 			mu.Unlock()
@@ -94,8 +94,8 @@
 		for i := 0; time.Now().Before(end); i++ {
 			wg.Go(func() {
 				q := request{
-					method: "POST", path: "/full/1", id: fmt.Sprintf("%s-%d-%d", team, end.Unix(), i), key: key, deadline: 15000, body: body,
-					extra: fmt.Sprintf("X-Model: m\r\nX-Token-Count: %d,25\r\nX-Prompt-Prefix: 1:200,%x:%d\r\n", askTokens, rand.Uint32(), askTokens-200),
+					method: "POST", path: "/full/1", id: sprintf("%s-%d-%d", team, end.Unix(), i), key: key, deadline: 15000, body: body,
+					extra: sprintf("X-Model: m\r\n{tokens}: %d,25\r\n{parts}: 1:200,%x:%d\r\n", askTokens, rand.Uint32(), askTokens-200),
 				}
 				sent := time.Now()
 				r := q.do(front)
@@ -122,7 +122,7 @@
 	order := func(what string) {
 		for i := range orderCount {
 			note("%s: order %s", what, request{
-				method: "POST", path: "/orders/1", id: fmt.Sprintf("order-%s-%d", what, i), key: teamKey, deadline: 1500, body: "order",
+				method: "POST", path: "/orders/1", id: sprintf("order-%s-%d", what, i), key: teamKey, deadline: 1500, body: "order",
 			}.do(front))
 		}
 	}
@@ -139,7 +139,7 @@
 		note("grey %d begins", n+1)
 		for end := time.Now().Add(greyTime); time.Now().Before(end); time.Sleep(lookPeriod) {
 			wg.Go(func() {
-				q := request{method: "GET", path: "/looks/1", id: fmt.Sprintf("look-%d-%d", n, rand.Uint32()), key: teamKey, deadline: 1500}
+				q := request{method: "GET", path: "/looks/1", id: sprintf("look-%d-%d", n, rand.Uint32()), key: teamKey, deadline: 1500}
 				r := q.do(front)
 				if looks[r.status] == nil {
 					looks[0].Add(1)
--- a/review/kit-2/case8.go
+++ b/review/kit-2/case8.go
@@ -40,7 +40,7 @@
 			if known && full.Load() {
 				time.Sleep(lateRefusal)
 				note("replica %s is full: turns %s away, which %s has (Last-Event-Id %q)", name, a.id, owner, after)
-				_, err := fmt.Fprintf(a.conn, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", a.id)
+				_, err := fprintf(a.conn, "HTTP/1.1 503 Service Unavailable\r\n{attempt}: %s\r\n{notrun}: 1\r\nContent-Length: 0\r\n\r\n", a.id)
 				return err == nil
 			}
 			begin := 1
@@ -74,8 +74,8 @@
 		for i := range streamsEach {
 			wg.Go(func() {
 				q := request{
-					method: "POST", path: "/full/1", id: fmt.Sprintf("%s-%d", name, i), key: teamKey, deadline: 15000, body: "prompt",
-					extra: fmt.Sprintf("X-Model: m\r\nX-Token-Count: 600,100\r\nX-Prompt-Prefix: 1:200,%x:400\r\n", 1000+i),
+					method: "POST", path: "/full/1", id: sprintf("%s-%d", name, i), key: teamKey, deadline: 15000, body: "prompt",
+					extra: sprintf("X-Model: m\r\n{tokens}: 600,100\r\n{parts}: 1:200,%x:400\r\n", 1000+i),
 				}
 				r := q.do(g.front)
 				events := strings.Count(r.body, "\n\n")
@@ -102,7 +102,7 @@
 		g.signal(syscall.SIGHUP)
 		note("SIGHUP %d", n+1)
 		time.Sleep(200 * time.Millisecond)
-		if cut := send(fmt.Sprintf("hup%d", n+1)); cut > 0 {
+		if cut := send(sprintf("hup%d", n+1)); cut > 0 {
 			note("BROKEN LOST: %d of %d streams that were sent within 0.5 s of SIGHUP %d ended without a complete answer", cut, streamsEach, n+1)
 			held = false
 		}
--- a/review/kit-2/client.go
+++ b/review/kit-2/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -29,16 +28,16 @@
 
 // text encodes the request.
 func (q request) text() string {
-	t := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: svc.example\r\nX-Attempt-Id: %s\r\n", q.method, q.path, q.id)
+	t := sprintf("%s %s HTTP/1.1\r\nHost: svc.example\r\n{attempt}: %s\r\n", q.method, q.path, q.id)
 	if q.key != "" {
 		t += "X-Key: " + q.key + "\r\n"
 	}
 	if q.deadline > 0 {
-		t += fmt.Sprintf("X-Deadline-Ms: %d\r\n", q.deadline)
+		t += sprintf("X-Deadline-Ms: %d\r\n", q.deadline)
 	}
 	t += q.extra
 	if q.method != "GET" || q.body != "" {
-		t += fmt.Sprintf("Content-Length: %d\r\n", len(q.body))
+		t += sprintf("Content-Length: %d\r\n", len(q.body))
 	}
 	return t + "\r\n" + q.body
 }
@@ -82,6 +81,6 @@
 
 // String formats a result for the record.
 func (r result) String() string {
-	return fmt.Sprintf("answer id=%s status=%d took=%dms seal=%q retry-after=%q body=%.60q err=%v",
-		r.id, r.status, r.took.Milliseconds(), r.head.Get("X-Replica-Seal"), r.head.Get("Retry-After"), r.body, r.err)
+	return sprintf("answer id=%s status=%d took=%dms seal=%q retry-after=%q body=%.60q err=%v",
+		r.id, r.status, r.took.Milliseconds(), r.head.Get(names["seal"]), r.head.Get("Retry-After"), r.body, r.err)
 }
--- a/review/kit-2/replica.go
+++ b/review/kit-2/replica.go
@@ -100,9 +100,9 @@
 				if err != nil {
 					return
 				}
-				a := &arrival{conn: conn, reader: reader, request: request, body: body, id: request.Header.Get("X-Attempt-Id"), at: time.Now(), onConn: n}
-				if expect := request.Header.Get("X-Expect-Replica"); expect != "" && expect != r.id {
-					fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Replica-Id: %s\r\nContent-Length: 0\r\n\r\n", a.id, r.id)
+				a := &arrival{conn: conn, reader: reader, request: request, body: body, id: request.Header.Get(names["attempt"]), at: time.Now(), onConn: n}
+				if expect := request.Header.Get(names["expect"]); expect != "" && expect != r.id {
+					fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n{attempt}: %s\r\nX-Replica-Id: %s\r\nContent-Length: 0\r\n\r\n", a.id, r.id)
 					continue
 				}
 				r.mu.Lock()
@@ -131,20 +131,20 @@
 
 // whole answers with a body and its length.
 func (a *arrival) whole(status int, body string) bool {
-	_, err := fmt.Fprintf(a.conn, "HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\nX-Replica-Seal: %s\r\nContent-Type: application/octet-stream\r\nContent-Length: %d\r\n\r\n%s",
+	_, err := fprintf(a.conn, "HTTP/1.1 %d X\r\n{attempt}: %s\r\n{seal}: %s\r\nContent-Type: application/octet-stream\r\nContent-Length: %d\r\n\r\n%s",
 		status, a.id, a.seal(), len(body), body)
 	return err == nil
 }
 
 // beginStream writes the head of a chunked event stream.
 func (a *arrival) beginStream() {
-	fmt.Fprintf(a.conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Replica-Seal: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", a.id, a.seal())
+	fprintf(a.conn, "HTTP/1.1 200 OK\r\n{attempt}: %s\r\n{seal}: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", a.id, a.seal())
 }
 
 // event writes one event of a chunked stream.
 func (a *arrival) event(n int) error {
-	text := fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, a.id, n)
-	_, err := fmt.Fprintf(a.conn, "%x\r\n%s\r\n", len(text), text)
+	text := sprintf("id: %d\ndata: %s-%d\n\n", n, a.id, n)
+	_, err := fprintf(a.conn, "%x\r\n%s\r\n", len(text), text)
 	return err
 }
 
--- a/review/kit-2/store.go
+++ b/review/kit-2/store.go
@@ -58,9 +58,9 @@
 	must(err)
 	s := &store{address: l.Addr().String(), rows: map[rowID]row{}, version: 1, changed: make(chan struct{}), started: time.Now()}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /rows-tx", s.transact)
-	mux.HandleFunc("GET /rows-get", s.get)
-	mux.HandleFunc("GET /rows-feed", s.feed)
+	mux.HandleFunc(expand("POST {transact}"), s.transact)
+	mux.HandleFunc(expand("GET {get}"), s.get)
+	mux.HandleFunc(expand("GET {feed}"), s.feed)
 	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		gate := s.gate
