--- a/review/kit-2/case7.go
+++ b/review/kit-2/case7.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -131,7 +132,7 @@
 		note("the tenants are unequal before the disruption")
 		fmt.Println("the case can't run: the tenants are unequal before the disruption")
 		cleanUp()
-		exit(2)
+		os.Exit(2)
 	}
 	looks := map[int]*atomic.Int64{200: {}, 500: {}, 0: {}}
 	for n := range greyTimes {
--- a/review/kit-2/case8.go
+++ b/review/kit-2/case8.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -92,7 +93,7 @@
 	if cut := send("before"); cut > 0 {
 		note("%d streams are cut before anything happened", cut)
 		cleanUp()
-		exit(2)
+		os.Exit(2)
 	}
 	full.Store(trouble)
 	held := true
