--- a/review/kit-2/case8.go
+++ b/review/kit-2/case8.go
@@ -21,11 +21,11 @@
 	hangupPause  = 8 * time.Second // from one SIGHUP to the next
 )
 
-// case8 sends SIGHUP to a process and then streams. The replica that has a stream falls silent for a moment and goes on,
+// case8 sends SIGHUP to one of three processes and then streams. The replica that has a stream falls silent for a moment and goes on,
 // and the other one is full. Each stream must come to its end.
 func case8(trouble bool) bool {
-	w := newWorld(1, nil)
-	g := w.gateways[0]
+	w := newWorld(3, nil)
+	g := w.gateways[0] // the one of three that gets SIGHUP and the streams
 	var full atomic.Bool
 	var mu sync.Mutex
 	first := map[string]string{} // by request, the replica that has it
