An answer with status 000 counts as a broken connection

What callers saw: a target in trouble answered with status 000, and the caller got 200 OK with the body.

Cause: fasthttp parses 000 without an error, and ResponseHeader.StatusCode returns 200 where the parsed status is 0. No reader that asks through it can see the difference.

Change: link.Conn checks the bytes of the status line before they are parsed. A status outside 100 to 599 marks the error ErrInvalidHead and ErrBroken, so that what holds for a broken connection holds here: the connection is closed, a request that may be repeated goes to another target, any other gets 502. Interim answers are checked too, and discarded one by one as before, at most 100.

--- a/link/line.go
+++ b/link/line.go
@@ -117,11 +117,20 @@
 func (l *Conn) Used() bool { return l.requests > 1 }
 
 // Receive reads the head of the response, which must arrive within the limit. The body is read
-// from the response's body stream, under the limit last set by SetWait.
+// from the response's body stream, under the limit last set by SetWait. A head that is not valid counts as a broken
+// connection: the error is then marked ErrInvalidHead as well as ErrBroken.
 func (l *Conn) Receive(response *fasthttp.Response, limit time.Duration) error {
 	l.SetWait(limit)
 	response.StreamBody = true
-	if err := response.ReadLimitBody(l.reader, 0); err != nil {
+	err := l.checkHead()
+	if errors.Is(err, ErrInvalidHead) {
+		l.unusable = true
+		return fault.Mark(err, ErrBroken)
+	}
+	if err == nil {
+		err = response.ReadLimitBody(l.reader, 0)
+	}
+	if err != nil {
 		return l.markReadError(err)
 	}
 	return nil
