An answer with an invalid field name counts as a broken connection

What callers saw: an answer whose head had a blank or a control byte in the name of a field was passed on, with the line as it was, under a cleaned name, joined to the value before it, or with a body that was not the target's.

Cause: fasthttp accepts four kinds of invalid field lines. A blank within a name is kept. A blank before the colon is removed, so "Content-Length : 2" cut the body and "X-Attempt-Id : other" was a second ID. A line that begins with a blank or a tab is joined to the line before, which changed the seal.

Change: the check of link.Conn covers the fields too: names are tokens, values have no control byte but tabs, no line continues another, and if the status line ends with CRLF, so does each line. A proxy may refuse continued lines (RFC 9112, 5.2). A head whose lines end with line feeds from the status line on is still accepted, as the tests of entry ask for.

--- a/gateway/broken_head_test.go
+++ b/gateway/broken_head_test.go
@@ -97,14 +97,36 @@
 
 // brokenHeads are heads that are not valid HTTP/1.1.
 var brokenHeads = map[string]oddHead{
-	"status 000":                  {status: "HTTP/1.1 000 OK"},
-	"status 000 without a reason": {status: "HTTP/1.1 000"},
-	"status 099":                  {status: "HTTP/1.1 099 OK"},
-	"status 600":                  {status: "HTTP/1.1 600 OK"},
+	"status 000":                        {status: "HTTP/1.1 000 OK"},
+	"status 000 without a reason":       {status: "HTTP/1.1 000"},
+	"status 099":                        {status: "HTTP/1.1 099 OK"},
+	"status 600":                        {status: "HTTP/1.1 600 OK"},
+	"blank in a name, first":            {first: "X Odd: 1\r\n"},
+	"blank in a name, last":             {last: "X Odd: 1\r\n"},
+	"blank in the name of the length":   {last: "Content Length: 2\r\n"},
+	"blank before the colon, first":     {first: "XOdd : 1\r\n"},
+	"blank before the colon, last":      {last: "XOdd : 1\r\n"},
+	"blank behind the name of the ID":   {first: "X-Attempt-Id : other\r\n"},
+	"blank behind the name of a length": {last: "Content-Length : 2\r\n"},
+	"blank before a name, first":        {first: " XOdd: 1\r\n"},
+	"blank before a name, last":         {last: " XOdd: 1\r\n"},
+	"tab before a name, last":           {last: "\tXOdd: 1\r\n"},
+	"line feed before a name, first":    {first: "\nXOdd: 1\r\n"},
+	"line feed before a name, last":     {last: "\nXOdd: 1\r\n"},
+	"line feed in a name":               {last: "XO\ndd: 1\r\n"},
+	"line feed in a value":              {last: "XOdd: 1\nXOdder: 2\r\n"},
+	"carriage return before a name":     {last: "\rXOdd: 1\r\n"},
+	"tab in a name":                     {last: "X\tOdd: 1\r\n"},
+	"NUL in a name":                     {last: "X\x00Odd: 1\r\n"},
+	"control byte in a name":            {last: "X\x01Odd: 1\r\n"},
+	"DEL in a name":                     {last: "XOdd\x7f: 1\r\n"},
+	"blank in a name, interim":          {interim: "HTTP/1.1 100 Continue\r\nX Odd: 1\r\n\r\n"},
+	"control byte in a name, interim":   {interim: "HTTP/1.1 103 X\r\nX\x01Odd: 1\r\n\r\n"},
 }
 
-// A target in trouble wrote an answer with status 000, and the caller got it with status 200. Such an answer must count
-// as a broken connection: a caller whose request may not be repeated gets 502.
+// A target in trouble wrote an answer with status 000, or with a blank or a control byte in the name of a field. The
+// caller got it with status 200, with the invalid line, or with a body that was not the target's. Such an answer must
+// count as a broken connection: a caller whose request may not be repeated gets 502.
 func TestBrokenHeadIsNotPassedOn(t *testing.T) {
 	for name, head := range brokenHeads {
 		for _, path := range headPaths {
@@ -118,6 +140,7 @@
 					require.NoError(t, r.err)
 					require.Equal(t, statusFailed, r.status, "%+v: %s%s", c, r.header, r.body)
 					require.Empty(t, r.header.Peek("X-Replica-Seal"))
+					require.NotContains(t, strings.ToLower(r.header.String()), "odd")
 				}
 			})
 		}
--- a/link/head.go
+++ b/link/head.go
@@ -5,8 +5,9 @@
 	"github.com/valyala/fasthttp"
 )
 
-// ErrInvalidHead means that the status line of an answer is not valid HTTP/1.1. fasthttp accepts status 000 and
-// reports it as 200.
+// ErrInvalidHead means that the head of an answer is not valid HTTP/1.1. fasthttp accepts some such heads: it
+// reports status 000 as 200, accepts blanks in the names of fields, joins a line that begins with a blank to the line
+// before, and ends the head at a line feed in place of an empty line.
 var ErrInvalidHead = errors.New("head of the answer is invalid")
 
 // errTooManyInterim means that a target sent more than maxInterimAnswers.
@@ -29,17 +30,18 @@
 	inStatus
 	inReason
 	atField // before a field or the empty line that ends the head
-	inField
+	inName
+	inValue
 	headEnded
 )
 
-// headScanner checks the status line of one answer as its bytes arrive, and finds the end of the head. The version and
-// the fields are left to the parser.
+// headScanner checks the bytes of the head of one answer as they arrive. Only the version is left to the parser.
 type headScanner struct {
 	state          headState
 	status         int  // as far as it was read
 	digits         int  // digits of the status that were read
 	carriageReturn bool // the last byte was a carriage return
+	crlf           bool // the status line ended with CRLF, so all lines must
 }
 
 // scan checks the next bytes, up to the end of the head. It returns how many of them belong to the head. The error is
@@ -61,16 +63,17 @@
 	switch {
 	case c == '\n':
 		return h.endLine()
-	case h.state >= atField:
-		if c != '\r' {
-			h.state = inField
-		}
-		return true
 	case h.carriageReturn:
 		return false
 	case c == '\r':
 		h.carriageReturn = true
 		return true
+	case h.state == inName && c == ':':
+		h.state = inValue
+		return true
+	case h.state == atField || h.state == inName:
+		h.state = inName
+		return isNameByte(c)
 	case !isTextByte(c):
 		return false
 	case h.state < inReason:
@@ -99,16 +102,21 @@
 	return true
 }
 
-// endLine handles a line feed.
+// endLine handles a line feed. Line feeds alone end the lines of a head only if they do so from the status line on.
 func (h *headScanner) endLine() bool {
+	crlf := h.carriageReturn
 	h.carriageReturn = false
 	switch {
 	case h.state == atStatusLine:
 		return true
-	case h.state == inStatus && h.validStatus(), h.state == inReason, h.state == inField:
-		h.state = atField
+	case h.crlf && !crlf:
+		return false
+	case h.state == inStatus && h.validStatus(), h.state == inReason:
+		h.crlf, h.state = crlf, atField
 	case h.state == atField:
 		h.state = headEnded
+	case h.state == inValue:
+		h.state = atField
 	default:
 		return false
 	}
@@ -125,7 +133,24 @@
 	return h.state == headEnded && h.status < fasthttp.StatusOK && h.status != fasthttp.StatusSwitchingProtocols
 }
 
-// isTextByte returns whether the status line may contain a byte.
+// nameBytes are the bytes of the names of fields besides letters and digits.
+const nameBytes = "!#$%&'*+-.^_`|~"
+
+// validNameBytes tells for each byte whether the name of a field may contain it.
+var validNameBytes = func() (valid [256]bool) {
+	for c := range valid {
+		valid[c] = c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+	}
+	for _, c := range []byte(nameBytes) {
+		valid[c] = true
+	}
+	return valid
+}()
+
+// isNameByte returns whether the name of a field may contain a byte.
+func isNameByte(c byte) bool { return validNameBytes[c] }
+
+// isTextByte returns whether the status line or the value of a field may contain a byte.
 func isTextByte(c byte) bool { return c >= ' ' && c != 0x7f || c == '\t' }
 
 // checkHead waits for the head of the final answer and checks it. It leaves the head unread, and discards the interim
