A broken answer of the administration API is no success

What could happen: cassia-ctl reported a change as made, and cassia-admin a host as healthy, where the answer had status 000 or an invalid field name. Not seen at users; found as the other places that read answers were checked.

Cause: both call with fasthttp's Client, which accepts such heads.

Change: link.NewClient returns a client whose connections check the heads, like that of the store.

Evidence: TestBrokenAnswerOfAPIIsNoSuccess failed in both cases on the commit before.

--- a/admin/server.go
+++ b/admin/server.go
@@ -18,6 +18,7 @@
 	"github.com/cassiachute/cassiachute/catalog"
 	"github.com/cassiachute/cassiachute/entry"
 	"github.com/cassiachute/cassiachute/fault"
+	"github.com/cassiachute/cassiachute/link"
 	"github.com/cassiachute/cassiachute/platform"
 	"github.com/cassiachute/cassiachute/publish"
 	"github.com/cassiachute/cassiachute/settings"
@@ -41,7 +42,7 @@
 	store        *publish.Store
 	listener     net.Listener
 	server       *fasthttp.Server
-	statusClient fasthttp.Client
+	statusClient *fasthttp.Client
 }
 
 // Option configures a Server in New.
@@ -56,7 +57,7 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	a := &Server{settings: s, log: zerolog.Nop()}
+	a := &Server{settings: s, log: zerolog.Nop(), statusClient: link.NewClient()}
 	for _, option := range options {
 		option(a)
 	}
--- a/ctl/client.go
+++ b/ctl/client.go
@@ -16,6 +16,7 @@
 	"github.com/cassiachute/cassiachute/admin"
 	"github.com/cassiachute/cassiachute/catalog"
 	"github.com/cassiachute/cassiachute/fault"
+	"github.com/cassiachute/cassiachute/link"
 	"github.com/cassiachute/cassiachute/publish"
 )
 
@@ -39,12 +40,12 @@
 type Client struct {
 	base string
 	key  string
-	http fasthttp.Client
+	http *fasthttp.Client
 }
 
 // NewClient returns a Client of the API at address. key is the operator's bearer key.
 func NewClient(address netip.AddrPort, key string) *Client {
-	return &Client{base: "http://" + address.String(), key: key}
+	return &Client{base: "http://" + address.String(), key: key, http: link.NewClient()}
 }
 
 // call sends one request and decodes the JSON answer into result. match is the value
--- a/link/checked.go
+++ b/link/checked.go
@@ -1,6 +1,11 @@
 package link
 
-import "net"
+import (
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
 
 // checkedConn is a connection of a client that checks the heads of the answers that it reads.
 type checkedConn struct {
@@ -12,6 +17,17 @@
 // has an invalid head fails with ErrInvalidHead. It is for clients that read the whole answer before they write the next request.
 func CheckAnswers(conn net.Conn) net.Conn { return &checkedConn{Conn: conn} }
 
+// NewClient returns a client that checks the heads of answers, for calls with a timeout that need no Pool.
+func NewClient() *fasthttp.Client {
+	return &fasthttp.Client{DialTimeout: func(address string, limit time.Duration) (net.Conn, error) {
+		conn, err := fasthttp.DialTimeout(address, limit)
+		if err != nil {
+			return nil, err
+		}
+		return CheckAnswers(conn), nil
+	}}
+}
+
 // Write implements net.Conn. What is read after it is the head of an answer.
 func (c *checkedConn) Write(p []byte) (int, error) {
 	c.head = headScanner{}
