Trailers of a target are not passed on as headers by cassia-entry

What callers saw: a line behind the last chunk of an answer of a plain service became a header of the caller's answer, also if its name held a blank.

Cause: the head was copied whole and the header Trailer deleted from the copy. fasthttp then makes the trailers that were read ordinary headers.

Change: cassia-entry copies heads with platform.CopyAnswer, as cassia-gateway does, which leaves trailers and headers of one connection out. Its list of such headers stood twice and is gone from entry. The reason of the status line is passed on as before.

--- a/entry/plain.go
+++ b/entry/plain.go
@@ -13,6 +13,7 @@
 	"github.com/cassiachute/cassiachute/fault"
 	"github.com/cassiachute/cassiachute/held"
 	"github.com/cassiachute/cassiachute/link"
+	"github.com/cassiachute/cassiachute/platform"
 	"github.com/cassiachute/cassiachute/wire"
 )
 
@@ -22,12 +23,6 @@
 	copyBytes        = 16 << 10  // buffer for passing on the rest of an answer
 )
 
-// hopHeaders are the headers that concern one connection only and are not passed on.
-var hopHeaders = []string{
-	fasthttp.HeaderConnection, fasthttp.HeaderTransferEncoding, "Keep-Alive", "Proxy-Connection",
-	fasthttp.HeaderTE, fasthttp.HeaderTrailer, fasthttp.HeaderUpgrade, fasthttp.HeaderContentLength,
-}
-
 // forwardedRequest is an exchange whose answer is passed on unchanged.
 type forwardedRequest struct {
 	*exchange
@@ -168,10 +163,8 @@
 
 // writeAnswer writes the answer to the caller.
 func (g *forwardedRequest) writeAnswer(ctx *fasthttp.RequestCtx) {
-	g.response.Header.CopyTo(&ctx.Response.Header)
-	for _, name := range hopHeaders {
-		ctx.Response.Header.Del(name)
-	}
+	platform.CopyAnswer(&ctx.Response.Header, &g.response.Header)
+	ctx.Response.Header.SetStatusMessage(g.response.Header.StatusMessage())
 	g.entry.setInfoHeaders(ctx, g.exchange)
 	if g.complete {
 		g.writeWhole(&ctx.Response)
