No data race as a stream is given up for the room of an answer

Cause: Conn.Close may come from another goroutine, which needs the room that the answer holds, while the stream's own goroutine closes the same connection or reads its end. Both set the flag without a common lock.

Change: the flag is an atomic.Bool. The test and its check are unchanged.

--- a/link/body.go
+++ b/link/body.go
@@ -66,10 +66,12 @@
 		return n, nil
 	}
 	if errors.Is(err, io.EOF) && b.remaining < 0 {
-		b.line.unusable = b.line.unusable || b.remaining == -2
+		if b.remaining == -2 {
+			b.line.unusable.Store(true)
+		}
 		return n, io.EOF
 	}
 	err = b.line.markReadError(err)
-	b.line.unusable = true
+	b.line.unusable.Store(true)
 	return n, err
 }
--- a/link/line.go
+++ b/link/line.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,7 +44,7 @@
 	readErr   error                // the error of the read at which the connection ended or failed
 	wrote     bool                 // bytes of the last request were passed to the connection
 	requests  int                  // requests sent on this connection
-	unusable  bool                 // the connection can't carry another request
+	unusable  atomic.Bool          // the connection can't carry another request; Close may set it from another goroutine
 	idleSince time.Time            // when it was put into the pool
 	maxIdle   time.Duration        // how long it may stay idle
 }
@@ -104,7 +105,7 @@
 		err = wr.Flush()
 	}
 	if err != nil {
-		l.unusable = true
+		l.unusable.Store(true)
 		return fault.Mark(err, ErrBroken)
 	}
 	return nil
@@ -124,7 +125,7 @@
 	response.StreamBody = true
 	err := l.checkHead()
 	if errors.Is(err, ErrInvalidHead) {
-		l.unusable = true
+		l.unusable.Store(true)
 		return fault.Mark(err, ErrBroken)
 	}
 	if err == nil {
@@ -142,7 +143,7 @@
 	if l.timedOut {
 		return fault.Mark(err, ErrSilent)
 	}
-	l.unusable = true
+	l.unusable.Store(true)
 	return markByTimeout(err)
 }
 
@@ -164,7 +165,7 @@
 
 // Close closes the connection, which cancels the request that the target runs for it.
 func (l *Conn) Close() {
-	l.unusable = true
+	l.unusable.Store(true)
 	l.conn.Close()
 }
 
@@ -187,7 +188,7 @@
 	}
 	l.wrote = true
 	if _, err := request.WriteTo(l.conn); err != nil {
-		l.unusable = true
+		l.unusable.Store(true)
 		return markByTimeout(err)
 	}
 	return nil
--- a/link/pool.go
+++ b/link/pool.go
@@ -149,7 +149,7 @@
 
 // Put keeps a connection whose response was read completely for reuse, and closes any other.
 func (p *Pool) Put(address netip.AddrPort, l *Conn) {
-	if l.unusable || l.reader.Buffered() > 0 {
+	if l.unusable.Load() || l.reader.Buffered() > 0 {
 		l.conn.Close()
 		return
 	}
