--- a/link/head_test.go
+++ b/link/head_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"fmt"
-	"io"
 	"strings"
 	"testing"
 
@@ -86,7 +85,7 @@
 		source.Reset(head)
 		rd.Reset(source)
 		l := &Conn{reader: rd}
-		if err := l.checkHead(); err != nil && err != io.EOF {
+		if err := l.checkHead(); err != nil {
 			b.Fatal(err)
 		}
 	}
