TestCrashedTargetServesAgain: the crash waits for the pause, and ends the listener at once

Change: the test waits until no fault is pending; the crash closes the listener itself; no slot is taken in a process that has ended, whose connections are always reset. All checks of the test stay.

The program has no part in it.

--- a/standin/target/crash.go
+++ b/standin/target/crash.go
@@ -20,6 +20,7 @@
 	t.crash = Crash{Target: t.id, At: time.Now()}
 	t.downUntil = t.crash.At.Add(down)
 	t.stalledUntil, t.rejectUntil = time.Time{}, time.Time{}
+	t.listener.Close() // endProcess closes it later, and a connection that arrives before that is not refused
 	t.endProcess()
 }
 
--- a/standin/target/fault.go
+++ b/standin/target/fault.go
@@ -69,6 +69,13 @@
 	t.pendingFaults = append(t.pendingFaults, f)
 }
 
+// PendingFaults returns the number of faults that have affected no answer yet.
+func (t *Target) PendingFaults() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.pendingFaults)
+}
+
 // Stall makes the whole target stall for a time: it keeps its connections but neither takes requests nor
 // continues answers.
 func (t *Target) Stall(length time.Duration) {
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -166,10 +166,10 @@
 
 // serveConn serves a connection, one request at a time.
 func (t *Target) serveConn(process context.Context, conn net.Conn) {
-	defer conn.Close()
 	ctx, cancel := context.WithCancel(process)
 	defer cancel()
 	s := &session{target: t, process: process, ctx: ctx, conn: conn, peerClosed: make(chan struct{}), requests: make(chan *call)}
+	defer s.close()
 	context.AfterFunc(ctx, s.close)
 	go s.readRequests()
 	for {
@@ -238,8 +238,8 @@
 	return s.respond(c, run)
 }
 
-// acquireSlot waits for a slot. It returns false if the client closed the connection meanwhile, so
-// that its request does not run.
+// acquireSlot waits for a slot. It returns false if the client closed the connection or the target crashed meanwhile,
+// so that its request does not run.
 func (s *session) acquireSlot() bool {
 	select {
 	case s.target.slots <- struct{}{}:
@@ -248,11 +248,12 @@
 	}
 	select {
 	case <-s.peerClosed:
-		<-s.target.slots
-		return false
+	case <-s.process.Done():
 	default:
 		return true
 	}
+	<-s.target.slots
+	return false
 }
 
 // waitWhile waits as long as a function returns a positive time remaining, which may grow meanwhile.
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -253,6 +253,7 @@
 	require.Eventually(t, func() bool { return len(s.ledger.Records().Runs) == 1 }, testTimeout, time.Millisecond)
 	waiting.send("b", "")
 	require.Eventually(t, func() bool { return len(s.ledger.Records().Arrivals) == 2 }, testTimeout, time.Millisecond)
+	require.Eventually(t, func() bool { return s.PendingFaults() == 0 }, testTimeout, time.Millisecond, "else the pause would affect the last request")
 	s.Crash(pauseLength)
 	require.ErrorIs(t, running.receive().err, syscall.ECONNRESET)
 	require.ErrorIs(t, waiting.receive().err, syscall.ECONNRESET)
