Stand-in of the store: eras, copies and versions given out again

A drill may bring the store back from a copy some seconds old. The stand-in knew neither copies nor the header Store-Era, and answered a read from a version that it had not given out yet. It now keeps a copy, is restored from it, refuses such reads with 410 and numbers its eras in all answers. A call that was in progress at a restore gets no answer.

No logic of the fleet changes.

--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -1,6 +1,6 @@
 // Package platform is a stand-in for the users' platform: a transactional table,
 // an object store and a list of hosts that lags behind. It injects faults on
-// demand.
+// demand, and can be restored from a copy of itself.
 package platform
 
 import (
@@ -75,12 +75,9 @@
 	writes   *rate.Limiter
 
 	mu           sync.Mutex
-	rows         map[rowID]platform.RowItem
-	lastVersion  uint64
-	changes      []platform.RowItem // in order of their versions
-	lastTrimmed  uint64             // newest version among the changes that are no longer kept
-	changed      chan struct{}      // closed at the next change
-	objects      map[string][]byte
+	data         data
+	era          uint64        // rises by one with each restore
+	changed      chan struct{} // closed at the next change
 	hostVersions []hostsVersion
 	faults       Faults
 	counts       Counts
@@ -93,9 +90,9 @@
 		listener: listener,
 		reads:    rate.NewLimiter(rate.Limit(config.Reads), int(config.Reads)),
 		writes:   rate.NewLimiter(rate.Limit(config.Writes), int(config.Writes)),
-		rows:     map[rowID]platform.RowItem{},
+		data:     data{rows: map[rowID]platform.RowItem{}, objects: map[string][]byte{}},
+		era:      1,
 		changed:  make(chan struct{}),
-		objects:  map[string][]byte{},
 	}
 	p.server = &fasthttp.Server{Handler: p.handle, NoDefaultServerHeader: true}
 	return p
@@ -150,25 +147,28 @@
 	faults, allowed := p.admit(write)
 	switch {
 	case faults.Down:
-		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(func(net.Conn) {})
+		closeWithoutAnswer(ctx)
 	case !allowed:
+		p.setEra(ctx, p.Era())
 		ctx.SetStatusCode(fasthttp.StatusTooManyRequests)
-	case faults.Late > 0 && write:
-		time.Sleep(time.Duration(faults.Slow) * time.Millisecond)
-		p.serve(ctx, path)
-		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(func(net.Conn) {})
 	default:
-		time.Sleep(time.Duration(faults.Slow) * time.Millisecond)
-		p.serve(ctx, path)
-		if faults.Lose > 0 && write {
-			ctx.HijackSetNoResponse(true)
-			ctx.Hijack(func(net.Conn) {})
-		}
+		p.serveWithFaults(ctx, path, write, faults)
 	}
 }
 
+// serveWithFaults serves a call whose answer may be slow or lost. A call during which the content is replaced by
+// a copy gets no answer.
+func (p *Platform) serveWithFaults(ctx *fasthttp.RequestCtx, path string, write bool, faults Faults) {
+	era := p.Era()
+	time.Sleep(time.Duration(faults.Slow) * time.Millisecond)
+	p.serve(ctx, path)
+	if write && (faults.Lose > 0 || faults.Late > 0) || p.Era() != era {
+		closeWithoutAnswer(ctx)
+		return
+	}
+	p.setEra(ctx, era)
+}
+
 // admit counts a call. It returns the faults that affect the call and whether
 // its rate limit allows it.
 func (p *Platform) admit(write bool) (Faults, bool) {
--- a/standin/platform/rows.go
+++ b/standin/platform/rows.go
@@ -49,33 +49,33 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.checksHold(request.Checks) {
-		return p.checkedRows(request.Checks), p.lastVersion, false
+		return p.checkedRows(request.Checks), p.data.lastVersion, false
 	}
-	p.lastVersion++
+	p.data.lastVersion++
 	for _, put := range request.Puts {
-		put.Version = p.lastVersion
-		p.rows[idOf(put)] = put
-		p.changes = append(p.changes, put)
+		put.Version = p.data.lastVersion
+		p.data.rows[idOf(put)] = put
+		p.data.changes = append(p.data.changes, put)
 	}
 	for _, drop := range request.Removals {
-		delete(p.rows, idOf(drop))
-		drop.Version, drop.Removed = p.lastVersion, true
-		p.changes = append(p.changes, drop)
+		delete(p.data.rows, idOf(drop))
+		drop.Version, drop.Removed = p.data.lastVersion, true
+		p.data.changes = append(p.data.changes, drop)
 	}
-	if excess := len(p.changes) - maxChanges; excess > 0 {
-		p.lastTrimmed = p.changes[excess-1].Version
-		p.changes = slices.Clone(p.changes[excess:])
+	if excess := len(p.data.changes) - maxChanges; excess > 0 {
+		p.data.lastTrimmed = p.data.changes[excess-1].Version
+		p.data.changes = slices.Clone(p.data.changes[excess:])
 	}
 	close(p.changed)
 	p.changed = make(chan struct{})
-	return nil, p.lastVersion, true
+	return nil, p.data.lastVersion, true
 }
 
 // checksHold returns whether all named rows have the versions that the conditions require, 0 for a row
 // that doesn't exist.
 func (p *Platform) checksHold(checks []platform.CheckItem) bool {
 	for _, c := range checks {
-		if p.rows[rowID{c.Table, c.Part, c.Key}].Version != c.Version {
+		if p.data.rows[rowID{c.Table, c.Part, c.Key}].Version != c.Version {
 			return false
 		}
 	}
@@ -86,7 +86,7 @@
 func (p *Platform) checkedRows(checks []platform.CheckItem) []platform.RowItem {
 	rows := []platform.RowItem{}
 	for _, c := range checks {
-		if row, ok := p.rows[rowID{c.Table, c.Part, c.Key}]; ok {
+		if row, ok := p.data.rows[rowID{c.Table, c.Part, c.Key}]; ok {
 			rows = append(rows, row)
 		}
 	}
@@ -104,12 +104,12 @@
 	}
 	p.mu.Lock()
 	rows := p.hostRows(table)
-	for _, row := range p.rows {
+	for _, row := range p.data.rows {
 		if row.Table == table && row.Part == part && row.Key >= from && (to == "" || row.Key < to) {
 			rows = append(rows, row)
 		}
 	}
-	last := p.lastVersion
+	last := p.data.lastVersion
 	p.mu.Unlock()
 	slices.SortFunc(rows, func(a, b platform.RowItem) int { return strings.Compare(a.Key, b.Key) })
 	count := countFitting(rows[:min(limit, len(rows))])
@@ -165,7 +165,7 @@
 	defer timeout.Stop()
 	table := string(query.Peek("table"))
 	for {
-		if p.isTrimmed(after) {
+		if !p.hasHistory(after) {
 			ctx.SetStatusCode(fasthttp.StatusGone)
 			return
 		}
@@ -183,11 +183,12 @@
 	}
 }
 
-// isTrimmed returns whether some changes after a version are no longer kept.
-func (p *Platform) isTrimmed(after uint64) bool {
+// hasHistory returns whether a feed may start after a version: the version was given out, and all changes
+// after it are kept.
+func (p *Platform) hasHistory(after uint64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return after < p.lastTrimmed
+	return after >= p.data.lastTrimmed && after <= p.data.lastVersion
 }
 
 // changesSince returns the newest change of each row of a table after a version, ordered by version. It
@@ -196,7 +197,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	newest := map[rowID]platform.RowItem{}
-	for _, row := range p.changes {
+	for _, row := range p.data.changes {
 		if row.Table == table && row.Version > after {
 			newest[idOf(row)] = row
 		}
@@ -206,7 +207,7 @@
 		rows = append(rows, row)
 	}
 	slices.SortFunc(rows, func(a, b platform.RowItem) int { return cmp.Compare(a.Version, b.Version) })
-	return rows, p.lastVersion, p.changed
+	return rows, p.data.lastVersion, p.changed
 }
 
 // putObject stores an object. If the request has an If-None-Match header, it doesn't replace an
@@ -214,18 +215,18 @@
 func (p *Platform) putObject(ctx *fasthttp.RequestCtx, key string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, ok := p.objects[key]; ok && len(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) > 0 {
+	if _, ok := p.data.objects[key]; ok && len(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) > 0 {
 		ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
 		return
 	}
-	p.objects[key] = slices.Clone(ctx.PostBody())
+	p.data.objects[key] = slices.Clone(ctx.PostBody())
 }
 
 // getObject serves a read of an object.
 func (p *Platform) getObject(ctx *fasthttp.RequestCtx, key string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	body, ok := p.objects[key]
+	body, ok := p.data.objects[key]
 	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
