Log: eras of the store, positions of reads and who confirmed a configuration

The client reads the header Store-Era of all answers. store-era tells that a new era began, store-read the position and era before and after a read, the revision that it brought, the one in force and its age, and configuration-confirmed who said of which revision that it is current, and how long ago. Lines come on a change only, a change of the source alone once a second at most. Metrics: store_era, store_restores_total. Hosts tell their era in Reply, as its last field; a host of another release leaves it out.

The new package history holds the position in an era and the tracker of eras. No decision uses them yet. go test ./gateway ./platform ./wire ./history ./route passes.

--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -9,9 +9,9 @@
 )
 
 // applyEvacuations updates the evacuated data centres from a page of the operator's table. A page that
-// is read while configVersion is 0 lists all of them, others list changes only.
+// is read while the version of configPosition is 0 lists all of them, others list changes only.
 func (w *watcher) applyEvacuations(page platform.Page) {
-	if w.configVersion == 0 || w.evacuated == nil {
+	if w.configPosition.Version == 0 || w.evacuated == nil {
 		w.evacuated = map[string]bool{}
 	}
 	for _, row := range page.Rows {
@@ -24,7 +24,7 @@
 			w.evacuated[place] = true
 		}
 	}
-	w.gateway.updateEvacuated(slices.Sorted(maps.Keys(w.evacuated)), page.Version)
+	w.gateway.updateEvacuated(slices.Sorted(maps.Keys(w.evacuated)), page.Position.Version)
 }
 
 // updateEvacuated replaces the evacuated data centres by those that the store listed at a version, unless they
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -67,6 +67,9 @@
 	eventLeaving      = "target-leaving"
 	eventPaused       = "target-paused"
 	eventNumbering    = "numbering"
+	eventStoreEra     = "store-era"
+	eventStoreRead    = "store-read"
+	eventConfirmed    = "configuration-confirmed"
 )
 
 // recorder writes the log and updates the metrics that belong to its lines. Its methods are
@@ -83,6 +86,7 @@
 	mu              sync.Mutex
 	failing         map[string]bool // parts of the store, peers and peersPart: whether the last attempt failed
 	reportedTargets map[string]bool // keys of entries that were reported as unreadable
+	history         storeHistory    // guarded by mu
 }
 
 // newRecorder returns a recorder that writes to a log and updates metrics; the times appear in
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -29,6 +29,7 @@
 		v.Configuration = g.storeCache.config
 	}
 	v.Evacuated, v.EvacuatedAsOf = g.storeCache.evacuated, g.storeCache.evacuatedAsOf
+	v.Era = g.client.History().Era()
 	v.TargetsAge = ageMillis(sinceBoot() - g.storeCache.targetsAsOf)
 	v.Digest = g.storeCache.digest
 	if v.Digest != q.Digest {
@@ -75,7 +76,7 @@
 		g.takeConfig(v.Configuration, configAsOf)
 	}
 	if table := g.core.table.Load(); table != nil && table.Version == v.Revision {
-		g.core.confirmConfig(configAsOf)
+		g.confirmConfig(configAsOf, confirmation{peer: peer, era: v.Era})
 	}
 	g.updateEvacuated(v.Evacuated, v.EvacuatedAsOf)
 	asOf := sent - time.Duration(v.TargetsAge)*time.Millisecond
@@ -90,15 +91,25 @@
 }
 
 // takeConfig applies an encoded configuration unless it can't be decoded or is older than the
-// current one. It was current at a time since boot.
-func (g *Gateway) takeConfig(value []byte, asOf time.Duration) {
+// current one. It was current at a time since boot. The result is its revision, 0 if it can't be decoded.
+func (g *Gateway) takeConfig(value []byte, asOf time.Duration) (revision uint64) {
 	table, err := platform.DecodeConfig(value)
 	if err != nil {
 		g.record.configUnreadable(err)
-		return
+		return 0
 	}
 	if g.core.table.Load() == nil {
 		g.core.confirmConfig(asOf) // with the first configuration the host is ready, and needs its age
 	}
 	g.applyConfig(table, value)
+	return table.Version
+}
+
+// confirmConfig records that the configuration in force was current at a time since boot, and who said so.
+func (g *Gateway) confirmConfig(asOf time.Duration, by confirmation) {
+	if table := g.core.table.Load(); table != nil {
+		by.revision = table.Version
+	}
+	g.core.confirmConfig(asOf)
+	g.record.configConfirmed(by, sinceBoot()-asOf)
 }
--- a/gateway/saved.go
+++ b/gateway/saved.go
@@ -98,6 +98,7 @@
 		return
 	}
 	g.record.storeRead(part, err)
+	g.record.storeEra(g.client.History().Era())
 }
 
 // mergeStatus records what the store knows of a trait.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -19,6 +19,7 @@
 	heldBytes, heldRequests, evacuated    *prometheus.Desc
 	coldTargets, coldGrants               *prometheus.Desc
 	unevenTargets                         *prometheus.Desc
+	storeEra, storeRestores               *prometheus.Desc
 }
 
 // newStateCollector returns the collector of a gateway.
@@ -45,6 +46,8 @@
 		coldTargets:       newDesc("cold_targets", "Targets that are cold, or suspected of it.", "state"),
 		unevenTargets:     newDesc("uneven_targets", "Targets that differ from the mean of their service.", "speed"),
 		coldGrants:        newDesc("cold_decisions_total", "Decisions of this host about cold or suspected targets.", "decision"),
+		storeEra:          newDesc("store_era", "Newest era of the store that was seen, 0 for none."),
+		storeRestores:     newDesc("store_restores_total", "Times that the store came back from a copy."),
 		droppedLines:      newDesc("log_lines_dropped_total", "Log lines that were dropped.", "event"),
 	}
 }
@@ -84,6 +87,8 @@
 	reads, writes := g.client.Calls()
 	counter(s.storeCalls, float64(reads), "read")
 	counter(s.storeCalls, float64(writes), "write")
+	gauge(s.storeEra, float64(g.client.History().Era()))
+	counter(s.storeRestores, float64(g.client.History().Restores()))
 	gauge(s.heldTraits, float64(g.core.heldTraits.Load()))
 	held, _ := g.held.Used()
 	gauge(s.heldBytes, float64(held))
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cassiachute/cassiachute/history"
 	"github.com/cassiachute/cassiachute/platform"
 	"github.com/cassiachute/cassiachute/route"
 	"github.com/cassiachute/cassiachute/wire"
@@ -28,15 +29,15 @@
 // watcher reads the configuration, the list of targets and the list of hosts from the store and passes them
 // to the gateway.
 type watcher struct {
-	gateway        *Gateway
-	client         *platform.Client
-	configVersion  uint64                    // version of the store up to which the configuration was read, 0 if it is to be read whole
-	targetsVersion uint64                    // the same for the list of targets
-	rows           map[string]wire.TargetRow // list of targets, by key
-	targetsFailed  bool                      // the last read of the list of targets failed
-	feedFailures   int                       // consecutive failed feeds of the list of targets
-	evacuated      map[string]bool           // data centres that the operator evacuates
-	registered     map[string]bool           // "hosts" is set once the row of this host is written
+	gateway         *Gateway
+	client          *platform.Client
+	configPosition  history.Position          // up to which the configuration was read; version 0: it is to be read whole
+	targetsPosition history.Position          // the same for the list of targets
+	rows            map[string]wire.TargetRow // list of targets, by key
+	targetsFailed   bool                      // the last read of the list of targets failed
+	feedFailures    int                       // consecutive failed feeds of the list of targets
+	evacuated       map[string]bool           // data centres that the operator evacuates
+	registered      map[string]bool           // "hosts" is set once the row of this host is written
 }
 
 // runLoop calls step in a goroutine until the context ends, and closes the returned channel then. Each step
@@ -70,34 +71,48 @@
 	page, err := w.readConfig()
 	if err != nil {
 		if needsFullRead(err) {
-			w.configVersion = 0
+			w.configPosition.Version = 0
 		}
 		w.recordRead("configuration", err)
 		return retryDelay(role)
 	}
 	w.recordRead("configuration", nil)
 	w.applyEvacuations(page)
+	read := storeRead{part: "configuration", whole: w.configPosition.Version == 0, before: w.configPosition}
 	for _, row := range page.Rows {
 		if row.Key == platform.KeyConfig && !row.Removed {
-			w.gateway.takeConfig(row.Value, asked)
+			read.config = true
+			read.brought = w.gateway.takeConfig(row.Value, asked)
 		}
 	}
-	w.configVersion = page.Version
+	w.recordPage(read, page)
+	w.configPosition = page.Position
 	if w.gateway.core.table.Load() == nil {
-		w.configVersion = 0
+		w.configPosition.Version = 0
 		return storeRetryDelay
 	}
-	w.gateway.core.confirmConfig(asked)
+	w.gateway.confirmConfig(asked, confirmation{era: page.Position.Era})
 	return 0
 }
 
 // readConfig reads the whole configuration if its version is not known, and else waits for what changed
 // since.
 func (w *watcher) readConfig() (platform.Page, error) {
-	if w.configVersion == 0 {
+	if w.configPosition.Version == 0 {
 		return w.client.Scan(platform.TableOperator)
 	}
-	return w.client.Feed(platform.TableOperator, w.configVersion, w.feedWait())
+	return w.client.Feed(platform.TableOperator, w.configPosition.Version, w.feedWait())
+}
+
+// recordPage records a page of a part of the store that was read.
+func (w *watcher) recordPage(read storeRead, page platform.Page) {
+	g := w.gateway
+	revision := uint64(0)
+	if table := g.core.table.Load(); table != nil {
+		revision = table.Version
+	}
+	read.after = page.Position
+	g.record.partRead(read, revision, g.core.configAge())
 }
 
 // recordRead records the result of a read of the store in log and metrics.
@@ -115,10 +130,11 @@
 func (w *watcher) pollTargets() time.Duration {
 	role := w.gateway.storeRole()
 	if role == roleAsker {
-		w.targetsVersion = 0
+		w.targetsPosition.Version = 0
 		return roleCheckInterval
 	}
 	asked := sinceBoot()
+	read := storeRead{part: "targets", whole: w.targetsPosition.Version == 0, before: w.targetsPosition}
 	err := w.refreshTargets()
 	w.targetsFailed = err != nil
 	w.recordRead("targets", err)
@@ -129,6 +145,7 @@
 		w.gateway.recordTargetsFailure()
 		return retryDelay(role)
 	}
+	w.recordPage(read, platform.Page{Position: w.targetsPosition})
 	rows := make([]wire.TargetRow, 0, len(w.rows))
 	for _, row := range w.rows {
 		rows = append(rows, row)
@@ -139,7 +156,7 @@
 
 // refreshTargets brings rows up to date with the list of targets in the store.
 func (w *watcher) refreshTargets() error {
-	if w.targetsVersion == 0 {
+	if w.targetsPosition.Version == 0 {
 		page, err := w.client.Scan(platform.TableTargets)
 		if err != nil {
 			return err
@@ -148,7 +165,7 @@
 		w.applyTargetRows(page)
 		return nil
 	}
-	page, err := w.client.Feed(platform.TableTargets, w.targetsVersion, w.targetsFeedWait())
+	page, err := w.client.Feed(platform.TableTargets, w.targetsPosition.Version, w.targetsFeedWait())
 	if err != nil {
 		w.recordFeedFailure(err)
 		return err
@@ -172,7 +189,7 @@
 		w.feedFailures++
 	}
 	if needsFullRead(err) || w.feedFailures >= maxFeedFailures {
-		w.targetsVersion, w.feedFailures = 0, 0
+		w.targetsPosition.Version, w.feedFailures = 0, 0
 	}
 }
 
@@ -187,7 +204,7 @@
 
 // applyTargetRows applies changed rows to the list of targets.
 func (w *watcher) applyTargetRows(page platform.Page) {
-	w.targetsVersion = page.Version
+	w.targetsPosition = page.Position
 	for _, row := range page.Rows {
 		if row.Removed {
 			delete(w.rows, row.Key)
--- /dev/null
+++ b/history/history.go
@@ -0,0 +1,77 @@
+// Package history orders what is read from a store that may come back from a copy of itself. The store numbers
+// its eras: each return begins a new one, in which versions of the era before are given out again. A version
+// alone says nothing then, so whatever is remembered of the store carries a Position.
+package history
+
+import (
+	"cmp"
+	"sync"
+)
+
+// Position is a point in the history of the store. The zero value is before all others.
+type Position struct {
+	Era     uint64 // number of the era, 0 if the store does not number its eras
+	Version uint64 // version of the store within the era
+}
+
+// Compare returns -1, 0 or 1 if the position is before, at or after another one. Any position of an era is after
+// all positions of earlier eras.
+func (p Position) Compare(other Position) int {
+	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Version, other.Version))
+}
+
+// Relation tells how the era of an answer relates to the newest one seen before it.
+type Relation uint8
+
+// Relations of eras.
+const (
+	Unnumbered Relation = iota // no answer had an era so far
+	First                      // the first era that was seen
+	Same                       // the newest era
+	Newer                      // the store came back from a copy since the newest answer
+	Older                      // the answer was on its way while the store came back
+	Missing                    // the answer has no era, though earlier ones had
+)
+
+// Tracker knows the newest era that an answer of the store had. It may be used by several goroutines at once; its
+// zero value has seen no answer.
+type Tracker struct {
+	mu       sync.Mutex
+	era      uint64
+	restores uint64
+}
+
+// Note records the era of an answer, 0 if it has no valid one, and returns how it relates to the newest era before.
+func (t *Tracker) Note(era uint64) Relation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case era == 0 && t.era == 0:
+		return Unnumbered
+	case era == 0:
+		return Missing
+	case era < t.era:
+		return Older
+	case era == t.era:
+		return Same
+	case t.era == 0:
+		t.era = era
+		return First
+	}
+	t.era, t.restores = era, t.restores+1
+	return Newer
+}
+
+// Era returns the newest era, 0 if none was seen.
+func (t *Tracker) Era() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.era
+}
+
+// Restores returns how often a newer era followed an earlier one.
+func (t *Tracker) Restores() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.restores
+}
--- /dev/null
+++ b/history/history_test.go
@@ -0,0 +1,44 @@
+package history_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiachute/cassiachute/history"
+)
+
+// TestVersionOfAnEarlierEraIsBeforeAllOfALaterOne guards against a version that was given out twice and is taken for
+// the newer one.
+func TestVersionOfAnEarlierEraIsBeforeAllOfALaterOne(t *testing.T) {
+	ordered := []history.Position{{}, {Version: 9}, {Era: 1}, {Era: 1, Version: 90}, {Era: 2, Version: 7}, {Era: 2, Version: 8}}
+	for i, p := range ordered {
+		for j, other := range ordered {
+			want := 0
+			if i < j {
+				want = -1
+			} else if i > j {
+				want = 1
+			}
+			require.Equal(t, want, p.Compare(other), "%v %v", p, other)
+		}
+	}
+}
+
+// TestAnswersOfOtherErasAreTold guards against answers that were on their way while the store came back from a copy,
+// against returns between two reads, and against answers without an era.
+func TestAnswersOfOtherErasAreTold(t *testing.T) {
+	var tracker history.Tracker
+	for _, step := range []struct {
+		era      uint64
+		want     history.Relation
+		restores uint64
+	}{
+		{0, history.Unnumbered, 0}, {4, history.First, 0}, {4, history.Same, 0}, {0, history.Missing, 0},
+		{6, history.Newer, 1}, {5, history.Older, 1}, {4, history.Older, 1}, {6, history.Same, 1}, {7, history.Newer, 2},
+	} {
+		require.Equal(t, step.want, tracker.Note(step.era), "%+v", step)
+		require.Equal(t, step.restores, tracker.Restores(), "%+v", step)
+	}
+	require.EqualValues(t, 7, tracker.Era())
+}
--- a/wire/query.go
+++ b/wire/query.go
@@ -24,6 +24,7 @@
 	Targets       []TargetRow // empty if the Query has the same digest
 	Evacuated     []string    // evacuated places
 	EvacuatedAsOf uint64      // version of the store at which Evacuated was read, 0 if it was not
+	Era           uint64      // newest era of the store that the host has seen, 0 for none
 }
 
 // Kind returns KindReply.
