A position in the store's history ends with its era

Cause: the store came back from a copy and gave versions out again. A host that asked again after they had passed its position got 200 and what was newer than that, never what was written below it, and counted the answer as a confirmation of the configuration that it had.

--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -34,6 +34,7 @@
 	configPosition  history.Position          // up to which the configuration was read; version 0: it is to be read whole
 	targetsPosition history.Position          // the same for the list of targets
 	rows            map[string]wire.TargetRow // list of targets, by key
+	configFailed    bool                      // the last read of the configuration failed
 	targetsFailed   bool                      // the last read of the list of targets failed
 	feedFailures    int                       // consecutive failed feeds of the list of targets
 	evacuated       map[string]bool           // data centres that the operator evacuates
@@ -68,7 +69,9 @@
 		return roleCheckInterval
 	}
 	asked := sinceBoot()
+	w.configPosition = w.client.History().Resume(w.configPosition)
 	page, err := w.readConfig()
+	w.configFailed = err != nil
 	if err != nil {
 		if needsFullRead(err) {
 			w.configPosition.Version = 0
@@ -101,7 +104,7 @@
 	if w.configPosition.Version == 0 {
 		return w.client.Scan(platform.TableOperator)
 	}
-	return w.client.Feed(platform.TableOperator, w.configPosition.Version, w.feedWait())
+	return w.client.Feed(platform.TableOperator, w.configPosition, w.feedWaitAfter(w.configFailed))
 }
 
 // recordPage records a page of a part of the store that was read.
@@ -134,6 +137,7 @@
 		return roleCheckInterval
 	}
 	asked := sinceBoot()
+	w.targetsPosition = w.client.History().Resume(w.targetsPosition)
 	read := storeRead{part: "targets", whole: w.targetsPosition.Version == 0, before: w.targetsPosition}
 	err := w.refreshTargets()
 	w.targetsFailed = err != nil
@@ -165,7 +169,7 @@
 		w.applyTargetRows(page)
 		return nil
 	}
-	page, err := w.client.Feed(platform.TableTargets, w.targetsPosition.Version, w.targetsFeedWait())
+	page, err := w.client.Feed(platform.TableTargets, w.targetsPosition, w.targetsFeedWait())
 	if err != nil {
 		w.recordFeedFailure(err)
 		return err
@@ -193,10 +197,14 @@
 	}
 }
 
-// targetsFeedWait returns how long a feed of the list of targets waits for a change. The first one after a
-// failure does not wait, because the period in which expired entries may return starts when it succeeds.
-func (w *watcher) targetsFeedWait() time.Duration {
-	if w.targetsFailed {
+// targetsFeedWait returns how long a feed of the list of targets waits for a change.
+func (w *watcher) targetsFeedWait() time.Duration { return w.feedWaitAfter(w.targetsFailed) }
+
+// feedWaitAfter returns how long a feed waits for a change, given whether the read before failed. The first one after
+// a failure does not wait: it tells whether the store came back from a copy, and the period in which expired entries
+// may return starts when it succeeds.
+func (w *watcher) feedWaitAfter(failed bool) time.Duration {
+	if failed {
 		return 0
 	}
 	return w.feedWait()
--- a/history/history.go
+++ b/history/history.go
@@ -62,6 +62,15 @@
 	return Newer
 }
 
+// Resume returns the position from which a read of what has changed may go on: the one given, or version 0 of its
+// era if that is over, so that all has to be read again.
+func (t *Tracker) Resume(p Position) Position {
+	if p.Era != t.Era() {
+		p.Version = 0
+	}
+	return p
+}
+
 // Era returns the newest era, 0 if none was seen.
 func (t *Tracker) Era() uint64 {
 	t.mu.Lock()
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -41,4 +41,7 @@
 		require.Equal(t, step.restores, tracker.Restores(), "%+v", step)
 	}
 	require.EqualValues(t, 7, tracker.Era())
+	require.Equal(t, history.Position{Era: 7, Version: 9}, tracker.Resume(history.Position{Era: 7, Version: 9}))
+	require.Zero(t, tracker.Resume(history.Position{Era: 6, Version: 9}).Version, "another call saw the new era first")
+	require.Zero(t, tracker.Resume(history.Position{Version: 9}).Version, "read before the store numbered its eras")
 }
