A configuration that the store does not show is not confirmed

Cause: any answer of the store counted as a sign that the configuration in force is current, also if it showed an older one, one that can't be decoded, or none. A host can't tell then what came after the one that it has.

Now the row of the configuration, as last read in this era, has to have the revision in force; else nothing is confirmed, here and for the hosts that ask this one. The older one does not come into force. The age of the configuration grows, so unknown routes and keys get 503 after maxDenialAge and requests with keys after keyAge, until the operator has written the newest one again: a lost configuration may have taken a key away, and the store can't say. configuration-unconfirmed in the log tells it.

--- a/gateway/record.go
+++ b/gateway/record.go
@@ -70,6 +70,7 @@
 	eventStoreEra     = "store-era"
 	eventStoreRead    = "store-read"
 	eventConfirmed    = "configuration-confirmed"
+	eventUnconfirmed  = "configuration-unconfirmed"
 )
 
 // recorder writes the log and updates the metrics that belong to its lines. Its methods are
--- a/gateway/record_store.go
+++ b/gateway/record_store.go
@@ -8,7 +8,7 @@
 )
 
 // confirmationLogInterval is the least time between two lines about confirmations that differ in their source
-// alone, which may change with each query.
+// alone, which may change with each query, and between two about a configuration that is not confirmed.
 const confirmationLogInterval = time.Second
 
 // storeRead describes a read of a part of the store for the log.
@@ -32,8 +32,13 @@
 	era          uint64
 	confirmed    confirmation
 	confirmedLog time.Time
+	refused      unconfirmed
+	refusedLog   time.Time
 }
 
+// unconfirmed tells why the configuration in force is not known to be current.
+type unconfirmed struct{ shown, revision uint64 }
+
 // storeEra records the newest era of the store when it changes.
 func (r *recorder) storeEra(era uint64) {
 	r.mu.Lock()
@@ -73,7 +78,7 @@
 		r.mu.Unlock()
 		return
 	}
-	r.history.confirmed, r.history.confirmedLog = c, now
+	r.history.confirmed, r.history.confirmedLog, r.history.refused = c, now, unconfirmed{}
 	r.mu.Unlock()
 	source, peer := "store", ""
 	if c.peer.IsValid() {
@@ -82,3 +87,17 @@
 	r.log.Info().Str("event", eventConfirmed).Str("source", source).Str("peer", peer).Uint64("era", c.era).
 		Uint64("revision", c.revision).Float64("age", milliseconds(age)).Send()
 }
+
+// configUnconfirmed records that the revision that the store shows, 0 for none, does not confirm the one in force,
+// since it is another one. It logs a line when one of them changes, at most one in confirmationLogInterval.
+func (r *recorder) configUnconfirmed(shown, revision uint64) {
+	r.mu.Lock()
+	now, why := time.Now(), unconfirmed{shown, revision}
+	if r.history.refused == why || now.Sub(r.history.refusedLog) < confirmationLogInterval {
+		r.mu.Unlock()
+		return
+	}
+	r.history.refused, r.history.refusedLog, r.history.confirmed = why, now, confirmation{}
+	r.mu.Unlock()
+	r.log.Warn().Str("event", eventUnconfirmed).Uint64("shown", shown).Uint64("revision", revision).Send()
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -54,15 +54,20 @@
 	return queryInterval
 }
 
+// revision returns the version of the configuration in force, 0 for none.
+func (g *Gateway) revision() uint64 {
+	if table := g.core.table.Load(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
 // queryPeer asks another host and adopts what it knows. The ages in the answer count from the moment
 // at which the query was sent, so that neither a slow answer nor a suspended host makes old
 // information look new. It returns false if there was no usable answer.
 func (g *Gateway) queryPeer(peer netip.AddrPort) bool {
 	sent := sinceBoot()
-	q := &wire.Query{Digest: g.storeCache.targetsDigest()}
-	if table := g.core.table.Load(); table != nil {
-		q.Revision = table.Version
-	}
+	q := &wire.Query{Revision: g.revision(), Digest: g.storeCache.targetsDigest()}
 	v, err := mesh.Ask(g.ctx, peer, q, g.core.timeoutWithLag(mesh.QueryTimeout))
 	if g.ctx.Err() != nil {
 		return false // the query was cancelled because this host shuts down
@@ -75,9 +80,7 @@
 	if v.Revision > q.Revision && len(v.Configuration) > 0 {
 		g.takeConfig(v.Configuration, configAsOf)
 	}
-	if table := g.core.table.Load(); table != nil && table.Version == v.Revision {
-		g.confirmConfig(configAsOf, confirmation{peer: peer, era: v.Era})
-	}
+	g.confirmRevision(v.Revision, configAsOf, confirmation{peer: peer, era: v.Era})
 	g.updateEvacuated(v.Evacuated, v.EvacuatedAsOf)
 	asOf := sent - time.Duration(v.TargetsAge)*time.Millisecond
 	if v.Digest == q.Digest {
@@ -105,10 +108,20 @@
 	return table.Version
 }
 
-// confirmConfig records that the configuration in force was current at a time since boot, and who said so.
-func (g *Gateway) confirmConfig(asOf time.Duration, by confirmation) {
-	if table := g.core.table.Load(); table != nil {
-		by.revision = table.Version
+// confirmRevision records that a revision, 0 for none, was shown as the current one at a time since boot, and by whom.
+// That confirms the configuration in force only if it is the same: a store that came back from a copy may show an older
+// one, and has lost those that came after it.
+func (g *Gateway) confirmRevision(revision uint64, asOf time.Duration, by confirmation) {
+	table := g.core.table.Load()
+	if table == nil {
+		return
+	}
+	by.revision = table.Version
+	if revision != table.Version {
+		if !by.peer.IsValid() {
+			g.record.configUnconfirmed(revision, table.Version)
+		}
+		return
 	}
 	g.core.confirmConfig(asOf)
 	g.record.configConfirmed(by, sinceBoot()-asOf)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -35,6 +35,7 @@
 	targetsPosition history.Position          // the same for the list of targets
 	rows            map[string]wire.TargetRow // list of targets, by key
 	configFailed    bool                      // the last read of the configuration failed
+	shownRevision   uint64                    // revision that the store showed last in the era of configPosition, 0 if there was none that can be decoded
 	targetsFailed   bool                      // the last read of the list of targets failed
 	feedFailures    int                       // consecutive failed feeds of the list of targets
 	evacuated       map[string]bool           // data centres that the operator evacuates
@@ -81,23 +82,36 @@
 	}
 	w.recordRead("configuration", nil)
 	w.applyEvacuations(page)
-	read := storeRead{part: "configuration", whole: w.configPosition.Version == 0, before: w.configPosition}
-	for _, row := range page.Rows {
-		if row.Key == platform.KeyConfig && !row.Removed {
-			read.config = true
-			read.brought = w.gateway.takeConfig(row.Value, asked)
-		}
-	}
-	w.recordPage(read, page)
+	w.takeConfigRow(page, asked)
 	w.configPosition = page.Position
 	if w.gateway.core.table.Load() == nil {
 		w.configPosition.Version = 0
 		return storeRetryDelay
 	}
-	w.gateway.confirmConfig(asked, confirmation{era: page.Position.Era})
+	w.gateway.confirmRevision(w.shownRevision, asked, confirmation{era: page.Position.Era})
 	return 0
 }
 
+// takeConfigRow applies the configuration in a page of the operator's table, if there is one, and notes which revision
+// the store shows.
+func (w *watcher) takeConfigRow(page platform.Page, asked time.Duration) {
+	read := storeRead{part: "configuration", whole: w.configPosition.Version == 0, before: w.configPosition}
+	if read.whole {
+		w.shownRevision = 0
+	}
+	for _, row := range page.Rows {
+		if row.Key != platform.KeyConfig {
+			continue
+		}
+		read.config, read.brought = true, 0
+		if !row.Removed {
+			read.brought = w.gateway.takeConfig(row.Value, asked)
+		}
+		w.shownRevision = read.brought
+	}
+	w.recordPage(read, page)
+}
+
 // readConfig reads the whole configuration if its version is not known, and else waits for what changed
 // since.
 func (w *watcher) readConfig() (platform.Page, error) {
@@ -110,12 +124,8 @@
 // recordPage records a page of a part of the store that was read.
 func (w *watcher) recordPage(read storeRead, page platform.Page) {
 	g := w.gateway
-	revision := uint64(0)
-	if table := g.core.table.Load(); table != nil {
-		revision = table.Version
-	}
 	read.after = page.Position
-	g.record.partRead(read, revision, g.core.configAge())
+	g.record.partRead(read, g.revision(), g.core.configAge())
 }
 
 // recordRead records the result of a read of the store in log and metrics.
