A host does not take an older configuration than other hosts have for the current one

Cause: a host that starts took its first configuration from the store and confirmed it, though the hosts beside it had a newer one in force.

While a host that is alive reports a newer revision, nothing is confirmed, by the store or by anyone, and a host that reads the store asks such a host for it. State reports had the revision already.

A newer revision that only a host knows that was not asked, and that is not heard of yet, is still missed for the time until its state report comes.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -25,6 +25,7 @@
 	readsStore    bool          // it reads the store itself
 	place         string        // data centre, empty before its first report
 	canOwn        bool          // it may own targets: it is neither shutting down nor out of the rotation
+	revision      uint64        // version of the configuration in force there
 	outOfRotation bool          // it asks the load balancer for no new connections
 }
 
@@ -75,6 +76,7 @@
 	first = !peer.alive
 	peer.lastSeen, peer.boot, peer.stateNumber, peer.alive = now, m.Boot, m.Number, true
 	peer.storeAge, peer.readsStore = time.Duration(m.Age)*time.Millisecond, m.ReadsStore
+	peer.revision = m.Revision
 	peer.place, peer.canOwn, peer.outOfRotation = m.Place, !m.Leaving && !m.NotReady, m.NotReady
 	return true, first
 }
@@ -153,6 +155,37 @@
 	return live[c.queries%len(live)].address, true
 }
 
+// newestRevision returns the newest configuration that hosts which are alive have in force, 0 without any.
+func (c *peerTable) newestRevision() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	newest := uint64(0)
+	for _, peer := range c.byAddress {
+		if peer.alive {
+			newest = max(newest, peer.revision)
+		}
+	}
+	return newest
+}
+
+// withNewer returns a host that is alive and has a newer configuration than the given one in force, in turn.
+func (c *peerTable) withNewer(revision uint64) (netip.AddrPort, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []netip.AddrPort
+	for address, peer := range c.byAddress {
+		if peer.alive && peer.revision > revision {
+			list = append(list, address)
+		}
+	}
+	if len(list) == 0 {
+		return netip.AddrPort{}, false
+	}
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	c.queries++
+	return list[c.queries%len(list)], true
+}
+
 // addresses returns all hosts.
 func (c *peerTable) addresses() []netip.AddrPort {
 	c.mu.Lock()
@@ -203,9 +236,7 @@
 	state.Leaving, state.ReadsStore = g.stopping(), g.storeRole() == roleReader
 	state.NotReady = g.stopping() || g.core.outOfRotation()
 	state.Age = ageMillis(max(g.core.configAge(), g.storeCache.targetsAge()))
-	if table := g.core.table.Load(); table != nil {
-		state.Revision = table.Version
-	}
+	state.Revision = g.revision()
 	if err := g.mesh.Send(state, hosts); err != nil {
 		g.record.peerFailed(err)
 	} else {
--- a/gateway/record_store.go
+++ b/gateway/record_store.go
@@ -37,7 +37,7 @@
 }
 
 // unconfirmed tells why the configuration in force is not known to be current.
-type unconfirmed struct{ shown, revision uint64 }
+type unconfirmed struct{ shown, revision, newest uint64 }
 
 // storeEra records the newest era of the store when it changes.
 func (r *recorder) storeEra(era uint64) {
@@ -89,15 +89,16 @@
 }
 
 // configUnconfirmed records that the revision that the store shows, 0 for none, does not confirm the one in force,
-// since it is another one. It logs a line when one of them changes, at most one in confirmationLogInterval.
-func (r *recorder) configUnconfirmed(shown, revision uint64) {
+// since it is another one or a host has a newer one. It logs a line when one of the three changes, at most one in
+// confirmationLogInterval.
+func (r *recorder) configUnconfirmed(shown, revision, newest uint64) {
 	r.mu.Lock()
-	now, why := time.Now(), unconfirmed{shown, revision}
+	now, why := time.Now(), unconfirmed{shown, revision, newest}
 	if r.history.refused == why || now.Sub(r.history.refusedLog) < confirmationLogInterval {
 		r.mu.Unlock()
 		return
 	}
 	r.history.refused, r.history.refusedLog, r.history.confirmed = why, now, confirmation{}
 	r.mu.Unlock()
-	r.log.Warn().Str("event", eventUnconfirmed).Uint64("shown", shown).Uint64("revision", revision).Send()
+	r.log.Warn().Str("event", eventUnconfirmed).Uint64("shown", shown).Uint64("revision", revision).Uint64("newest", newest).Send()
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/cassiachute/cassiachute/mesh"
@@ -13,6 +14,7 @@
 const (
 	queryInterval   = 250 * time.Millisecond // between two rounds of queries to other hosts
 	queriesPerRound = 2                      // hosts that are queried in one round, at most
+	firstQueries    = 2                      // hosts that are asked before the first configuration, at most
 )
 
 // reply answers the query of another host with the configuration and the list of targets
@@ -39,9 +41,13 @@
 }
 
 // queryPeers asks other hosts for the configuration and the targets in the store, unless this
-// host itself reads the store with success. It returns the time until the next round.
+// host itself reads the store with success and no other host has a newer configuration. It returns the time until the next round.
 func (g *Gateway) queryPeers() time.Duration {
 	d := g.storeRole()
+	if peer, ok := g.peers.withNewer(g.revision()); ok && d != roleAsker {
+		g.queryPeer(peer)
+		return queryInterval
+	}
 	for range queriesPerRound {
 		if d == roleReader && g.core.configAge() < staleAge && g.storeCache.targetsAge() < staleAge {
 			break
@@ -109,20 +115,33 @@
 }
 
 // confirmRevision records that a revision, 0 for none, was shown as the current one at a time since boot, and by whom.
-// That confirms the configuration in force only if it is the same: a store that came back from a copy may show an older
-// one, and has lost those that came after it.
+// That confirms the configuration in force only if it is the same, and no other host has a newer one: a store that
+// came back from a copy may show an older one, and has lost those that came after it.
 func (g *Gateway) confirmRevision(revision uint64, asOf time.Duration, by confirmation) {
 	table := g.core.table.Load()
 	if table == nil {
 		return
 	}
 	by.revision = table.Version
-	if revision != table.Version {
+	newest := max(table.Version, g.peers.newestRevision())
+	if revision != newest {
 		if !by.peer.IsValid() {
-			g.record.configUnconfirmed(revision, table.Version)
+			g.record.configUnconfirmed(revision, table.Version, newest)
 		}
 		return
 	}
 	g.core.confirmConfig(asOf)
 	g.record.configConfirmed(by, sinceBoot()-asOf)
 }
+
+// askBeforeFirst asks other hosts for what they know of the store. A host that starts calls it before it takes its
+// first configuration from the store, which may show an older one than they have in force.
+func (g *Gateway) askBeforeFirst() {
+	var asked sync.WaitGroup
+	for n, peer := range g.peers.addresses() {
+		if n < firstQueries {
+			asked.Go(func() { g.queryPeer(peer) })
+		}
+	}
+	asked.Wait()
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -81,6 +81,9 @@
 		return retryDelay(role)
 	}
 	w.recordRead("configuration", nil)
+	if w.gateway.core.table.Load() == nil {
+		w.gateway.askBeforeFirst()
+	}
 	w.applyEvacuations(page)
 	w.takeConfigRow(page, asked)
 	w.configPosition = page.Position
