Evacuations are known as of an era and a version

What callers saw: requests of an evacuated data centre's targets went on after the operator had evacuated it, once the store had come back from a copy.

Cause: the evacuated data centres were known as of a version of the store, also between hosts. After the return the operator's evacuation has a lower version than the list that was read before, so it was ignored until the versions had passed it, and hosts that had not read the store since told the old list with the higher number.

They are known as of a history.Position now. Reply holds it packed into the number that held the version, in the same order: 16 bits of era, 48 of version. An earlier release takes the packed position for a version, and tells one of era 0 itself.

A whole read of another era may lack evacuations that the operator writes again, though not at once. Such are kept for 10 s or until the era says otherwise (history.Keys); the same holds for the first read of a host that starts, for what other hosts told it. One that a copy shows though it had been taken back is obeyed until it is taken back again: that costs less than requests to an emptied data centre.

--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cassiachute/cassiachute/history"
 	"github.com/cassiachute/cassiachute/platform"
 	"github.com/cassiachute/cassiachute/route"
 	"github.com/cassiachute/cassiachute/wire"
@@ -24,7 +25,7 @@
 	digest         uint64           // of targets
 	targetsAsOf    time.Duration    // time since boot at which targets were current
 	evacuated      []string         // evacuated data centres, sorted
-	evacuatedAsOf  uint64           // version of the store at which evacuated was read, 0 before the first read
+	evacuatedAsOf  history.Position // at which evacuated was read, version 0 before the first read
 }
 
 // setConfig stores the encoding of the configuration in force.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cassiachute/cassiachute/history"
 	"github.com/cassiachute/cassiachute/mesh"
 	"github.com/cassiachute/cassiachute/platform"
 	"github.com/cassiachute/cassiachute/route"
@@ -30,8 +31,7 @@
 	if table.Version > q.Revision {
 		v.Configuration = g.storeCache.config
 	}
-	v.Evacuated, v.EvacuatedAsOf = g.storeCache.evacuated, g.storeCache.evacuatedAsOf
-	v.Era = g.client.History().Era()
+	v.Evacuated, v.EvacuatedAsOf = g.storeCache.evacuated, g.storeCache.evacuatedAsOf.Pack()
 	v.TargetsAge = ageMillis(sinceBoot() - g.storeCache.targetsAsOf)
 	v.Digest = g.storeCache.digest
 	if v.Digest != q.Digest {
@@ -82,12 +82,13 @@
 	if err != nil || v.Revision == 0 {
 		return false
 	}
+	position := history.Unpack(v.EvacuatedAsOf)
 	configAsOf := sent - time.Duration(v.Age)*time.Millisecond
 	if v.Revision > q.Revision && len(v.Configuration) > 0 {
 		g.takeConfig(v.Configuration, configAsOf)
 	}
-	g.confirmRevision(v.Revision, configAsOf, confirmation{peer: peer, era: v.Era})
-	g.updateEvacuated(v.Evacuated, v.EvacuatedAsOf)
+	g.confirmRevision(v.Revision, configAsOf, confirmation{peer: peer, era: position.Era})
+	g.updateEvacuated(v.Evacuated, position)
 	asOf := sent - time.Duration(v.TargetsAge)*time.Millisecond
 	if v.Digest == q.Digest {
 		g.storeCache.confirmTargets(v.Digest, asOf)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -38,7 +38,7 @@
 	shownRevision   uint64                    // revision that the store showed last in the era of configPosition, 0 if there was none that can be decoded
 	targetsFailed   bool                      // the last read of the list of targets failed
 	feedFailures    int                       // consecutive failed feeds of the list of targets
-	evacuated       map[string]bool           // data centres that the operator evacuates
+	evacuated       *history.Keys             // data centres that the operator evacuates
 	registered      map[string]bool           // "hosts" is set once the row of this host is written
 }
 
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/cassiachute/cassiachute/history"
 	"github.com/cassiachute/cassiachute/platform"
 	standin "github.com/cassiachute/cassiachute/standin/platform"
 )
@@ -114,3 +115,14 @@
 	l.Close()
 	require.NoError(t, <-served)
 }
+
+// TestHostThatMissedARestoreDoesNotTellEvacuations guards against evacuations of an era that is over, told by a host that
+// has not read the store since, at a version above those that were given out again.
+func TestHostThatMissedARestoreDoesNotTellEvacuations(t *testing.T) {
+	g := newIdleGateway(t)
+	g.updateEvacuated([]string{"old"}, history.Position{Era: 1, Version: 90})
+	g.updateEvacuated([]string{"new"}, history.Position{Era: 2, Version: 7})
+	g.updateEvacuated([]string{"old"}, history.Position{Era: 1, Version: 91})
+	g.updateEvacuated([]string{"old"}, history.Position{Version: 92})
+	require.Equal(t, []string{"new"}, g.storeCache.evacuatedPlaces())
+}
--- a/history/history.go
+++ b/history/history.go
@@ -20,6 +20,25 @@
 	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Version, other.Version))
 }
 
+// Sizes of a packed position.
+const (
+	versionBits   = 48
+	maxVersion    = 1<<versionBits - 1
+	maxPackedEras = 1<<(64-versionBits) - 1
+)
+
+// Pack returns the position as one number of the same order, which equals the version in a store without eras.
+// Hosts exchange it in that form: a release that knows no eras takes it for a version and needs no other message.
+// Versions from 2^48 and eras from 2^16 on are packed as the largest that fits, and have no order among each other.
+func (p Position) Pack() uint64 {
+	return min(p.Era, maxPackedEras)<<versionBits | min(p.Version, maxVersion)
+}
+
+// Unpack returns the position that was packed into a number.
+func Unpack(packed uint64) Position {
+	return Position{Era: packed >> versionBits, Version: packed & maxVersion}
+}
+
 // Relation tells how the era of an answer relates to the newest one seen before it.
 type Relation uint8
 
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -25,6 +25,21 @@
 	}
 }
 
+// TestPackedPositionsKeepTheirOrder guards against hosts that rank what another host read by a packed position wrongly,
+// among them those of a release that knows versions only.
+func TestPackedPositionsKeepTheirOrder(t *testing.T) {
+	ordered := []history.Position{{}, {Version: 9}, {Era: 1}, {Era: 1, Version: 90}, {Era: 2, Version: 7}, {Era: 1<<16 - 1, Version: 1<<48 - 1}}
+	for i, p := range ordered {
+		require.Equal(t, p, history.Unpack(p.Pack()))
+		if i > 0 {
+			require.Greater(t, p.Pack(), ordered[i-1].Pack())
+		}
+	}
+	require.EqualValues(t, 9, ordered[1].Pack())
+	require.Equal(t, ordered[5].Pack(), history.Position{Era: 1 << 20, Version: 1 << 60}.Pack())
+	require.EqualValues(t, 3, history.Unpack(history.Position{Era: 3, Version: 1 << 60}.Pack()).Era)
+}
+
 // TestAnswersOfOtherErasAreTold guards against answers that were on their way while the store came back from a copy,
 // against returns between two reads, and against answers without an era.
 func TestAnswersOfOtherErasAreTold(t *testing.T) {
--- a/wire/query.go
+++ b/wire/query.go
@@ -23,8 +23,7 @@
 	Digest        uint64      // hash of the list of targets
 	Targets       []TargetRow // empty if the Query has the same digest
 	Evacuated     []string    // evacuated places
-	EvacuatedAsOf uint64      // version of the store at which Evacuated was read, 0 if it was not
-	Era           uint64      // newest era of the store that the host has seen, 0 for none
+	EvacuatedAsOf uint64      // position in the history of the store at which Evacuated was read, packed; 0 if it was not
 }
 
 // Kind returns KindReply.
