A copy of the store does not change which targets are used

What callers saw: refusals with no-target as soon as the store was back from a copy that is older than a target, and requests to targets that were leaving or gone, which break DRAIN or fail.

Cause: the list was taken as the copy shows it. Entries were kept after an outage of two heartbeats only, and an earlier entry of a target that leaves counted as its newest one.

With the first list of another era, missing targets are kept for the 2.5 s that hold after an outage, however short the store was away. For the three heartbeats in which an entry of the copy lapses, and half a second: a target that was known to be leaving is, unless it has started again; one that had gone within 30 s (256 are remembered) is not used, unless its entry changes or goes and comes again, which shows that somebody writes it. A target that lives and whose entry lapsed while the store was away is missing in the first list, so it is kept and used, and is not withheld when it writes its entry. What is weighed: one whose entry had lapsed before the store went away, and that the copy shows, is not used for up to 3.5 s though it lives.

--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -26,6 +26,13 @@
 	g.listing.ReadFailed()
 }
 
+// recordRestore tells the listing that the next list is the first that is read since the store came back from a copy.
+func (g *Gateway) recordRestore() {
+	g.core.mu.Lock()
+	defer g.core.mu.Unlock()
+	g.listing.Restored()
+}
+
 // confirmTargets records that the list of targets known here was still current at asOf, as another host has
 // read it. The time asOf is on the clock that also advances while the host is suspended.
 func (g *Gateway) confirmTargets(asOf time.Duration) {
--- a/route/listing.go
+++ b/route/listing.go
@@ -8,22 +8,51 @@
 	minMissedHeartbeats = 2                       // shortest outage in which an entry may lapse, in heartbeats
 )
 
+// Limits for entries that a copy of the store shows and that may be out of date.
+const (
+	lapseHeartbeats = 3                      // heartbeats after which an entry that is not renewed lapses
+	lapseMargin     = 500 * time.Millisecond // added to them, for the read that shows it
+	departedMemory  = 30 * time.Second       // for which targets that have gone are remembered; copies are some seconds old
+	maxDeparted     = 256                    // most of them
+)
+
 // Listing keeps the list of targets through outages of the store. Entries lapse while targets
-// can't renew them; targets that are missing right after an outage are kept for a short time.
+// can't renew them; targets that are missing right after an outage are kept for a short time. A store that
+// came back from a copy lacks the entries of targets that are there, and shows earlier entries of targets that
+// were leaving or have gone: the former are kept, the latter not used until their entries had the time to lapse.
 type Listing struct {
-	targets     map[string]Target // by ID, as of the last list
-	heartbeat   time.Duration     // interval at which targets renew their entries
-	readFailed  bool              // the last read of the store failed
-	listedAt    time.Time         // when the list was last known to be current
-	recoveredAt time.Time         // end of the last outage
+	targets     map[string]Target        // by ID, as of the last list
+	heartbeat   time.Duration            // interval at which targets renew their entries
+	readFailed  bool                     // the last read of the store failed
+	listedAt    time.Time                // when the list was last known to be current
+	recoveredAt time.Time                // end of the last outage
+	restored    bool                     // the next list is the first that is read since the store came back from a copy
+	outdated    time.Time                // until then entries of the copy that were not renewed may be in the list
+	departed    map[processKey]time.Time // targets that have gone, and when
+	withheld    map[processKey]Target    // targets that had gone and that the copy shows, with the entry there
+}
+
+// processKey identifies one start of a target.
+type processKey struct {
+	id        string
+	startedAt int64 // Unix milliseconds
 }
 
+// processOf returns the key of the process of a target.
+func processOf(t Target) processKey { return processKey{t.ID, t.StartedAt.UnixMilli()} }
+
 // NewListing returns an empty Listing of targets that renew their entries at a heartbeat
 // interval. An entry lapses after three heartbeats, so none lapses in an outage of less than two.
 func NewListing(heartbeat time.Duration) *Listing {
-	return &Listing{targets: map[string]Target{}, heartbeat: heartbeat}
+	return &Listing{
+		targets: map[string]Target{}, heartbeat: heartbeat,
+		departed: map[processKey]time.Time{}, withheld: map[processKey]Target{},
+	}
 }
 
+// Restored records that the next list read from the store is the first since it came back from a copy.
+func (l *Listing) Restored() { l.restored = true }
+
 // ReadFailed records that a read of the store failed.
 func (l *Listing) ReadFailed() { l.readFailed = true }
 
@@ -33,6 +62,12 @@
 		l.recoveredAt = now
 	}
 	l.readFailed = false
+	if l.restored {
+		l.recoveredAt = now
+		l.outdated = now.Add(lapseHeartbeats*l.heartbeat + lapseMargin)
+		l.withholdDeparted(now, targets)
+		l.restored = false
+	}
 	return l.accept(now, targets)
 }
 
@@ -56,9 +91,11 @@
 	for _, t := range targets {
 		next[t.ID] = t
 	}
+	l.dropOutdated(now, next)
 	if !l.recoveredAt.IsZero() && now.Sub(l.recoveredAt) < lapsedEntryGrace {
 		l.keepMissing(next)
 	}
+	l.recordDeparted(now, next)
 	l.targets = next
 	list := make([]Target, 0, len(next))
 	for _, t := range next {
@@ -80,3 +117,65 @@
 		}
 	}
 }
+
+// withholdDeparted notes the targets of a copy that had gone shortly before.
+func (l *Listing) withholdDeparted(now time.Time, targets []Target) {
+	clear(l.withheld)
+	for _, t := range targets {
+		key := processOf(t)
+		at, ok := l.departed[key]
+		if ok && now.Sub(at) < departedMemory {
+			l.withheld[key] = t
+		}
+	}
+}
+
+// dropOutdated corrects a list by what was known before the store came back from a copy, until entries of the copy have
+// lapsed: targets that were leaving still are, and those that had gone are left out, unless their entry has changed
+// or was gone and is there again, which shows that they are alive.
+func (l *Listing) dropOutdated(now time.Time, next map[string]Target) {
+	if !now.Before(l.outdated) {
+		clear(l.withheld)
+		return
+	}
+	for key, entry := range l.withheld {
+		t, ok := next[key.id]
+		if !ok || processOf(t) != key || !sameEntry(t, entry) {
+			delete(l.withheld, key)
+			continue
+		}
+		delete(next, key.id)
+	}
+	for id, t := range next {
+		if known, ok := l.targets[id]; ok && known.Leaving && processOf(known) == processOf(t) {
+			t.Leaving = true
+			next[id] = t
+		}
+	}
+}
+
+// sameEntry returns whether two entries of a target say the same, but for its cold start.
+func sameEntry(a, b Target) bool {
+	a.Cold, a.ColdUntil, b.Cold, b.ColdUntil = 0, time.Time{}, 0, time.Time{}
+	return a == b
+}
+
+// recordDeparted remembers the targets that are not in the next list any more.
+func (l *Listing) recordDeparted(now time.Time, next map[string]Target) {
+	for key, at := range l.departed {
+		if now.Sub(at) >= departedMemory {
+			delete(l.departed, key)
+		}
+	}
+	for id, t := range l.targets {
+		key := processOf(t)
+		other, ok := next[id]
+		if ok && processOf(other) == key {
+			delete(l.departed, key)
+			continue
+		}
+		if len(l.departed) < maxDeparted {
+			l.departed[key] = now
+		}
+	}
+}
--- a/route/listing_test.go
+++ b/route/listing_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/netip"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,6 +77,57 @@
 	require.Empty(t, listing.Relay(time.Unix(102, 0), nil))
 }
 
+// TestCopyOfTheStoreDoesNotChangeWhichTargetsAreUsed guards against what a copy of the store lacks or shows though it is
+// over: a target that it lacks is kept, even if the store was hardly away; one that was leaving still is; one that had
+// gone is not used, until its entry changes, is written again or had the time to lapse. Another start under the same
+// identity is used at once.
+func TestCopyOfTheStoreDoesNotChangeWhichTargetsAreUsed(t *testing.T) {
+	now := time.Unix(100, 0)
+	after := func(d time.Duration) time.Time { return now.Add(d) }
+	a, leaving, gone := targetAt("a", "10.0.0.1:1"), targetAt("b", "10.0.0.2:1"), targetAt("c", "10.0.0.3:1")
+	ready := leaving
+	leaving.Leaving = true
+	newStart := gone
+	newStart.StartedAt = now
+	moved := gone
+	moved.Slots++
+	ids := func(list []route.Target) string {
+		text := []string{}
+		for _, t := range list {
+			mark := ""
+			if t.Leaving {
+				mark = " leaves"
+			}
+			text = append(text, t.ID+mark)
+		}
+		slices.Sort(text)
+		return strings.Join(text, ", ")
+	}
+	newRestored := func() *route.Listing {
+		l := route.NewListing(heartbeat)
+		l.Read(now, []route.Target{a, ready, gone})
+		l.Read(now, []route.Target{a, leaving})
+		l.Restored()
+		require.Equal(t, "a, b leaves", ids(l.Read(after(time.Second), []route.Target{ready, gone})))
+		return l
+	}
+	for name, c := range map[string]struct {
+		at      time.Duration
+		targets []route.Target
+		want    string
+	}{
+		"same entries":              {2 * time.Second, []route.Target{a, ready, gone}, "a, b leaves"},
+		"entry of the gone changed": {2 * time.Second, []route.Target{a, ready, moved}, "a, b leaves, c"},
+		"gone started again":        {2 * time.Second, []route.Target{a, ready, newStart}, "a, b leaves, c"},
+		"entries had time to lapse": {time.Second + 3*heartbeat + time.Second, []route.Target{a, ready, gone}, "a, b, c"},
+	} {
+		require.Equal(t, c.want, ids(newRestored().Read(after(c.at), c.targets)), name)
+	}
+	l := newRestored()
+	l.Read(after(1500*time.Millisecond), []route.Target{a, ready})
+	require.Equal(t, "a, b leaves, c", ids(l.Read(after(2*time.Second), []route.Target{a, ready, gone})), "written again")
+}
+
 // TestPickFollowsWeights checks that a route sends requests to services in proportion to the
 // weights of their shares.
 func TestPickFollowsWeights(t *testing.T) {
