Held traits are saved and removed again in a new era of the store

What would have been seen: hosts that start together after the store came back from a copy send requests to targets that these crash, since the row of the trait was lost; or refuse sound ones, since the row of a released trait is back.

Cause: a host wrote and removed each row once. It now remembers the rows that it wrote, and for 30 s those that it removed (512 at most), and does so again when the era has risen, as seen by itself or told by the host that it has the operator's data from. A row whose writer has ended is not written again.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -187,7 +187,7 @@
 	statesDone := runLoop(stateCtx, g.sendHostState)
 	loops := []<-chan struct{}{
 		g.mesh.Run(inner), g.responder.Run(inner), runLoop(inner, g.queryPeers),
-		runLoop(inner, w.pollConfig), runLoop(inner, w.pollTargets), runLoop(inner, w.pollHosts), runLoop(inner, (&savedTraits{gateway: g}).sync),
+		runLoop(inner, w.pollConfig), runLoop(inner, w.pollTargets), runLoop(inner, w.pollHosts), runLoop(inner, newSavedTraits(g).sync),
 		statesDone, runLoop(inner, g.sendLeaseLists), runLoop(inner, g.tick), runLoop(inner, g.cancelGoneCallers), runLoop(inner, g.logUsage), g.pool.Run(inner),
 	}
 	served := make(chan error, len(g.listeners))
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -28,6 +28,17 @@
 	evacuatedAsOf  history.Position // at which evacuated was read, version 0 before the first read
 }
 
+// storeEra returns the newest era of the store that this host has seen itself, or was told of by the host that it has
+// the operator's data from.
+func (g *Gateway) storeEra() uint64 { return max(g.client.History().Era(), g.storeCache.era()) }
+
+// era returns the era of the store in which the operator's table was read.
+func (c *storeCache) era() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evacuatedAsOf.Era
+}
+
 // setConfig stores the encoding of the configuration in force.
 func (c *storeCache) setConfig(value []byte) {
 	c.mu.Lock()
--- a/gateway/saved.go
+++ b/gateway/saved.go
@@ -18,6 +18,20 @@
 type savedTraits struct {
 	gateway *Gateway
 	loaded  bool
+	era     uint64                         // of the store, as of the last call
+	written map[quarantine.Trait]bool      // rows that this host wrote and that are to be there
+	removed map[quarantine.Trait]time.Time // rows that this host removed, and when
+}
+
+// Limits of what is remembered of removed rows.
+const (
+	removedMemory = 30 * time.Second // copies of the store are some seconds old
+	maxRemoved    = 512
+)
+
+// newSavedTraits returns the saved traits of a gateway, which are not read yet.
+func newSavedTraits(g *Gateway) *savedTraits {
+	return &savedTraits{gateway: g, written: map[quarantine.Trait]bool{}, removed: map[quarantine.Trait]time.Time{}}
 }
 
 // sync reads the saved traits once, and writes or removes those that this host has to. It returns the time until the
@@ -27,6 +41,7 @@
 		return storeRetryDelay
 	}
 	now := time.Now()
+	s.noteRestore(now)
 	for _, trait := range s.gateway.core.traitsToSave(now) {
 		if !s.save(trait) {
 			return storeRetryDelay
@@ -40,6 +55,27 @@
 	return savedSyncPeriod
 }
 
+// noteRestore has the rows written and removed again that this host wrote or removed, if the store came back from a copy
+// since the last call.
+func (s *savedTraits) noteRestore(now time.Time) {
+	era, before := s.gateway.storeEra(), s.era
+	s.era = era
+	for trait, at := range s.removed {
+		if now.Sub(at) >= removedMemory {
+			delete(s.removed, trait)
+		}
+	}
+	if before == 0 || era == before {
+		return
+	}
+	for trait := range s.written {
+		s.gateway.core.noteForSaving(trait, now.Add(-saveDelay))
+	}
+	for trait := range s.removed {
+		s.gateway.core.noteForRemoval(trait)
+	}
+}
+
 // load reads the saved traits. It returns false if that failed.
 func (s *savedTraits) load() bool {
 	g := s.gateway
@@ -73,6 +109,11 @@
 			return false
 		}
 		g.record.traitSaved(trait, status.Incidents)
+		s.written[trait] = true
+		delete(s.removed, trait)
+	}
+	if !ok {
+		delete(s.written, trait)
 	}
 	g.core.forgetTraitToSave(trait)
 	return true
@@ -87,6 +128,10 @@
 		return false
 	}
 	g.record.traitSaved(trait, 0)
+	delete(s.written, trait)
+	if len(s.removed) < maxRemoved {
+		s.removed[trait] = time.Now()
+	}
 	g.core.forgetTraitToRemove(trait)
 	return true
 }
@@ -124,6 +169,13 @@
 	}
 }
 
+// noteForSaving notes that the store is to be told of a trait that has been held since a time.
+func (c *core) noteForSaving(trait quarantine.Trait, since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.toSave[trait] = since
+}
+
 // noteForRemoval notes that a trait is to be removed from the store.
 func (c *core) noteForRemoval(trait quarantine.Trait) {
 	c.mu.Lock()
--- a/gateway/saved_test.go
+++ b/gateway/saved_test.go
@@ -26,7 +26,7 @@
 	g := newIdleGateway(t)
 	g.ctx = ctx
 	g.client = platform.NewClient(l.Addr().(*net.TCPAddr).AddrPort())
-	s := &savedTraits{gateway: g}
+	s := newSavedTraits(g)
 	saved := func() int {
 		list, err := g.client.HeldTraits() // shows the gateway the era as well
 		require.NoError(t, err)
