The row of a host is written again in a new era of the store

What would have been seen: hosts that start later do not find a host whose row was lost when the store came back from a copy, since it was written once.

The row is due in each era (history.Written). The era is checked every second; the list of hosts is read as seldom as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -181,7 +181,7 @@
 	for _, seed := range g.settings.Seeds {
 		g.peers.add(netip.AddrPortFrom(seed.Addr(), g.settings.Peer.Port()), time.Now())
 	}
-	w := &watcher{gateway: g, client: g.client, registered: map[string]bool{}}
+	w := &watcher{gateway: g, client: g.client}
 	stateCtx, stopStates := context.WithCancel(inner)
 	defer stopStates()
 	statesDone := runLoop(stateCtx, g.sendHostState)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -18,6 +18,7 @@
 	hostsInterval         = 10 * time.Second       // between reads of the list of hosts
 	hostsIntervalAlone    = time.Second            // the same while no other host is known
 	hostsIntervalIndirect = time.Minute            // the same where other hosts read the store for this one
+	eraCheckInterval      = time.Second            // between checks whether the row of this host has to be written again
 	storeRetryDelay       = 200 * time.Millisecond // after a failed read of the store
 	indirectRetryDelay    = time.Second            // the same for a host that does not read for others
 	minFeedInterval       = 200 * time.Millisecond // between two feeds of the list of targets, to collect changes
@@ -39,7 +40,8 @@
 	targetsFailed   bool                      // the last read of the list of targets failed
 	feedFailures    int                       // consecutive failed feeds of the list of targets
 	evacuated       *history.Keys             // data centres that the operator evacuates
-	registered      map[string]bool           // "hosts" is set once the row of this host is written
+	hostRow         history.Written           // row of this host
+	hostsDue        time.Time                 // when the list of hosts is to be read again
 }
 
 // runLoop calls step in a goroutine until the context ends, and closes the returned channel then. Each step
@@ -238,15 +240,19 @@
 	}
 }
 
-// pollHosts writes the row of this host once, and reads the rows of the other hosts.
+// pollHosts writes the row of this host once in each era of the store, and reads the rows of the other hosts.
 func (w *watcher) pollHosts() time.Duration {
-	if !w.registered["hosts"] {
+	era := w.gateway.storeEra()
+	if w.hostRow.Due(era) {
 		err := w.client.PutHost(platform.Host{Address: w.gateway.settings.Peer, Place: w.gateway.settings.Place})
 		w.recordRead("hosts", err)
 		if err != nil {
 			return storeRetryDelay
 		}
-		w.registered["hosts"] = true
+		w.hostRow.Done(era)
+	}
+	if left := time.Until(w.hostsDue); left > 0 {
+		return min(left, eraCheckInterval)
 	}
 	list, err := w.client.Hosts()
 	w.recordRead("hosts", err)
@@ -256,6 +262,13 @@
 	for _, h := range list {
 		w.gateway.peers.add(h.Address, time.Now())
 	}
+	interval := w.hostsInterval()
+	w.hostsDue = time.Now().Add(interval)
+	return min(interval, eraCheckInterval)
+}
+
+// hostsInterval returns the time between two reads of the list of hosts.
+func (w *watcher) hostsInterval() time.Duration {
 	switch {
 	case w.gateway.peers.count() == 0:
 		return hostsIntervalAlone
--- a/history/keys_test.go
+++ b/history/keys_test.go
@@ -29,3 +29,16 @@
 	require.Equal(t, []string{"a", "c", "d"}, k.All(now.Add(grace-1)))
 	require.Equal(t, []string{"a", "d"}, k.All(now.Add(grace)), "written again, and the grace of c is over")
 }
+
+// TestRowWrittenInAnEarlierEraIsDueAgain guards against a row that is written once, and was lost with the era in which it
+// was written.
+func TestRowWrittenInAnEarlierEraIsDueAgain(t *testing.T) {
+	var row history.Written
+	require.True(t, row.Due(0))
+	row.Done(0)
+	require.False(t, row.Due(0))
+	require.True(t, row.Due(3))
+	row.Done(3)
+	require.False(t, row.Due(3))
+	require.True(t, row.Due(5))
+}
