--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -181,13 +181,13 @@
 	for _, seed := range g.settings.Seeds {
 		g.peers.add(netip.AddrPortFrom(seed.Addr(), g.settings.Peer.Port()), time.Now())
 	}
-	w := &watcher{gateway: g, client: g.client, registered: map[string]bool{}}
+	w := &watcher{gateway: g, client: g.client}
 	stateCtx, stopStates := context.WithCancel(inner)
 	defer stopStates()
 	statesDone := runLoop(stateCtx, g.sendHostState)
 	loops := []<-chan struct{}{
 		g.mesh.Run(inner), g.responder.Run(inner), runLoop(inner, g.queryPeers),
-		runLoop(inner, w.pollConfig), runLoop(inner, w.pollTargets), runLoop(inner, w.pollHosts), runLoop(inner, (&savedTraits{gateway: g}).sync),
+		runLoop(inner, w.pollConfig), runLoop(inner, w.pollTargets), runLoop(inner, w.pollHosts), runLoop(inner, newSavedTraits(g).sync),
 		statesDone, runLoop(inner, g.sendLeaseLists), runLoop(inner, g.tick), runLoop(inner, g.cancelGoneCallers), runLoop(inner, g.logUsage), g.pool.Run(inner),
 	}
 	served := make(chan error, len(g.listeners))
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cassiachute/cassiachute/history"
 	"github.com/cassiachute/cassiachute/platform"
 	"github.com/cassiachute/cassiachute/route"
 	"github.com/cassiachute/cassiachute/wire"
@@ -24,7 +25,18 @@
 	digest         uint64           // of targets
 	targetsAsOf    time.Duration    // time since boot at which targets were current
 	evacuated      []string         // evacuated data centres, sorted
-	evacuatedAsOf  uint64           // version of the store at which evacuated was read, 0 before the first read
+	evacuatedAsOf  history.Position // at which evacuated was read, version 0 before the first read
+}
+
+// storeEra returns the newest era of the store that this host has seen itself, or was told of by the host that it has
+// the operator's data from.
+func (g *Gateway) storeEra() uint64 { return max(g.client.History().Era(), g.storeCache.era()) }
+
+// era returns the era of the store in which the operator's table was read.
+func (c *storeCache) era() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evacuatedAsOf.Era
 }
 
 // setConfig stores the encoding of the configuration in force.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cassiachute/cassiachute/history"
 	"github.com/cassiachute/cassiachute/platform"
 	"github.com/cassiachute/cassiachute/route"
 	"github.com/cassiachute/cassiachute/wire"
@@ -17,6 +18,7 @@
 	hostsInterval         = 10 * time.Second       // between reads of the list of hosts
 	hostsIntervalAlone    = time.Second            // the same while no other host is known
 	hostsIntervalIndirect = time.Minute            // the same where other hosts read the store for this one
+	eraCheckInterval      = time.Second            // between checks whether the row of this host has to be written again
 	storeRetryDelay       = 200 * time.Millisecond // after a failed read of the store
 	indirectRetryDelay    = time.Second            // the same for a host that does not read for others
 	minFeedInterval       = 200 * time.Millisecond // between two feeds of the list of targets, to collect changes
@@ -28,15 +30,18 @@
 // watcher reads the configuration, the list of targets and the list of hosts from the store and passes them
 // to the gateway.
 type watcher struct {
-	gateway        *Gateway
-	client         *platform.Client
-	configVersion  uint64                    // version of the store up to which the configuration was read, 0 if it is to be read whole
-	targetsVersion uint64                    // the same for the list of targets
-	rows           map[string]wire.TargetRow // list of targets, by key
-	targetsFailed  bool                      // the last read of the list of targets failed
-	feedFailures   int                       // consecutive failed feeds of the list of targets
-	evacuated      map[string]bool           // data centres that the operator evacuates
-	registered     map[string]bool           // "hosts" is set once the row of this host is written
+	gateway         *Gateway
+	client          *platform.Client
+	configPosition  history.Position          // up to which the configuration was read; version 0: it is to be read whole
+	targetsPosition history.Position          // the same for the list of targets
+	rows            map[string]wire.TargetRow // list of targets, by key
+	configFailed    bool                      // the last read of the configuration failed
+	shownRevision   uint64                    // revision that the store showed last in the era of configPosition, 0 if there was none that can be decoded
+	targetsFailed   bool                      // the last read of the list of targets failed
+	feedFailures    int                       // consecutive failed feeds of the list of targets
+	evacuated       *history.Keys             // data centres that the operator evacuates
+	hostRow         history.Written           // row of this host
+	hostsDue        time.Time                 // when the list of hosts is to be read again
 }
 
 // runLoop calls step in a goroutine until the context ends, and closes the returned channel then. Each step
@@ -67,37 +72,65 @@
 		return roleCheckInterval
 	}
 	asked := sinceBoot()
+	w.configPosition = w.client.History().Resume(w.configPosition)
 	page, err := w.readConfig()
+	w.configFailed = err != nil
 	if err != nil {
 		if needsFullRead(err) {
-			w.configVersion = 0
+			w.configPosition.Version = 0
 		}
 		w.recordRead("configuration", err)
 		return retryDelay(role)
 	}
 	w.recordRead("configuration", nil)
-	w.applyEvacuations(page)
-	for _, row := range page.Rows {
-		if row.Key == platform.KeyConfig && !row.Removed {
-			w.gateway.takeConfig(row.Value, asked)
-		}
+	if w.gateway.core.table.Load() == nil {
+		w.gateway.askBeforeFirst()
 	}
-	w.configVersion = page.Version
+	w.applyEvacuations(page)
+	w.takeConfigRow(page, asked)
+	w.configPosition = page.Position
 	if w.gateway.core.table.Load() == nil {
-		w.configVersion = 0
+		w.configPosition.Version = 0
 		return storeRetryDelay
 	}
-	w.gateway.core.confirmConfig(asked)
+	w.gateway.confirmRevision(w.shownRevision, asked, confirmation{era: page.Position.Era})
 	return 0
 }
 
+// takeConfigRow applies the configuration in a page of the operator's table, if there is one, and notes which revision
+// the store shows.
+func (w *watcher) takeConfigRow(page platform.Page, asked time.Duration) {
+	read := storeRead{part: "configuration", whole: w.configPosition.Version == 0, before: w.configPosition}
+	if read.whole {
+		w.shownRevision = 0
+	}
+	for _, row := range page.Rows {
+		if row.Key != platform.KeyConfig {
+			continue
+		}
+		read.config, read.brought = true, 0
+		if !row.Removed {
+			read.brought = w.gateway.takeConfig(row.Value, asked)
+		}
+		w.shownRevision = read.brought
+	}
+	w.recordPage(read, page)
+}
+
 // readConfig reads the whole configuration if its version is not known, and else waits for what changed
 // since.
 func (w *watcher) readConfig() (platform.Page, error) {
-	if w.configVersion == 0 {
+	if w.configPosition.Version == 0 {
 		return w.client.Scan(platform.TableOperator)
 	}
-	return w.client.Feed(platform.TableOperator, w.configVersion, w.feedWait())
+	return w.client.Feed(platform.TableOperator, w.configPosition, w.feedWaitAfter(w.configFailed))
+}
+
+// recordPage records a page of a part of the store that was read.
+func (w *watcher) recordPage(read storeRead, page platform.Page) {
+	g := w.gateway
+	read.after = page.Position
+	g.record.partRead(read, g.revision(), g.core.configAge())
 }
 
 // recordRead records the result of a read of the store in log and metrics.
@@ -115,10 +148,12 @@
 func (w *watcher) pollTargets() time.Duration {
 	role := w.gateway.storeRole()
 	if role == roleAsker {
-		w.targetsVersion = 0
+		w.targetsPosition.Version = 0
 		return roleCheckInterval
 	}
 	asked := sinceBoot()
+	w.targetsPosition = w.client.History().Resume(w.targetsPosition)
+	read := storeRead{part: "targets", whole: w.targetsPosition.Version == 0, before: w.targetsPosition}
 	err := w.refreshTargets()
 	w.targetsFailed = err != nil
 	w.recordRead("targets", err)
@@ -129,6 +164,10 @@
 		w.gateway.recordTargetsFailure()
 		return retryDelay(role)
 	}
+	w.recordPage(read, platform.Page{Position: w.targetsPosition})
+	if read.before.Era != 0 && read.before.Era != w.targetsPosition.Era {
+		w.gateway.recordRestore()
+	}
 	rows := make([]wire.TargetRow, 0, len(w.rows))
 	for _, row := range w.rows {
 		rows = append(rows, row)
@@ -139,7 +178,7 @@
 
 // refreshTargets brings rows up to date with the list of targets in the store.
 func (w *watcher) refreshTargets() error {
-	if w.targetsVersion == 0 {
+	if w.targetsPosition.Version == 0 {
 		page, err := w.client.Scan(platform.TableTargets)
 		if err != nil {
 			return err
@@ -148,7 +187,7 @@
 		w.applyTargetRows(page)
 		return nil
 	}
-	page, err := w.client.Feed(platform.TableTargets, w.targetsVersion, w.targetsFeedWait())
+	page, err := w.client.Feed(platform.TableTargets, w.targetsPosition, w.targetsFeedWait())
 	if err != nil {
 		w.recordFeedFailure(err)
 		return err
@@ -172,14 +211,18 @@
 		w.feedFailures++
 	}
 	if needsFullRead(err) || w.feedFailures >= maxFeedFailures {
-		w.targetsVersion, w.feedFailures = 0, 0
+		w.targetsPosition.Version, w.feedFailures = 0, 0
 	}
 }
 
-// targetsFeedWait returns how long a feed of the list of targets waits for a change. The first one after a
-// failure does not wait, because the period in which expired entries may return starts when it succeeds.
-func (w *watcher) targetsFeedWait() time.Duration {
-	if w.targetsFailed {
+// targetsFeedWait returns how long a feed of the list of targets waits for a change.
+func (w *watcher) targetsFeedWait() time.Duration { return w.feedWaitAfter(w.targetsFailed) }
+
+// feedWaitAfter returns how long a feed waits for a change, given whether the read before failed. The first one after
+// a failure does not wait: it tells whether the store came back from a copy, and the period in which expired entries
+// may return starts when it succeeds.
+func (w *watcher) feedWaitAfter(failed bool) time.Duration {
+	if failed {
 		return 0
 	}
 	return w.feedWait()
@@ -187,7 +230,7 @@
 
 // applyTargetRows applies changed rows to the list of targets.
 func (w *watcher) applyTargetRows(page platform.Page) {
-	w.targetsVersion = page.Version
+	w.targetsPosition = page.Position
 	for _, row := range page.Rows {
 		if row.Removed {
 			delete(w.rows, row.Key)
@@ -197,15 +240,19 @@
 	}
 }
 
-// pollHosts writes the row of this host once, and reads the rows of the other hosts.
+// pollHosts writes the row of this host once in each era of the store, and reads the rows of the other hosts.
 func (w *watcher) pollHosts() time.Duration {
-	if !w.registered["hosts"] {
+	era := w.gateway.storeEra()
+	if w.hostRow.Due(era) {
 		err := w.client.PutHost(platform.Host{Address: w.gateway.settings.Peer, Place: w.gateway.settings.Place})
 		w.recordRead("hosts", err)
 		if err != nil {
 			return storeRetryDelay
 		}
-		w.registered["hosts"] = true
+		w.hostRow.Done(era)
+	}
+	if left := time.Until(w.hostsDue); left > 0 {
+		return min(left, eraCheckInterval)
 	}
 	list, err := w.client.Hosts()
 	w.recordRead("hosts", err)
@@ -215,6 +262,13 @@
 	for _, h := range list {
 		w.gateway.peers.add(h.Address, time.Now())
 	}
+	interval := w.hostsInterval()
+	w.hostsDue = time.Now().Add(interval)
+	return min(interval, eraCheckInterval)
+}
+
+// hostsInterval returns the time between two reads of the list of hosts.
+func (w *watcher) hostsInterval() time.Duration {
 	switch {
 	case w.gateway.peers.count() == 0:
 		return hostsIntervalAlone
