--- a/standin/operator/change.go
+++ b/standin/operator/change.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 )
 
 // Services of the configurations.
@@ -80,6 +81,37 @@
 	},
 }
 
+// NextRoutes returns the next configuration of a series, in which a route for lookups is added or the newest one is
+// dropped, as the random number draw selects.
+func (d Config) NextRoutes(draw uint64) Config {
+	const dropShare = 3 // one in so many changes drops a route, if there is an added one
+	d.Version++
+	d.Routes = slices.Clone(d.Routes)
+	if draw%dropShare == 0 && len(d.Routes) > initialRoutes {
+		d.Routes = d.Routes[:len(d.Routes)-1]
+		return d
+	}
+	r := d.Routes[0]
+	r.Name = fmt.Sprint("added", d.Version)
+	r.Prefix = "/" + r.Name + "/"
+	d.Routes = append(d.Routes, r)
+	return d
+}
+
+// RouteOf returns the route of a path, and whether there is one. No prefix of a route begins another one.
+func (d *Config) RouteOf(path string) (Route, bool) {
+	n := slices.IndexFunc(d.Routes, func(r Route) bool { return strings.HasPrefix(path, r.Prefix) })
+	if n < 0 {
+		return Route{}, false
+	}
+	return d.Routes[n], true
+}
+
+// HasKey reports whether a team has an API key.
+func (d *Config) HasKey(key string) bool {
+	return slices.ContainsFunc(d.Teams, func(t Team) bool { return slices.Contains(t.Keys, key) })
+}
+
 // Next returns the next configuration of a series. The random number draw selects the new version and
 // what changes: the idle timeout, the timeouts of routes, the service of a route, the keys of a team,
 // or the number of routes.
--- a/standin/operator/operator.go
+++ b/standin/operator/operator.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 
 	"github.com/cassiachute/cassiachute/platform"
-	standin "github.com/cassiachute/cassiachute/standin/platform"
 )
 
 // Config is a configuration as the operator writes it.
@@ -88,7 +87,7 @@
 const evacuationPrefix = "evacuate/"
 
 // Publish writes a configuration to the store.
-func Publish(store *standin.Platform, d Config) error {
+func Publish(store Store, d Config) error {
 	body, err := json.Marshal(d)
 	if err == nil {
 		write(store, platform.TableOperator, platform.KeyConfig, body)
@@ -97,7 +96,7 @@
 }
 
 // PutEntry writes the entry of a target.
-func PutEntry(store *standin.Platform, id string, e Entry) error {
+func PutEntry(store Store, id string, e Entry) error {
 	body, err := json.Marshal(e)
 	if err == nil {
 		write(store, platform.TableTargets, id, body)
@@ -106,25 +105,25 @@
 }
 
 // PutRawEntry writes bytes, which may be malformed, as the entry of a target.
-func PutRawEntry(store *standin.Platform, id string, body []byte) {
+func PutRawEntry(store Store, id string, body []byte) {
 	write(store, platform.TableTargets, id, body)
 }
 
 // DeleteEntry removes the entry of a target.
-func DeleteEntry(store *standin.Platform, id string) {
+func DeleteEntry(store Store, id string) {
 	store.Transact(platform.TransactRequest{Removals: []platform.RowItem{{Table: platform.TableTargets, Key: id}}})
 }
 
 // Evacuate writes the row that evacuates a data centre. Only its key counts, the value may be malformed.
-func Evacuate(store *standin.Platform, place string, value []byte) {
+func Evacuate(store Store, place string, value []byte) {
 	write(store, platform.TableOperator, evacuationPrefix+place, value)
 }
 
 // EndEvacuation removes the row that evacuates a data centre.
-func EndEvacuation(store *standin.Platform, place string) {
+func EndEvacuation(store Store, place string) {
 	store.Transact(platform.TransactRequest{Removals: []platform.RowItem{{Table: platform.TableOperator, Key: evacuationPrefix + place}}})
 }
 
-func write(store *standin.Platform, table, key string, body []byte) {
+func write(store Store, table, key string, body []byte) {
 	store.Transact(platform.TransactRequest{Puts: []platform.RowItem{{Table: table, Key: key, Value: body}}})
 }
--- a/standin/platform/restore.go
+++ b/standin/platform/restore.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -14,6 +15,8 @@
 // headerEra is the header that numbers the restores of the store, in all its answers.
 const headerEra = "Store-Era"
 
+const upPollInterval = 10 * time.Millisecond
+
 // data is what the store keeps, and what a copy of it holds.
 type data struct {
 	rows        map[rowID]platform.RowItem
@@ -58,6 +61,27 @@
 	return p.era
 }
 
+// Row returns a row with an empty part, and whether it exists.
+func (p *Platform) Row(table, key string) (platform.RowItem, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	row, ok := p.data.rows[rowID{table: table, key: key}]
+	return row, ok
+}
+
+// AwaitUp waits until the store answers calls. Transact itself does not: it is no call.
+func (p *Platform) AwaitUp() {
+	for p.down() {
+		time.Sleep(upPollInterval)
+	}
+}
+
+func (p *Platform) down() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults.Down
+}
+
 // setEra sets the header with the era in an answer.
 func (p *Platform) setEra(ctx *fasthttp.RequestCtx, era uint64) {
 	ctx.Response.Header.Set(headerEra, strconv.FormatUint(era, 10))
