Orders: a record that the store lost is written anew

The result of an order is written on condition that its claim has the version that was acknowledged. A store that comes back from a copy may lack the claim; the write was given up then, and a repeat of the order ran it again. By reading, a voided order whose record was lost could not be claimed either: its caller got 422, as if the key belonged to another request.

Evidence: by reading, then TestRecordLostByTheStoreIsWrittenAnew, which failed before the change (at its first case, a result). A read that finds no record now leads to a write on condition that there is none, which another host's claim still prevents. What stays open: an order whose result was acknowledged before the store lost it, and a version that is given out again to another claim of the same order.

--- a/order/table.go
+++ b/order/table.go
@@ -194,7 +194,8 @@
 	case failed:
 		t.peersFirstUntil = now.Add(peersFirstFor)
 		t.requeue(r, now.Add(readDelay))
-	case version == 0 && r.op.ExpectedVersion == 0:
+	case version == 0:
+		r.op.ExpectedVersion = 0 // the store came back from a copy without the record, if there was one
 		t.requeue(r, now)
 	case record.Token == r.op.Record.Token && record.State == r.op.Record.State:
 		t.finish(r, Verdict{Won: true, Version: version, Record: record})
--- a/order/table_test.go
+++ b/order/table_test.go
@@ -181,3 +181,35 @@
 	require.Equal(t, order.Void, s.rows["a"].State)
 	require.Zero(t, table.Count())
 }
+
+// A store that comes back from a copy may lack a record that was acknowledged. The result of an order is kept all the
+// same, so that a repeat does not run it again. A voided order can be claimed all the same: its caller was told that its
+// key belongs to another request.
+func TestRecordLostByTheStoreIsWrittenAnew(t *testing.T) {
+	for _, state := range []order.State{order.Done, order.Unknown, order.Claimed} {
+		s := newStore()
+		now := startTime
+		table := order.NewTable(func() []netip.AddrPort { return nil })
+		op := claimOp("a", "x")
+		op.ExpectedVersion, op.Record.State = 7, state
+		table.Write(now, order.Ref{ID: 1}, op, now.Add(time.Minute))
+		var answers []order.Answer
+		for range 4 {
+			commits, reads, _, answered := table.Drain()
+			answers = append(answers, answered...)
+			for _, c := range commits {
+				result, failed := order.Written, s.commit(c)
+				if failed != nil {
+					result = order.Conflict
+				}
+				table.Committed(now, c.ID, result, s.lastVersion, failed)
+			}
+			for _, r := range reads {
+				table.ReadBack(now, r.ID, s.rows[r.Name], s.versions[r.Name], false)
+			}
+		}
+		require.Len(t, answers, 1, state)
+		require.True(t, answers[0].Verdict.Won, state)
+		require.Equal(t, state, s.rows["a"].State)
+	}
+}
