A host that hears of a newer configuration before its first one denies nothing

It now counts as too old to deny a route or a key. A host that asks one with a newer configuration and gets no answer goes on to ask the others.

--- a/gateway/fresh_test.go
+++ b/gateway/fresh_test.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	"github.com/cassiachute/cassiachute/wire"
 )
 
 // writerFunc is a function that takes log lines.
@@ -33,3 +36,26 @@
 		require.Less(t, age, maxDenialAge)
 	}
 }
+
+// TestNewerConfigurationOfAnotherHostLeavesTheOwnUnconfirmed guards against a host that denies a route which another
+// host already serves, since the store shows it an older configuration.
+func TestNewerConfigurationOfAnotherHostLeavesTheOwnUnconfirmed(t *testing.T) {
+	g := newIdleGateway(t)
+	peer := netip.MustParseAddrPort("127.0.0.1:1")
+	g.peers.update(peer, &wire.HostState{Boot: 1, Number: 1, Revision: 5}, time.Now())
+	g.takeConfig([]byte(`{"version":4}`), sinceBoot())
+	for range 2 {
+		require.Greater(t, g.core.configAge(), maxDenialAge)
+		g.confirmRevision(4, sinceBoot(), confirmation{})
+		g.confirmRevision(4, sinceBoot(), confirmation{peer: peer})
+	}
+	asked, ok := g.peers.withNewer(g.revision())
+	require.True(t, ok)
+	require.Equal(t, peer, asked)
+	g.takeConfig([]byte(`{"version":5}`), sinceBoot())
+	require.Greater(t, g.core.configAge(), maxDenialAge)
+	g.confirmRevision(5, sinceBoot(), confirmation{})
+	require.Less(t, g.core.configAge(), maxDenialAge)
+	_, ok = g.peers.withNewer(g.revision())
+	require.False(t, ok)
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -44,8 +44,7 @@
 // host itself reads the store with success and no other host has a newer configuration. It returns the time until the next round.
 func (g *Gateway) queryPeers() time.Duration {
 	d := g.storeRole()
-	if peer, ok := g.peers.withNewer(g.revision()); ok && d != roleAsker {
-		g.queryPeer(peer)
+	if peer, ok := g.peers.withNewer(g.revision()); ok && d != roleAsker && g.queryPeer(peer) {
 		return queryInterval
 	}
 	for range queriesPerRound {
@@ -109,6 +108,9 @@
 		return 0
 	}
 	if g.core.table.Load() == nil {
+		if table.Version < g.peers.newestRevision() {
+			asOf -= maxDenialAge // what it lacks is not denied
+		}
 		g.core.confirmConfig(asOf) // with the first configuration the host is ready, and needs its age
 	}
 	g.applyConfig(table, value)
