A host that started without the store keeps the targets that a copy lacks

What callers saw: 503 from a host that had all from another one, as soon as it read the store for the first time and that had come back from a copy.

Cause: the list of targets was known without an era, so the first list of the store did not count as one of another era. Now the first list that a host reads of an era counts as such if targets are known already, also from another host. Without any, as at a usual start, nothing changes.

--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -120,6 +120,24 @@
 	require.Less(t, time.Since(began), configApply)
 }
 
+// TestHostThatStartedWithoutTheStoreKeepsWhatACopyLacks guards against a host that has all from another host, and drops
+// what the store lacks as it reads it for the first time.
+func TestHostThatStartedWithoutTheStoreKeepsWhatACopyLacks(t *testing.T) {
+	w := newTestEnv(t)
+	kept := w.store.Copy()
+	w.putTarget(newScriptedTarget(t, "a", "plain", answerOK), "ready")
+	w.addRoute()
+	w.waitUntil(func() bool { return w.status("/added/x") == fasthttp.StatusOK })
+	w.setOutage(true)
+	second, _, _ := w.startSecond(func(s *gateway.Settings) { s.Store = w.ownSettings.Store })
+	second.waitUntil(func() bool { return second.status("/added/x") == fasthttp.StatusOK })
+	w.restore(kept, nil)
+	for began := time.Now(); time.Since(began) < configApply; time.Sleep(20 * time.Millisecond) {
+		require.Equal(t, fasthttp.StatusOK, second.status("/added/x"))
+	}
+	require.Equal(t, fasthttp.StatusServiceUnavailable, second.status("/unknown/x"))
+}
+
 // TestEvacuationIsObeyedAfterTheStoreComesBackFromACopy guards against an evacuation that is ignored since it was
 // written at a version below one that was read before the store came back.
 func TestEvacuationIsObeyedAfterTheStoreComesBackFromACopy(t *testing.T) {
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -26,7 +26,7 @@
 	g.listing.ReadFailed()
 }
 
-// recordRestore tells the listing that the next list is the first that is read since the store came back from a copy.
+// recordRestore tells the listing that the next list is the first that this host reads of an era of the store.
 func (g *Gateway) recordRestore() {
 	g.core.mu.Lock()
 	defer g.core.mu.Unlock()
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -165,7 +165,7 @@
 		return retryDelay(role)
 	}
 	w.recordPage(read, platform.Page{Position: w.targetsPosition})
-	if read.before.Era != 0 && read.before.Era != w.targetsPosition.Era {
+	if read.before.Era != w.targetsPosition.Era {
 		w.gateway.recordRestore()
 	}
 	rows := make([]wire.TargetRow, 0, len(w.rows))
--- a/route/listing.go
+++ b/route/listing.go
@@ -26,7 +26,7 @@
 	readFailed  bool                     // the last read of the store failed
 	listedAt    time.Time                // when the list was last known to be current
 	recoveredAt time.Time                // end of the last outage
-	restored    bool                     // the next list is the first that is read since the store came back from a copy
+	restored    bool                     // the next list is the first that is read of another era of the store
 	outdated    time.Time                // until then entries of the copy that were not renewed may be in the list
 	departed    map[processKey]time.Time // targets that have gone, and when
 	withheld    map[processKey]Target    // targets that had gone and that the copy shows, with the entry there
@@ -50,8 +50,9 @@
 	}
 }
 
-// Restored records that the next list read from the store is the first since it came back from a copy.
-func (l *Listing) Restored() { l.restored = true }
+// Restored records that the next list read from the store is the first of another era than what is known: the store
+// came back from a copy, or may have done so since another host told the targets. It has no effect if none is known.
+func (l *Listing) Restored() { l.restored = len(l.targets) > 0 }
 
 // ReadFailed records that a read of the store failed.
 func (l *Listing) ReadFailed() { l.readFailed = true }
