--- a/gateway/record_store.go
+++ b/gateway/record_store.go
@@ -40,7 +40,8 @@
 type unconfirmed struct{ shown, revision, newest uint64 }
 
 // storeEra records the newest era of the store when it changes.
-func (r *recorder) storeEra(era uint64) {
+func (r *recorder) storeEra(tracker *history.Tracker) {
+	era, restores := tracker.Era(), tracker.Restores()
 	r.mu.Lock()
 	before := r.history.era
 	r.history.era = max(before, era)
@@ -48,9 +49,9 @@
 	if era <= before {
 		return
 	}
-	event := r.log.Warn()
-	if before == 0 {
-		event = r.log.Info()
+	event := r.log.Info()
+	if restores > 0 {
+		event = r.log.Warn()
 	}
 	event.Str("event", eventStoreEra).Uint64("era", era).Uint64("before", before).Send()
 }
--- a/gateway/saved.go
+++ b/gateway/saved.go
@@ -65,7 +65,7 @@
 			delete(s.removed, trait)
 		}
 	}
-	if before == 0 || era == before {
+	if era == before {
 		return
 	}
 	for trait := range s.written {
@@ -143,7 +143,7 @@
 		return
 	}
 	g.record.storeRead(part, err)
-	g.record.storeEra(g.client.History().Era())
+	g.record.storeEra(g.client.History())
 }
 
 // mergeStatus records what the store knows of a trait.
--- a/history/history.go
+++ b/history/history.go
@@ -56,26 +56,27 @@
 // zero value has seen no answer.
 type Tracker struct {
 	mu       sync.Mutex
+	numbered bool // an answer had an era
 	era      uint64
 	restores uint64
 }
 
-// Note records the era of an answer, 0 if it has no valid one, and returns how it relates to the newest era before.
-func (t *Tracker) Note(era uint64) Relation {
+// Note records the era of an answer, valid if it has one, and returns how it relates to the newest era before.
+func (t *Tracker) Note(era uint64, valid bool) Relation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
-	case era == 0 && t.era == 0:
+	case !valid && !t.numbered:
 		return Unnumbered
-	case era == 0:
+	case !valid:
 		return Missing
+	case !t.numbered:
+		t.numbered, t.era = true, era
+		return First
 	case era < t.era:
 		return Older
 	case era == t.era:
 		return Same
-	case t.era == 0:
-		t.era = era
-		return First
 	}
 	t.era, t.restores = era, t.restores+1
 	return Newer
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -46,13 +46,15 @@
 	var tracker history.Tracker
 	for _, step := range []struct {
 		era      uint64
+		valid    bool
 		want     history.Relation
 		restores uint64
 	}{
-		{0, history.Unnumbered, 0}, {4, history.First, 0}, {4, history.Same, 0}, {0, history.Missing, 0},
-		{6, history.Newer, 1}, {5, history.Older, 1}, {4, history.Older, 1}, {6, history.Same, 1}, {7, history.Newer, 2},
+		{0, false, history.Unnumbered, 0}, {0, true, history.First, 0}, {0, false, history.Missing, 0},
+		{4, true, history.Newer, 1}, {4, true, history.Same, 1}, {0, false, history.Missing, 1},
+		{6, true, history.Newer, 2}, {5, true, history.Older, 2}, {4, true, history.Older, 2}, {7, true, history.Newer, 3},
 	} {
-		require.Equal(t, step.want, tracker.Note(step.era), "%+v", step)
+		require.Equal(t, step.want, tracker.Note(step.era, step.valid), "%+v", step)
 		require.Equal(t, step.restores, tracker.Restores(), "%+v", step)
 	}
 	require.EqualValues(t, 7, tracker.Era())
