What a copy of the store shows is not the current configuration at once

Cause: the copy shows the configuration that is in force here, which counted as a confirmation. It says nothing of what was written after the copy was made, and the operator writes that again only after a while.

After the first read in another era nothing is confirmed for 2.5 s, unless a feed brings a configuration that was written in this era. The age grows meanwhile, so what the host can't be sure of gets 503. A host that starts after the return knows no earlier era, and confirms what it reads; its peers are asked first.

--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -102,6 +102,26 @@
 	require.Equal(t, fasthttp.StatusOK, w.status("/added/x"))
 }
 
+// TestSameConfigurationInACopyIsNotTheCurrentOneAtOnce guards against a host that takes the configuration which a copy
+// of the store shows for the current one, since it is the one in force: one that was acknowledged just before the loss,
+// and that the host had not read, is written again only after a while.
+func TestSameConfigurationInACopyIsNotTheCurrentOneAtOnce(t *testing.T) {
+	w := newTestEnv(t, newScriptedTarget(t, "a", "plain", answerOK))
+	kept := w.store.Copy()
+	w.setOutage(true)
+	acknowledged := time.Now()
+	w.store.Restore(kept)
+	w.setOutage(false)
+	time.Sleep(configApply)
+	for time.Since(acknowledged) < configApply+beyondApply/2 {
+		require.Equal(t, fasthttp.StatusServiceUnavailable, w.status("/added/x"))
+		time.Sleep(20 * time.Millisecond)
+	}
+	w.addRoute()
+	w.waitUntil(func() bool { return w.status("/added/x") == fasthttp.StatusOK })
+	require.Equal(t, fasthttp.StatusNotFound, w.status("/unknown/x"), "written in this era")
+}
+
 // TestStartingHostDoesNotBelieveACopyThatIsOlderThanItsPeers guards against a host that starts while the store shows
 // an older configuration than the one that other hosts have in force.
 func TestStartingHostDoesNotBelieveACopyThatIsOlderThanItsPeers(t *testing.T) {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -13,18 +13,19 @@
 )
 
 const (
-	maxFeedWait           = 700 * time.Millisecond // longest wait of a feed for a change; the age of the configuration is at most twice that
-	sharedFeedWait        = 500 * time.Millisecond // the same where other hosts get their data from this one
-	hostsInterval         = 10 * time.Second       // between reads of the list of hosts
-	hostsIntervalAlone    = time.Second            // the same while no other host is known
-	hostsIntervalIndirect = time.Minute            // the same where other hosts read the store for this one
-	eraCheckInterval      = time.Second            // between checks whether the row of this host has to be written again
-	storeRetryDelay       = 200 * time.Millisecond // after a failed read of the store
-	indirectRetryDelay    = time.Second            // the same for a host that does not read for others
-	minFeedInterval       = 200 * time.Millisecond // between two feeds of the list of targets, to collect changes
-	roleCheckInterval     = 100 * time.Millisecond // between checks whether this host has to read the store
-	storeTimeout          = time.Second            // for one call to the store
-	maxFeedFailures       = 2                      // consecutive failed feeds of the list of targets, after which it is read whole
+	maxFeedWait           = 700 * time.Millisecond  // longest wait of a feed for a change; the age of the configuration is at most twice that
+	sharedFeedWait        = 500 * time.Millisecond  // the same where other hosts get their data from this one
+	hostsInterval         = 10 * time.Second        // between reads of the list of hosts
+	hostsIntervalAlone    = time.Second             // the same while no other host is known
+	hostsIntervalIndirect = time.Minute             // the same where other hosts read the store for this one
+	rewriteGrace          = 2500 * time.Millisecond // after the first read in another era, in which the operator writes again what was lost
+	eraCheckInterval      = time.Second             // between checks whether the row of this host has to be written again
+	storeRetryDelay       = 200 * time.Millisecond  // after a failed read of the store
+	indirectRetryDelay    = time.Second             // the same for a host that does not read for others
+	minFeedInterval       = 200 * time.Millisecond  // between two feeds of the list of targets, to collect changes
+	roleCheckInterval     = 100 * time.Millisecond  // between checks whether this host has to read the store
+	storeTimeout          = time.Second             // for one call to the store
+	maxFeedFailures       = 2                       // consecutive failed feeds of the list of targets, after which it is read whole
 )
 
 // watcher reads the configuration, the list of targets and the list of hosts from the store and passes them
@@ -36,6 +37,7 @@
 	targetsPosition history.Position          // the same for the list of targets
 	rows            map[string]wire.TargetRow // list of targets, by key
 	configFailed    bool                      // the last read of the configuration failed
+	settledAt       time.Duration             // time since boot from which the store's configuration counts as the newest one
 	shownRevision   uint64                    // revision that the store showed last in the era of configPosition, 0 if there was none that can be decoded
 	targetsFailed   bool                      // the last read of the list of targets failed
 	feedFailures    int                       // consecutive failed feeds of the list of targets
@@ -87,18 +89,24 @@
 		w.gateway.askBeforeFirst()
 	}
 	w.applyEvacuations(page)
+	if w.configPosition.Era != 0 && w.configPosition.Era != page.Position.Era {
+		w.settledAt = asked + rewriteGrace
+	}
 	w.takeConfigRow(page, asked)
 	w.configPosition = page.Position
 	if w.gateway.core.table.Load() == nil {
 		w.configPosition.Version = 0
 		return storeRetryDelay
 	}
-	w.gateway.confirmRevision(w.shownRevision, asked, confirmation{era: page.Position.Era})
+	if asked >= w.settledAt {
+		w.gateway.confirmRevision(w.shownRevision, asked, confirmation{era: page.Position.Era})
+	}
 	return 0
 }
 
 // takeConfigRow applies the configuration in a page of the operator's table, if there is one, and notes which revision
-// the store shows.
+// the store shows. What a copy of the store shows is not the newest one for sure until the operator has had the time to
+// write again, or has written in this era.
 func (w *watcher) takeConfigRow(page platform.Page, asked time.Duration) {
 	read := storeRead{part: "configuration", whole: w.configPosition.Version == 0, before: w.configPosition}
 	if read.whole {
@@ -109,6 +117,9 @@
 			continue
 		}
 		read.config, read.brought = true, 0
+		if !read.whole {
+			w.settledAt = 0 // it was written in this era
+		}
 		if !row.Removed {
 			read.brought = w.gateway.takeConfig(row.Value, asked)
 		}
