The grace of a restored configuration also holds where the first era is 0

Whether the configuration was read before is a field of its own now. The tests of copies and eras pass.

--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -36,6 +36,7 @@
 	configPosition  history.Position          // up to which the configuration was read; version 0: it is to be read whole
 	targetsPosition history.Position          // the same for the list of targets
 	rows            map[string]wire.TargetRow // list of targets, by key
+	configRead      bool                      // the configuration was read before
 	configFailed    bool                      // the last read of the configuration failed
 	settledAt       time.Duration             // time since boot from which the store's configuration counts as the newest one
 	shownRevision   uint64                    // revision that the store showed last in the era of configPosition, 0 if there was none that can be decoded
@@ -89,9 +90,10 @@
 		w.gateway.askBeforeFirst()
 	}
 	w.applyEvacuations(page)
-	if w.configPosition.Era != 0 && w.configPosition.Era != page.Position.Era {
+	if w.configRead && w.configPosition.Era != page.Position.Era {
 		w.settledAt = asked + rewriteGrace
 	}
+	w.configRead = true
 	w.takeConfigRow(page, asked)
 	w.configPosition = page.Position
 	if w.gateway.core.table.Load() == nil {
