--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -102,7 +102,7 @@
 		if t.Cold > 0 {
 			state |= digestCold
 		}
-		for _, text := range []string{t.ID, t.Service, t.Address.String(), t.Place} {
+		for _, text := range []string{t.ID, t.Service, t.Address.String(), t.Place, t.Version} {
 			_, _ = d.WriteString(text) // never returns an error
 			_, _ = d.Write([]byte{0})
 		}
--- a/route/target.go
+++ b/route/target.go
@@ -11,6 +11,7 @@
 	Service   string
 	Address   netip.AddrPort
 	Place     string        // data centre
+	Version   string        // software version, empty if the entry has none; versions have no order
 	Slots     int           // requests that it runs at once
 	Leaving   bool          // takes no new work
 	Cold      time.Duration // time until its cold start is over, as of its entry
