Log lines of streams name the software version of the target

The log names only the target of an attempt, and nothing in it says which version that target had, so a stream that went on at another version looks like any other.

"answered", "attempt-failed", "resumed" and "target-silent" have a field "version": what the entry of the target said when the request was sent. The address and the version of a target are kept together and read at once, so that both come from one entry.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -47,6 +47,7 @@
 	choice       placement.Choice
 	heldLoad     placement.Load // load that the request still occupies at the target
 	address      netip.AddrPort // that conn is connected to
+	version      string         // software version of the target, as its entry said when the request was sent
 	conn         *link.Conn
 	response     *fasthttp.Response
 	answer       platform.Answer
@@ -68,12 +69,14 @@
 // link.ErrSilent or link.ErrBroken.
 func (x *exchange) send(ctx context.Context, choice placement.Choice) (*attempt, error) {
 	a := &attempt{exchange: x, choice: choice, heldLoad: choice.Load, slotOwner: x.slotOwner}
-	address, ok := x.gateway.address(choice.Target)
+	to, ok := x.gateway.endpoint(choice.Target)
 	if !ok {
 		a.finish(placement.NotSent) // the target was removed from the list meanwhile
 		return a, errUnsent
 	}
-	x.target, a.address = choice.Target, address
+	address := to.address
+	a.address, a.version = address, to.version
+	x.target, x.targetVersion = choice.Target, to.version
 	withoutID := x.call.ID == "" // without an ID, a late answer to an earlier request could be taken for its own
 	conn, err := x.gateway.pool.Get(ctx, address, withoutID)
 	if err != nil && x.gateway.ctx.Err() != nil { // this host is shutting down
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -53,6 +53,7 @@
 	chooseBefore   time.Duration // time since boot until which a target may be chosen without queueing; 0 without a limit
 	waited         time.Duration // total time spent choosing a target on this host
 	target         string        // last target
+	targetVersion  string        // its software version, as its entry said when the request was sent
 	slotOwner      string        // address of the host that granted the last slot, empty for this host
 	choice         placement.Choice
 	chosenAt       time.Duration      // earliest time since boot at which the last target may have been chosen
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,8 +65,8 @@
 	stalls           stallDetector
 	stopDeadline     atomic.Int64 // time since boot by which a stopping host must have finished its requests, in ns
 	inFlight         atomic.Int64
-	servedSinceUsage atomic.Int64                              // requests since the last usage line in the log
-	targetAddresses  atomic.Pointer[map[string]netip.AddrPort] // by identity of the target
+	servedSinceUsage atomic.Int64                        // requests since the last usage line in the log
+	targetEndpoints  atomic.Pointer[map[string]endpoint] // by identity of the target
 	listeners        []net.Listener
 	callers          *callerTracker // connections of the listener for callers
 	server           *fasthttp.Server
@@ -109,7 +109,7 @@
 	g.record = newRecorder(g.log, newMetrics(), g.core.times)
 	g.connections = held.NewConnections(float64(s.Memory), g.record.connectionEvicted)
 	g.limits.Store(newLimits(&s))
-	g.targetAddresses.Store(&map[string]netip.AddrPort{})
+	g.targetEndpoints.Store(&map[string]endpoint{})
 	g.server = g.newCallerServer()
 	if err := g.listen(); err != nil {
 		return nil, err
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -121,7 +121,7 @@
 		revision = table.Version
 	}
 	return event.Str("event", eventAnswered).Str("request", x.call.ID).Stringer("caller", x.caller.RemoteAddr()).Str("team", x.team).
-		Str("route", x.route.Name).Str("service", x.service).Str("target", x.target).
+		Str("route", x.route.Name).Str("service", x.service).Str("target", x.target).Str("version", x.targetVersion).
 		Int("sends", x.sends).Bool("framed", x.framed).Str("owner", x.slotOwner).Int("owners", x.ask.ReferralCount()).Int("prompt", x.ask.Chain.Total).Int("output", x.ask.MaxOutput).
 		Hex("part", binary.BigEndian.AppendUint64(nil, x.ask.Chain.LongestPrefix())).Int("shared", x.ask.Chain.SharedTokens()).
 		Int("unread", x.choice.Load.Prompt).Int("queue", x.choice.QueuedTokens).Float64("expected", milliseconds(x.choice.ExpectedTime)).
@@ -167,7 +167,7 @@
 		took = time.Since(a.sentAt)
 	}
 	r.log.Warn().Str("event", eventAttempt).Str("request", x.call.ID).Str("route", x.route.Name).
-		Str("target", a.choice.Target).Int("sends", x.sends).Int("status", status).
+		Str("target", a.choice.Target).Str("version", a.version).Int("sends", x.sends).Int("status", status).
 		Float64("took", milliseconds(took)).Float64("expected", milliseconds(a.choice.ExpectedTime)).
 		Str("last", x.lastEvent).Err(err).Send()
 }
@@ -185,7 +185,7 @@
 func (r *recorder) targetSilent(x *exchange, a *attempt, outcome string) {
 	r.metrics.targetSilences.WithLabelValues(x.service, outcome).Inc()
 	r.log.Warn().Str("event", eventTargetSilent).Str("request", x.call.ID).Str("target", a.choice.Target).
-		Str("outcome", outcome).Float64("took", milliseconds(time.Since(a.sentAt))).Str("last", x.lastEvent).
+		Str("version", a.version).Str("outcome", outcome).Float64("took", milliseconds(time.Since(a.sentAt))).Str("last", x.lastEvent).
 		Float64("left", milliseconds(x.remaining())).Send()
 }
 
@@ -255,7 +255,7 @@
 // streamResumed records a stream that continues at another target.
 func (r *recorder) streamResumed(x *exchange) {
 	r.log.Info().Str("event", eventResumed).Str("request", x.call.ID).Str("target", x.target).
-		Str("last", x.lastEvent).Send()
+		Str("version", x.targetVersion).Str("last", x.lastEvent).Send()
 }
 
 // numberingChanged records what is now known of the numbers of a service's events, and the request whose stream told it.
--- a/gateway/scripted_test.go
+++ b/gateway/scripted_test.go
@@ -67,6 +67,7 @@
 type scriptedTarget struct {
 	id       string
 	service  string
+	version  string // of its software, as its entry says; set before the entry is written
 	address  netip.AddrPort
 	listener net.Listener
 
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -91,7 +91,7 @@
 	ctx, cancel := link.WithLimit(x.gateway.ctx, min(x.remaining(), x.gateway.core.timeoutWithLag(hedgeSetupTimeout)))
 	defer cancel()
 	b, err := x.send(ctx, choice)
-	b.slotOwner, x.target = owner, a.choice.Target
+	b.slotOwner, x.target, x.targetVersion = owner, a.choice.Target, a.version
 	if err != nil {
 		x.recordFailure(b, err)
 		return hedgeFailed
@@ -164,7 +164,8 @@
 	if a == nil {
 		return nil
 	}
-	x.takeover, x.choice, x.slotOwner, x.target = nil, a.choice, a.slotOwner, a.choice.Target
+	x.takeover, x.choice, x.slotOwner = nil, a.choice, a.slotOwner
+	x.target, x.targetVersion = a.choice.Target, a.version
 	return a
 }
 
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -51,7 +51,7 @@
 	g.pruneDecoded(rows)
 	g.core.mu.Lock()
 	list = take(g.listing, time.Now(), list)
-	before := g.setAddresses(list)
+	before := g.setEndpoints(list)
 	g.core.board.SetTargets(list)
 	g.core.mu.Unlock()
 	g.storeCache.setTargets(list, asOf)
@@ -103,14 +103,20 @@
 	}
 }
 
-// setAddresses sets the addresses of the targets and returns the previous ones. The caller holds the lock of
-// the core, so that a target that is chosen always has its address.
-func (g *Gateway) setAddresses(list []route.Target) map[string]netip.AddrPort {
-	addresses := make(map[string]netip.AddrPort, len(list))
+// endpoint is what a request is sent to: the address of a target and the software version that its entry gives.
+type endpoint struct {
+	address netip.AddrPort
+	version string
+}
+
+// setEndpoints sets the endpoints of the targets and returns the previous ones. The caller holds the lock of
+// the core, so that a target that is chosen always has its endpoint.
+func (g *Gateway) setEndpoints(list []route.Target) map[string]endpoint {
+	endpoints := make(map[string]endpoint, len(list))
 	for _, t := range list {
-		addresses[t.ID] = t.Address
+		endpoints[t.ID] = endpoint{address: t.Address, version: t.Version}
 	}
-	return *g.targetAddresses.Swap(&addresses)
+	return *g.targetEndpoints.Swap(&endpoints)
 }
 
 // recordTargets logs the list of targets if their number changed from before or a target is leaving.
@@ -128,20 +134,26 @@
 
 // closeUnusedConns closes idle pooled connections to those of the previous addresses that no target has any
 // more.
-func (g *Gateway) closeUnusedConns(previous map[string]netip.AddrPort) {
+func (g *Gateway) closeUnusedConns(previous map[string]endpoint) {
 	used := map[netip.AddrPort]bool{}
-	for _, address := range *g.targetAddresses.Load() {
-		used[address] = true
+	for _, e := range *g.targetEndpoints.Load() {
+		used[e.address] = true
 	}
-	for _, address := range previous {
-		if !used[address] {
-			g.pool.CloseIdle(address)
+	for _, e := range previous {
+		if !used[e.address] {
+			g.pool.CloseIdle(e.address)
 		}
 	}
 }
 
 // address returns the address of the target with an id.
 func (g *Gateway) address(id string) (netip.AddrPort, bool) {
-	a, ok := (*g.targetAddresses.Load())[id]
-	return a, ok
+	e, ok := g.endpoint(id)
+	return e.address, ok
+}
+
+// endpoint returns the endpoint of the target with an id.
+func (g *Gateway) endpoint(id string) (endpoint, bool) {
+	e, ok := (*g.targetEndpoints.Load())[id]
+	return e, ok
 }
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -285,6 +285,7 @@
 	Service string `json:"service"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
+	Version string `json:"version,omitempty"`
 	Slots   int    `json:"slots"`
 	State   string `json:"state"`
 }
@@ -292,7 +293,7 @@
 // putTarget writes the entry of a target to the store.
 func (w *testEnv) putTarget(s *scriptedTarget, state string) {
 	w.putRow(platform.TableTargets, s.id, targetRow{
-		Service: s.service, Address: s.address.String(), Zone: "place1", Slots: 8, State: state,
+		Service: s.service, Address: s.address.String(), Zone: "place1", Version: s.version, Slots: 8, State: state,
 	})
 }
 
