Streams that go on at another version: failing test, listed as known red

TestBrokenStreamGoesOnOnlyAtItsVersion plays it with scripted targets and two gateways, one of which gets the versions from the other: a stream breaks off or its target falls silent after the third event. It has to go on at a target of its version, or be cut without a request to another target.

Without an event of the first target any version may be tried, which TestStreamWithoutEventsGoesOnAtAnyVersion guards.

--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -1,11 +1,17 @@
 package gateway_test
 
 import (
+	"fmt"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/tidwall/gjson"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cassiachute/cassiachute/knownred"
 )
 
 // newVersionedTarget is like newScriptedTarget, for a target of the service "model" with a software version.
@@ -45,3 +51,131 @@
 	}
 	require.Equal(t, map[string]string{"attempt-failed": "1.4", "resumed": "1.4", "answered": "1.4"}, versions)
 }
+
+// silentOnce is like breaksOnce, but the target of a new stream falls silent after its third event.
+func silentOnce(a *arrival) bool {
+	a.begin()
+	if a.header("Last-Event-Id") == "3" {
+		a.events(4, 6)
+		a.end()
+		return true
+	}
+	a.events(1, 3)
+	closedWithin(a.conn, waitTimeout)
+	return false
+}
+
+// versionPlay is a stream that breaks, and the versions of the targets of its service.
+type versionPlay struct {
+	name     string
+	versions []string
+	script   func(a *arrival) bool
+	state    string // of the entry of the second target
+	whole    bool   // the stream goes on at another target; else it is cut
+}
+
+// versionPlays are the plays of TestBrokenStreamGoesOnOnlyAtItsVersion.
+var versionPlays = []versionPlay{
+	{"target of its version beside others", []string{"1", "1", "2", "2"}, breaksOnce, "ready", true},
+	{"two targets of each of three versions", []string{"1", "1", "2", "2", "", ""}, breaksOnce, "ready", true},
+	{"no target of its version", []string{"1", "2"}, breaksOnce, "ready", false},
+	{"one target without a version", []string{"", "2"}, breaksOnce, "ready", false},
+	{"target of its version leaves", []string{"1", "1"}, breaksOnce, "draining", false},
+	{"silent, target of its version beside others", []string{"1", "1", "2", "2"}, silentOnce, "ready", true},
+	{"silent, no target of its version", []string{"1", "2"}, silentOnce, "ready", false},
+}
+
+// TestBrokenStreamGoesOnOnlyAtItsVersion guards against streams that hold events of two software versions: a stream that
+// broke off or whose target fell silent went on at any target of its service. Without another target of its version it
+// is cut, and the request reaches no other target.
+func TestBrokenStreamGoesOnOnlyAtItsVersion(t *testing.T) {
+	knownred.Skip(t)
+	const streams = 3 // per gateway
+	for _, play := range versionPlays {
+		t.Run(play.name, func(t *testing.T) {
+			t.Parallel()
+			w, second := newVersionedEnv(t, play)
+			for n := range 2 * streams {
+				e := w
+				if n%2 == 1 {
+					e = second
+				}
+				id := fmt.Sprint("r", n)
+				began := time.Now()
+				r := e.do(call{path: "/stream/x", key: "key1", id: id, parts: fmt.Sprintf("p%d:60", n), deadline: 3 * time.Second})
+				versions, sends := w.versionsOf(id)
+				require.Len(t, versions, 1, "versions at which the stream was")
+				if play.whole {
+					require.NoError(t, r.err)
+					require.Equal(t, wantEvents(6), r.body)
+					require.Equal(t, 2, sends)
+					continue
+				}
+				require.Error(t, r.err, "the stream is cut")
+				require.NotContains(t, r.body, "id: 4")
+				require.Equal(t, 1, sends)
+				require.Less(t, time.Since(began), 4*time.Second, "nothing waits for a target that can't come")
+			}
+		})
+	}
+}
+
+// TestStreamWithoutEventsGoesOnAtAnyVersion guards against new streams that fail though a target of another version could
+// begin them.
+func TestStreamWithoutEventsGoesOnAtAnyVersion(t *testing.T) {
+	var begun sync.Map // IDs of requests whose first send is over
+	script := func(a *arrival) bool {
+		a.begin()
+		if _, again := begun.LoadOrStore(a.header("X-Attempt-Id"), true); !again {
+			return false
+		}
+		a.events(1, 3)
+		a.end()
+		return true
+	}
+	w := newTestEnv(t, newVersionedTarget(t, "a", "1", script), newVersionedTarget(t, "b", "2", script))
+	for n := range 4 {
+		id := fmt.Sprint("r", n)
+		r := w.do(call{path: "/stream/x", key: "key1", id: id, parts: fmt.Sprintf("p%d:60", n)})
+		require.NoError(t, r.err)
+		require.Equal(t, wantEvents(3), r.body)
+		versions, _ := w.versionsOf(id)
+		require.Len(t, versions, 2)
+	}
+}
+
+// newVersionedEnv starts the targets of a play and two gateways that know them.
+func newVersionedEnv(t *testing.T, play versionPlay) (w, second *testEnv) {
+	var targets []*scriptedTarget
+	for n, version := range play.versions {
+		targets = append(targets, newVersionedTarget(t, fmt.Sprint("m", n), version, play.script))
+	}
+	w = newTestEnvWith(t, keepKeysValid, targets...)
+	w.putTarget(targets[1], play.state)
+	second, _, _ = w.startSecond(keepKeysValid)
+	ready := len(targets)
+	if play.state != "ready" {
+		ready--
+	}
+	w.waitUntil(func() bool {
+		return w.logContains(`"event":"peer-regained"`) && (ready == len(targets) || w.logContains(fmt.Sprintf(`"ready":%d,"leaving":1`, ready)))
+	})
+	second.waitUntil(func() bool {
+		return second.do(call{path: "/stream/x", key: "key1", id: "warm", deadline: 300 * time.Millisecond}).status == fasthttp.StatusOK
+	})
+	return w, second
+}
+
+// versionsOf returns the software versions of the targets that received a request, and how often it was received.
+func (w *testEnv) versionsOf(id string) (versions map[string]bool, sends int) {
+	versions = map[string]bool{}
+	for _, s := range w.targets {
+		for _, a := range s.received() {
+			if a.header("X-Attempt-Id") == id {
+				versions[s.version] = true
+				sends++
+			}
+		}
+	}
+	return versions, sends
+}
