TestBrokenStreamGoesOnOnlyAtItsVersion starts its gateways one after the other

Two gateways of a play have to listen at the same port of their addresses. With plays that start at once, the second one got the next port in a run of the whole package ("seeds are asked at the own port"). The streams of the plays still run at once.

--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -93,8 +93,8 @@
 	const streams = 3 // per gateway
 	for _, play := range versionPlays {
 		t.Run(play.name, func(t *testing.T) {
+			w, second := newVersionedEnv(t, play) // one after the other, as two gateways take the same port
 			t.Parallel()
-			w, second := newVersionedEnv(t, play)
 			results := make(chan string, 2*streams) // problems, empty for streams without one
 			for n := range streams {
 				for _, e := range []*testEnv{w, second} {
