A stream goes on only at the software version that began it

A broken stream, or one whose target fell silent, chose again from all targets of its service, as no part of the choice knew versions.

When the first events of a stream are about to be passed on, the request is bound to the version of their target, as its entry said when the request was sent. The check stands in usable(), which the choice, the queue, referrals to owners, alternatives and second sends to other targets all go by; the preferred engines and the refusal of queued requests follow it, so that a request whose version has no target left ends at once: the connection is closed. Owners get the version in a message of its own, VersionSlotRequest: a SlotRequest with more fields would be rejected, with all else in its datagram, by hosts of an earlier release, and now they only miss requests that are bound. The asking host checks a granted target against its own list, returns the slot if it differs and excludes the target. send() checks the entry again, before it connects and before it writes.

--- a/gateway/anymessage_test.go
+++ b/gateway/anymessage_test.go
@@ -43,7 +43,7 @@
 	text := func() string { return texts().Draw(t, "text") }
 	boolean := func() bool { return rapid.Bool().Draw(t, "bool") }
 	id := func() uint64 { return rapid.Uint64Range(0, 6).Draw(t, "name") }
-	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	switch rapid.IntRange(0, 10).Draw(t, "kind") {
 	case 0:
 		return &wire.SlotRequest{
 			Number: id(), Service: text(), Team: text(), Target: text(), Prompt: prompts(t), CachedTokens: number(), MaxOutputTokens: number(),
@@ -68,6 +68,8 @@
 		return &wire.TraitsProbed{Traits: digests().Draw(t, "traits")}
 	case 8:
 		return &wire.TraitsKnown{Traits: digests().Draw(t, "traits")}
+	case 9:
+		return &wire.VersionSlotRequest{Request: wire.SlotRequest{Number: id(), Service: text(), Target: text(), Prompt: prompts(t), MayWait: boolean()}, Version: text()}
 	default:
 		return &wire.HostState{
 			Boot: id(), Number: rapid.Uint64().Draw(t, "number"), Age: number(), ReadsStore: boolean(), Leaving: boolean(), Place: text(), NotReady: boolean(),
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -70,8 +70,8 @@
 func (x *exchange) send(ctx context.Context, choice placement.Choice) (*attempt, error) {
 	a := &attempt{exchange: x, choice: choice, heldLoad: choice.Load, slotOwner: x.slotOwner}
 	to, ok := x.gateway.endpoint(choice.Target)
-	if !ok {
-		a.finish(placement.NotSent) // the target was removed from the list meanwhile
+	if !ok || !x.ask.AllowsVersion(to.version) {
+		a.finish(placement.NotSent) // the target was removed from the list or has another version meanwhile
 		return a, errUnsent
 	}
 	address := to.address
@@ -89,7 +89,7 @@
 		return a, fault.Mark(err, errUnsent)
 	}
 	a.conn = conn
-	if x.gateway.core.grantExpired(choice.Target, x.chosenAt) || !x.trackConn(conn) {
+	if x.versionChanged(a) || x.gateway.core.grantExpired(choice.Target, x.chosenAt) || !x.trackConn(conn) {
 		a.finish(placement.NotSent)
 		return a, errUnsent
 	}
@@ -105,6 +105,13 @@
 	return a, a.settleError(err)
 }
 
+// versionChanged returns whether the entry of a target has another software version by now than when the connection of an
+// attempt was asked for. It is then unknown at which version the connection is.
+func (x *exchange) versionChanged(a *attempt) bool {
+	to, listed := x.gateway.endpoint(a.choice.Target)
+	return listed && to.version != a.version
+}
+
 // receiveHead waits for the head of the answer. The error is errRejected, errFailed,
 // errInvalidAnswer, errNotContinuation, link.ErrBroken or link.ErrSilent; with errFailed, the
 // answer can be passed on.
--- a/gateway/guest.go
+++ b/gateway/guest.go
@@ -32,6 +32,20 @@
 // receiveSlotRequest decides about a request of another host that asks for a slot, and answers
 // with the slot, a place in the queue or a refusal. A repeated request is ignored.
 func (c *core) receiveSlotRequest(from uint64, m *wire.SlotRequest) {
+	ask, consistent := askFromMessage(m)
+	c.decideRemote(from, m, ask, consistent)
+}
+
+// receiveVersionSlotRequest is like receiveSlotRequest, for a request that is bound to a software version.
+func (c *core) receiveVersionSlotRequest(from uint64, m *wire.VersionSlotRequest) {
+	ask, consistent := askFromMessage(&m.Request)
+	ask.FixVersion(m.Version)
+	c.decideRemote(from, &m.Request, ask, consistent)
+}
+
+// decideRemote decides about a request of another host, whose message is m, and answers it. The prompt of the request may
+// be inconsistent.
+func (c *core) decideRemote(from uint64, m *wire.SlotRequest, ask placement.Request, consistent bool) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.unlockAndSend()
@@ -40,7 +54,6 @@
 	if c.remoteRequests[key] != nil {
 		return
 	}
-	ask, consistent := askFromMessage(m)
 	ask.Place, ask.NoWait = c.placeOf(from), !m.MayWait
 	r := &remoteRequest{ask: ask, lastListed: now, askedAt: now}
 	choice := placement.Choice{Reason: placement.ReasonNoTarget, RetryAfter: staleRetryAfter}
--- a/gateway/lease.go
+++ b/gateway/lease.go
@@ -80,7 +80,7 @@
 	c.leases[l.number] = l
 	request := slotRequestMessage(x, l.number, &referral)
 	request.Excluded = append(request.Excluded, c.board.PausedTargets(now, x.service)...)
-	c.enqueue(l.host, request)
+	c.enqueue(l.host, boundToVersion(&x.ask, request))
 	return placementStep{lease: l}
 }
 
@@ -160,6 +160,15 @@
 	}
 }
 
+// boundToVersion returns the message with which a slot is asked for: the request itself, or one with the software version
+// that it is bound to.
+func boundToVersion(a *placement.Request, request *wire.SlotRequest) wire.Message {
+	if !a.VersionFixed {
+		return request
+	}
+	return &wire.VersionSlotRequest{Request: *request, Version: a.Version}
+}
+
 // promptMessage returns the wire form of the shared parts of a prompt.
 func promptMessage(c placement.PrefixChain) wire.Prompt {
 	p := wire.Prompt{Parts: c.Hashes, TotalTokens: uint32(c.Total)}
@@ -197,6 +206,9 @@
 	a := ownerAnswer{choice: choiceFromMessage(m), grantedAt: l.askedAt + fromMillis(m.Waited), queued: m.Queued, hint: m.OtherTarget}
 	switch {
 	case m.Target != "" && !c.board.AcceptsRequest(now, l.ask, m.Target):
+		if c.board.AcceptsRequests(now, m.Target) { // the owner knows another region or version, and would grant it again
+			l.ask.Excluded = append(l.ask.Excluded, m.Target)
+		}
 		a.choice = placement.Choice{Reason: placement.ReasonNoTarget, RetryAfter: staleRetryAfter}
 		c.dropLease(l)
 	case m.Target != "":
--- a/gateway/lease_test.go
+++ b/gateway/lease_test.go
@@ -56,6 +56,8 @@
 	switch m := m.(type) {
 	case *wire.SlotRequest:
 		to.receiveSlotRequest(from, m)
+	case *wire.VersionSlotRequest:
+		to.receiveVersionSlotRequest(from, m)
 	case *wire.SlotResponse:
 		to.receiveSlotResponse(from, m)
 	case *wire.LeaseUpdate:
--- a/gateway/outbox.go
+++ b/gateway/outbox.go
@@ -47,6 +47,8 @@
 	switch m := m.(type) {
 	case *wire.SlotRequest:
 		g.core.receiveSlotRequest(host, m)
+	case *wire.VersionSlotRequest:
+		g.core.receiveVersionSlotRequest(host, m)
 	case *wire.SlotResponse:
 		g.core.receiveSlotResponse(host, m)
 	case *wire.LeaseUpdate:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -96,7 +96,8 @@
 		}
 		err := s.readFirst()
 		if err == nil {
-			s.firstEventAfter, x.streamBegun = time.Since(x.arrived), true
+			s.firstEventAfter = time.Since(x.arrived)
+			x.beginStream(s.attempt)
 			return nil
 		}
 		if p := s.handleBreak(err); p != nil {
@@ -105,6 +106,13 @@
 	}
 }
 
+// beginStream is called when the first events of a stream are about to be passed on. From then on the stream is bound to
+// the software version of their target.
+func (x *exchange) beginStream(a *attempt) {
+	x.streamBegun = true
+	x.ask.FixVersion(a.version)
+}
+
 // readFirst reads the first events of an attempt. They have to follow the last one that the
 // caller has. A stream without events is accepted only if the caller itself asked to resume one.
 func (s *streamBody) readFirst() error {
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -55,6 +55,8 @@
 	Priority        int           // rank of the request, 0 is the highest
 	Lateness        time.Duration // of the host that measured its times, if that is another one
 	Place           string        // data centre of the host to which the caller is connected, empty for that of this host
+	Version         string        // software version to which the request is bound, if VersionFixed is set
+	VersionFixed    bool          // only targets of Version may serve the request, because one of them began its stream
 
 	preferred  preferredTargets
 	asked      []string // engines whose owners were asked
@@ -108,9 +110,10 @@
 }
 
 // usable reports whether a request may be sent to the target: it is neither leaving, evacuated, paused,
-// suspended nor stalled, is in a region that the request allows, and has not failed this request before.
+// suspended nor stalled, is in a region and has a software version that the request allows, and has not failed this
+// request before.
 func (r *targetRecord) usable(now time.Time, a *Request) bool {
-	return !r.closed() && a.allows(r.region) && !r.isPaused(now, a.Remote) && r.health.usable(now) && !r.stalled(now) && !slices.Contains(a.Excluded, r.target.ID)
+	return !r.closed() && a.allows(r.region) && a.AllowsVersion(r.target.Version) && !r.isPaused(now, a.Remote) && r.health.usable(now) && !r.stalled(now) && !slices.Contains(a.Excluded, r.target.ID)
 }
 
 // chooseEngine compares engines by the prompts queued there and by the part of this prompt that they
@@ -134,7 +137,7 @@
 	switch {
 	case c.Target != "":
 	case !s.anyUsable:
-		noTarget := p.noTargetChoice(now, a.Remote)
+		noTarget := p.noTargetChoice(now, a)
 		c.Reason, c.RetryAfter = noTarget.Reason, noTarget.RetryAfter
 	default:
 		excess := max(s.minExcess, 0)
@@ -361,7 +364,7 @@
 	}
 	var firstWeight, secondWeight uint64
 	for _, r := range p.targets {
-		if r.closed() || !a.allows(r.region) {
+		if r.closed() || !a.allows(r.region) || !a.AllowsVersion(r.target.Version) {
 			continue
 		}
 		weight := hashPair(prefix, r.key)
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -138,16 +138,16 @@
 	return max(1, int(fraction*float64(slots)))
 }
 
-// noTargetChoice returns the choice for a service without a usable target. If targets are paused,
-// it gives the remainder of the shortest pause.
-func (p *pool) noTargetChoice(now time.Time, remote bool) Choice {
+// noTargetChoice returns the choice for a request for which no target of its service is usable. If targets of a version
+// that it allows are paused, it gives the remainder of the shortest pause.
+func (p *pool) noTargetChoice(now time.Time, a *Request) Choice {
 	c := Choice{Reason: ReasonNoTarget, RetryAfter: firstSuspension}
 	for _, r := range p.targets {
-		if r.closed() || !r.isPaused(now, remote) {
+		if r.closed() || !a.AllowsVersion(r.target.Version) || !r.isPaused(now, a.Remote) {
 			continue
 		}
 		remaining := r.fullUntil.Sub(now)
-		if !remote {
+		if !a.Remote {
 			remaining = max(remaining, r.pausedUntil.Sub(now))
 		}
 		if c.Reason != ReasonPaused || remaining < c.RetryAfter {
@@ -157,11 +157,11 @@
 	return c
 }
 
-// hasNoTarget reports whether all targets in the regions that a request allows are leaving, evacuated or paused, so
-// that waiting is pointless.
+// hasNoTarget reports whether all targets in the regions and of the version that a request allows are leaving,
+// evacuated or paused, so that waiting is pointless.
 func (p *pool) hasNoTarget(now time.Time, a *Request) bool {
 	return !slices.ContainsFunc(p.targets, func(r *targetRecord) bool {
-		return !r.closed() && a.allows(r.region) && !r.isPaused(now, false)
+		return !r.closed() && a.allows(r.region) && a.AllowsVersion(r.target.Version) && !r.isPaused(now, false)
 	})
 }
 
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -168,9 +168,14 @@
 	return r != nil && !r.closed() && !now.Before(r.pausedUntil)
 }
 
-// AcceptsRequest reports whether a target accepts requests and is in a region that a request allows.
+// AcceptsRequest reports whether a target accepts requests, and is in a region and has a software version that a request
+// allows.
 func (b *Board) AcceptsRequest(now time.Time, a *Request, target string) bool {
-	return b.AcceptsRequests(now, target) && a.allows(b.targets[target].region)
+	if !b.AcceptsRequests(now, target) {
+		return false
+	}
+	r := b.targets[target]
+	return a.allows(r.region) && a.AllowsVersion(r.target.Version)
 }
 
 // PreferredEngine returns the preferred engine of a request and the owner of that engine. The
--- a/placement/plain.go
+++ b/placement/plain.go
@@ -32,7 +32,7 @@
 	}
 	if best == nil {
 		if usable == 0 {
-			return p.noTargetChoice(now, a.Remote)
+			return p.noTargetChoice(now, a)
 		}
 		return b.refusePlain(now, p)
 	}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -19,8 +19,8 @@
 	maxTargetsWithoutInterval = 16                    // up to this many owned targets, passes over the queue need no interval
 )
 
-// regionSeparator joins the names of allowed regions to one key.
-const regionSeparator = "\x00"
+// allowedSeparator joins the names of allowed regions and the version to one key.
+const allowedSeparator = "\x00"
 
 // queuedRequest is a request that waits for a target.
 type queuedRequest struct {
@@ -96,17 +96,17 @@
 	p.lastServed = now
 	var grants []Grant
 	for standing := Entitled; standing <= AboveEvenShare; standing++ {
-		misses := map[string]int{} // by allowed regions: a full region does not block requests for others
+		misses := map[string]int{} // by allowed targets: those of a full region or version do not block requests for others
 		remaining := p.queue[:0]
 		for _, t := range p.queue {
 			teamStanding, _ := b.standingForDecision(now, t.ask)
-			regions := strings.Join(t.ask.Regions, regionSeparator)
-			if teamStanding == standing && (misses[regions] < maxFullSearches || b.preferredHasRoom(now, p, t.ask)) {
+			allowed := t.ask.allowedTargets()
+			if teamStanding == standing && (misses[allowed] < maxFullSearches || b.preferredHasRoom(now, p, t.ask)) {
 				if g, ok := b.tryGrant(now, t); ok {
 					grants = append(grants, g)
 					continue
 				}
-				misses[regions]++
+				misses[allowed]++
 			}
 			remaining = append(remaining, t)
 		}
@@ -115,6 +115,15 @@
 	return grants
 }
 
+// allowedTargets returns a key that is the same for requests that allow the same regions and version.
+func (a *Request) allowedTargets() string {
+	regions := strings.Join(a.Regions, allowedSeparator)
+	if !a.VersionFixed {
+		return regions
+	}
+	return regions + allowedSeparator + allowedSeparator + a.Version
+}
+
 // serveInterval returns the least time between two passes over the queue. It is 0 with few targets:
 // during an interval, a slot that becomes free goes to a new request and not to a queued one.
 func (b *Board) serveInterval(p *pool) time.Duration {
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -336,7 +336,7 @@
 func (p *pool) weightedRendezvous(a *Request, prefix uint64) (first, second *targetRecord) {
 	var best [speed.Steps]topTwo
 	for _, r := range p.targets {
-		if !r.closed() && a.allows(r.region) {
+		if !r.closed() && a.allows(r.region) && a.AllowsVersion(r.target.Version) {
 			best[r.speed.step.Value()-speed.MinStep].add(r, hashPair(prefix, r.key))
 		}
 	}
--- a/wire/lease.go
+++ b/wire/lease.go
@@ -46,6 +46,18 @@
 // Kind returns KindSlotRequest.
 func (*SlotRequest) Kind() Kind { return KindSlotRequest }
 
+// VersionSlotRequest is a SlotRequest that only targets of one software version may serve. It is a message of its own, since
+// hosts of an earlier release reject a SlotRequest with more fields, and most requests need no version.
+type VersionSlotRequest struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Request SlotRequest
+	Version string // software version of the target that began the stream, empty for targets whose entries have none
+}
+
+// Kind returns KindVersionSlotRequest.
+func (*VersionSlotRequest) Kind() Kind { return KindVersionSlotRequest }
+
 // SlotResponse answers a SlotRequest: with a slot at an engine, a position in the owner's queue, or a
 // refusal.
 type SlotResponse struct {
--- a/wire/message.go
+++ b/wire/message.go
@@ -47,7 +47,9 @@
 	KindTraitsKnown    Kind = 30
 	KindTraitsHeld     Kind = 31
 
-	kindLimit = 32 // one more than the highest kind
+	KindVersionSlotRequest Kind = 32
+
+	kindLimit = 33 // one more than the highest kind
 )
 
 // kindNames holds the name of each kind, as metrics show it.
@@ -60,6 +62,7 @@
 	KindLeaseUpdate: "progress", KindLeaseList: "leases", KindPromptPlaced: "kept",
 	KindDeparture: "departure", KindTargetCrash: "crash", KindTraitsAnswered: "answered", KindTraitsProbed: "probed",
 	KindTraitsKnown: "known", KindTraitsHeld: "held",
+	KindVersionSlotRequest: "bound",
 }
 
 // String returns the name of the kind, or "unknown".
@@ -397,6 +400,8 @@
 	KindTraitsProbed:   func() Message { return &TraitsProbed{} },
 	KindTraitsKnown:    func() Message { return &TraitsKnown{} },
 	KindTraitsHeld:     func() Message { return &TraitsHeld{} },
+
+	KindVersionSlotRequest: func() Message { return &VersionSlotRequest{} },
 }
 
 // newMessage returns an empty message of a kind, or nil if the kind is unknown.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -38,6 +38,7 @@
 		&TraitsAnswered{Traits: []uint64{1 << 60}},
 		&TraitsProbed{Traits: []uint64{1 << 60}},
 		&TraitsKnown{Traits: []uint64{1 << 60}},
+		&VersionSlotRequest{Request: SlotRequest{Number: 7, Service: "s", Target: "t", Prompt: Prompt{Parts: []uint64{3}, PartTokens: []uint32{9}, TotalTokens: 12}}, Version: "1.2"},
 		&TraitsHeld{Traits: []HeldTrait{{Trait: 1 << 60, Incidents: 2, CrashAge: 40, AnsweredAge: 1, Known: true}}},
 	}
 }
