--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -47,6 +47,7 @@
 	choice       placement.Choice
 	heldLoad     placement.Load // load that the request still occupies at the target
 	address      netip.AddrPort // that conn is connected to
+	version      string         // software version of the target, as its entry said when the request was sent
 	conn         *link.Conn
 	response     *fasthttp.Response
 	answer       platform.Answer
@@ -68,12 +69,14 @@
 // link.ErrSilent or link.ErrBroken.
 func (x *exchange) send(ctx context.Context, choice placement.Choice) (*attempt, error) {
 	a := &attempt{exchange: x, choice: choice, heldLoad: choice.Load, slotOwner: x.slotOwner}
-	address, ok := x.gateway.address(choice.Target)
-	if !ok {
-		a.finish(placement.NotSent) // the target was removed from the list meanwhile
+	to, ok := x.gateway.endpoint(choice.Target)
+	if !ok || !x.ask.AllowsVersion(to.version) {
+		a.finish(placement.NotSent) // the target was removed from the list or has another version meanwhile
 		return a, errUnsent
 	}
-	x.target, a.address = choice.Target, address
+	address := to.address
+	a.address, a.version = address, to.version
+	x.target, x.targetVersion = choice.Target, to.version
 	withoutID := x.call.ID == "" // without an ID, a late answer to an earlier request could be taken for its own
 	conn, err := x.gateway.pool.Get(ctx, address, withoutID)
 	if err != nil && x.gateway.ctx.Err() != nil { // this host is shutting down
@@ -86,7 +89,7 @@
 		return a, fault.Mark(err, errUnsent)
 	}
 	a.conn = conn
-	if x.gateway.core.grantExpired(choice.Target, x.chosenAt) || !x.trackConn(conn) {
+	if x.versionChanged(a) || x.gateway.core.grantExpired(choice.Target, x.chosenAt) || !x.trackConn(conn) {
 		a.finish(placement.NotSent)
 		return a, errUnsent
 	}
@@ -102,6 +105,13 @@
 	return a, a.settleError(err)
 }
 
+// versionChanged returns whether the entry of a target has another software version by now than when the connection of an
+// attempt was asked for. It is then unknown at which version the connection is.
+func (x *exchange) versionChanged(a *attempt) bool {
+	to, listed := x.gateway.endpoint(a.choice.Target)
+	return listed && to.version != a.version
+}
+
 // receiveHead waits for the head of the answer. The error is errRejected, errFailed,
 // errInvalidAnswer, errNotContinuation, link.ErrBroken or link.ErrSilent; with errFailed, the
 // answer can be passed on.
