--- a/gateway/record.go
+++ b/gateway/record.go
@@ -70,6 +70,7 @@
 	eventStoreEra     = "store-era"
 	eventStoreRead    = "store-read"
 	eventConfirmed    = "configuration-confirmed"
+	eventUnconfirmed  = "configuration-unconfirmed"
 	eventTakeUp       = "take-up"
 	eventVersions     = "versions"
 	eventWithheld     = "targets-withheld"
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -34,9 +34,11 @@
 	configPosition  history.Position          // up to which the configuration was read; version 0: it is to be read whole
 	targetsPosition history.Position          // the same for the list of targets
 	rows            map[string]wire.TargetRow // list of targets, by key
+	configFailed    bool                      // the last read of the configuration failed
+	shownRevision   uint64                    // revision that the store showed last in the era of configPosition, 0 if there was none that can be decoded
 	targetsFailed   bool                      // the last read of the list of targets failed
 	feedFailures    int                       // consecutive failed feeds of the list of targets
-	evacuated       map[string]bool           // data centres that the operator evacuates
+	evacuated       *history.Keys             // data centres that the operator evacuates
 	registered      map[string]bool           // "hosts" is set once the row of this host is written
 }
 
@@ -68,7 +70,9 @@
 		return roleCheckInterval
 	}
 	asked := sinceBoot()
+	w.configPosition = w.client.History().Resume(w.configPosition)
 	page, err := w.readConfig()
+	w.configFailed = err != nil
 	if err != nil {
 		if needsFullRead(err) {
 			w.configPosition.Version = 0
@@ -77,42 +81,54 @@
 		return retryDelay(role)
 	}
 	w.recordRead("configuration", nil)
-	w.applyEvacuations(page)
-	read := storeRead{part: "configuration", whole: w.configPosition.Version == 0, before: w.configPosition}
-	for _, row := range page.Rows {
-		if row.Key == platform.KeyConfig && !row.Removed {
-			read.config = true
-			read.brought = w.gateway.takeConfig(row.Value, asked)
-		}
+	if w.gateway.core.table.Load() == nil {
+		w.gateway.askBeforeFirst()
 	}
-	w.recordPage(read, page)
+	w.applyEvacuations(page)
+	w.takeConfigRow(page, asked)
 	w.configPosition = page.Position
 	if w.gateway.core.table.Load() == nil {
 		w.configPosition.Version = 0
 		return storeRetryDelay
 	}
-	w.gateway.confirmConfig(asked, confirmation{era: page.Position.Era})
+	w.gateway.confirmRevision(w.shownRevision, asked, confirmation{era: page.Position.Era})
 	return 0
 }
 
+// takeConfigRow applies the configuration in a page of the operator's table, if there is one, and notes which revision
+// the store shows.
+func (w *watcher) takeConfigRow(page platform.Page, asked time.Duration) {
+	read := storeRead{part: "configuration", whole: w.configPosition.Version == 0, before: w.configPosition}
+	if read.whole {
+		w.shownRevision = 0
+	}
+	for _, row := range page.Rows {
+		if row.Key != platform.KeyConfig {
+			continue
+		}
+		read.config, read.brought = true, 0
+		if !row.Removed {
+			read.brought = w.gateway.takeConfig(row.Value, asked)
+		}
+		w.shownRevision = read.brought
+	}
+	w.recordPage(read, page)
+}
+
 // readConfig reads the whole configuration if its version is not known, and else waits for what changed
 // since.
 func (w *watcher) readConfig() (platform.Page, error) {
 	if w.configPosition.Version == 0 {
 		return w.client.Scan(platform.TableOperator)
 	}
-	return w.client.Feed(platform.TableOperator, w.configPosition.Version, w.feedWait())
+	return w.client.Feed(platform.TableOperator, w.configPosition, w.feedWaitAfter(w.configFailed))
 }
 
 // recordPage records a page of a part of the store that was read.
 func (w *watcher) recordPage(read storeRead, page platform.Page) {
 	g := w.gateway
-	revision := uint64(0)
-	if table := g.core.table.Load(); table != nil {
-		revision = table.Version
-	}
 	read.after = page.Position
-	g.record.partRead(read, revision, g.core.configAge())
+	g.record.partRead(read, g.revision(), g.core.configAge())
 }
 
 // recordRead records the result of a read of the store in log and metrics.
@@ -134,6 +150,7 @@
 		return roleCheckInterval
 	}
 	asked := sinceBoot()
+	w.targetsPosition = w.client.History().Resume(w.targetsPosition)
 	read := storeRead{part: "targets", whole: w.targetsPosition.Version == 0, before: w.targetsPosition}
 	err := w.refreshTargets()
 	w.targetsFailed = err != nil
@@ -146,6 +163,9 @@
 		return retryDelay(role)
 	}
 	w.recordPage(read, platform.Page{Position: w.targetsPosition})
+	if read.before.Era != 0 && read.before.Era != w.targetsPosition.Era {
+		w.gateway.recordRestore()
+	}
 	rows := make([]wire.TargetRow, 0, len(w.rows))
 	for _, row := range w.rows {
 		rows = append(rows, row)
@@ -183,7 +203,7 @@
 		w.applyTargetRows(page)
 		return nil
 	}
-	page, err := w.client.Feed(platform.TableTargets, w.targetsPosition.Version, w.targetsFeedWait())
+	page, err := w.client.Feed(platform.TableTargets, w.targetsPosition, w.targetsFeedWait())
 	if err != nil {
 		w.recordFeedFailure(err)
 		return err
@@ -211,10 +231,14 @@
 	}
 }
 
-// targetsFeedWait returns how long a feed of the list of targets waits for a change. The first one after a
-// failure does not wait, because the period in which expired entries may return starts when it succeeds.
-func (w *watcher) targetsFeedWait() time.Duration {
-	if w.targetsFailed {
+// targetsFeedWait returns how long a feed of the list of targets waits for a change.
+func (w *watcher) targetsFeedWait() time.Duration { return w.feedWaitAfter(w.targetsFailed) }
+
+// feedWaitAfter returns how long a feed waits for a change, given whether the read before failed. The first one after
+// a failure does not wait: it tells whether the store came back from a copy, and the period in which expired entries
+// may return starts when it succeeds.
+func (w *watcher) feedWaitAfter(failed bool) time.Duration {
+	if failed {
 		return 0
 	}
 	return w.feedWait()
