A service without a row is uncertain once this host saw the store come back from a copy

Stores may number their first era 0 or 1. A host that saw a return knows that a missing row may have been lost with it, whatever the number; one that started later goes by the number. Rows of streams are written again from era 0 to 1 as well.

--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -20,7 +20,7 @@
 	historyMismatchPeriod = time.Second            // between reads of a history that names more versions than are listed
 	historyMixedPeriod    = 5 * time.Second        // between reads of the history of a mixed service; another host may have marked a version as gone
 	historyConflicts      = 4                      // tries to write a history that other hosts write as well
-	firstEra              = 1                      // of a store that never came back from a copy
+	firstEra              = 1                      // highest number of the era of a store that never came back from a copy
 	unknownRetryAfter     = 500 * time.Millisecond // Retry-After of a take-up of unknown origin, whose row may just be on its way
 	unreadRetryAfter      = 300 * time.Millisecond // the same if the store can't be read
 	goneRetryAfter        = 2 * time.Second        // the same if no target has the version; entries that expired while the store was away are back by then
@@ -92,10 +92,11 @@
 	}
 }
 
-// noteEra notes the newest era of the store. In a new one, the rows of streams may be lost, so they are written again.
+// noteEra notes the newest era of the store. In a new one, the rows of streams may be lost, so they are written again; at the
+// first one there are none yet.
 func (o *originTable) noteEra(era uint64) {
 	o.mu.Lock()
-	lost := o.era != 0 && era > o.era
+	lost := era > o.era
 	o.era = max(o.era, era)
 	o.mu.Unlock()
 	if lost {
@@ -156,7 +157,7 @@
 		}
 		before := row.History
 		if !row.Found {
-			before = origin.NewHistory(row.At, row.At.Era > firstEra)
+			before = origin.NewHistory(row.At, row.At.Era > firstEra || g.client.History().Restores() > 0)
 		}
 		next := before.Update(versions, row.At, dropGone)
 		if row.Found && next.Equal(row.History) {
