--- a/gateway/record.go
+++ b/gateway/record.go
@@ -71,6 +71,9 @@
 	eventStoreRead    = "store-read"
 	eventConfirmed    = "configuration-confirmed"
 	eventUnconfirmed  = "configuration-unconfirmed"
+	eventTakeUp       = "take-up"
+	eventVersions     = "versions"
+	eventWithheld     = "targets-withheld"
 )
 
 // recorder writes the log and updates the metrics that belong to its lines. Its methods are
