An implausible era of the store is not believed at once

What would have been seen: a host that got one answer with a damaged Store-Era did not read the store any more, and its configuration grew old: 503 for requests with keys until it was started again.

A rise of over 1000 between two answers is an invalid answer now, as one without an era is. For any other wrong era, and for a store that numbers its eras anew: if all answers with an era name the same other one for 5 s, that is believed. No call lasts as long, so they are not answers that were on their way. What stays open: positions of a wrong era that was believed, as evacuations that other hosts were told of, outlast the correction.

--- a/history/history.go
+++ b/history/history.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"sync"
+	"time"
 )
 
 // Position is a point in the history of the store. The zero value is before all others.
@@ -44,12 +45,19 @@
 
 // Relations of eras.
 const (
-	Unnumbered Relation = iota // no answer had an era so far
-	First                      // the first era that was seen
-	Same                       // the newest era
-	Newer                      // the store came back from a copy since the newest answer
-	Older                      // the answer was on its way while the store came back
-	Missing                    // the answer has no era, though earlier ones had
+	Unnumbered  Relation = iota // no answer had an era so far
+	First                       // the first era that was seen
+	Same                        // the newest era
+	Newer                       // the store came back from a copy since the newest answer
+	Older                       // the answer was on its way while the store came back
+	Missing                     // the answer has no era, though earlier ones had
+	Implausible                 // the era is too far beyond the newest one
+)
+
+// Limits for eras that contradict the newest one.
+const (
+	maxEraStep   = 1000            // highest rise between two answers that is believed at once
+	eraSettleFor = 5 * time.Second // for which all answers have to name another era until it is believed; no call lasts as long
 )
 
 // Tracker knows the newest era that an answer of the store had. It may be used by several goroutines at once; its
@@ -58,12 +66,36 @@
 	mu       sync.Mutex
 	era      uint64
 	restores uint64
+	other    uint64    // era that contradicts the newest one and that the last answers had, 0 for none
+	since    time.Time // when the first of them came
 }
 
-// Note records the era of an answer, 0 if it has no valid one, and returns how it relates to the newest era before.
-func (t *Tracker) Note(era uint64) Relation {
+// Note records the era of an answer that came at a time, 0 if it has no valid one, and returns how it relates to the
+// newest era before. An era that is lower or implausibly high is believed once no answer had another one for a while:
+// the newest one was wrong then, and the store would not be read any more.
+func (t *Tracker) Note(now time.Time, era uint64) Relation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	r := t.relation(era)
+	if r != Older && r != Implausible {
+		if r != Missing {
+			t.other = 0
+		}
+		return r
+	}
+	if t.other != era {
+		t.other, t.since = era, now
+	}
+	if now.Sub(t.since) < eraSettleFor {
+		return r
+	}
+	t.era, t.other, t.restores = era, 0, t.restores+1
+	return Newer
+}
+
+// relation returns how the era of an answer relates to the newest one, which it replaces if it is plausible. The caller
+// holds the lock.
+func (t *Tracker) relation(era uint64) Relation {
 	switch {
 	case era == 0 && t.era == 0:
 		return Unnumbered
@@ -76,6 +108,8 @@
 	case t.era == 0:
 		t.era = era
 		return First
+	case era-t.era > maxEraStep:
+		return Implausible
 	}
 	t.era, t.restores = era, t.restores+1
 	return Newer
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -52,7 +53,7 @@
 		{0, history.Unnumbered, 0}, {4, history.First, 0}, {4, history.Same, 0}, {0, history.Missing, 0},
 		{6, history.Newer, 1}, {5, history.Older, 1}, {4, history.Older, 1}, {6, history.Same, 1}, {7, history.Newer, 2},
 	} {
-		require.Equal(t, step.want, tracker.Note(step.era), "%+v", step)
+		require.Equal(t, step.want, tracker.Note(time.Unix(100, 0), step.era), "%+v", step)
 		require.Equal(t, step.restores, tracker.Restores(), "%+v", step)
 	}
 	require.EqualValues(t, 7, tracker.Era())
@@ -60,3 +61,21 @@
 	require.Zero(t, tracker.Resume(history.Position{Era: 6, Version: 9}).Version, "another call saw the new era first")
 	require.Zero(t, tracker.Resume(history.Position{Version: 9}).Version, "read before the store numbered its eras")
 }
+
+// TestEraIsCorrectedOnceAllAnswersContradictIt guards against a host that does not read the store any more since one
+// answer had a wrong era, and against answers that were on their way and count as a correction.
+func TestEraIsCorrectedOnceAllAnswersContradictIt(t *testing.T) {
+	var tracker history.Tracker
+	for _, step := range []struct {
+		second int64
+		era    uint64
+		want   history.Relation
+	}{
+		{0, 2, history.First}, {1, 1 << 60, history.Implausible}, {1, 2, history.Same}, {9, 1 << 60, history.Implausible}, {10, 2, history.Same},
+		{20, 3, history.Newer}, {21, 2, history.Older}, {24, 2, history.Older}, {25, 3, history.Same}, {26, 2, history.Older},
+		{30, 2, history.Older}, {30, 0, history.Missing}, {31, 2, history.Newer}, {31, 2, history.Same}, {32, 3, history.Newer},
+	} {
+		require.Equal(t, step.want, tracker.Note(time.Unix(step.second, 0), step.era), "%+v", step)
+	}
+	require.EqualValues(t, 3, tracker.Era())
+}
