Tests: a host that had its targets from other hosts does not see a restore right

Hosts of a large fleet ask readers for the list of targets. The era in which a host read the list itself is that of its last own read, which may be none or hours old.

TestFirstOwnReadAfterARestoreIsNotTakenForTheNewestList: such a host reads the store itself for the first time after the store came back from a copy, as all do when it was away for 1.5 s. The list of the copy is taken as it is: a target that the copy lacks is dropped, and one that had gone is used again (DRAIN). TestRestoreThatOtherHostsHaveReadBeforeIsOver: such a host reads the store itself long after a restore. A target that has gone meanwhile is kept for 2.5 s, longer than the 2 s for which it may still be used, while the store is sound (DRAIN).

--- /dev/null
+++ b/gateway/restore_internal_test.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiachute/cassiachute/history"
+	"github.com/cassiachute/cassiachute/platform"
+	"github.com/cassiachute/cassiachute/route"
+	standin "github.com/cassiachute/cassiachute/standin/platform"
+	"github.com/cassiachute/cassiachute/wire"
+)
+
+// newStoreWatcher returns a watcher of a gateway that is not running, and the store that it reads.
+func newStoreWatcher(t *testing.T) (*watcher, *standin.Platform) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	store := standin.New(standin.NewConfig(), l)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := store.Run(ctx)
+	g := newIdleGateway(t)
+	g.ctx, g.client = ctx, platform.NewClient(l.Addr().(*net.TCPAddr).AddrPort())
+	t.Cleanup(func() {
+		g.client.Close()
+		cancel()
+		<-ended
+	})
+	return &watcher{gateway: g, client: g.client}, store
+}
+
+// putTargets writes entries of targets to a store.
+func putTargets(store *standin.Platform, rows []wire.TargetRow) {
+	for _, row := range rows {
+		store.Transact(platform.TransactRequest{Puts: []platform.RowItem{{Table: platform.TableTargets, Key: row.Key, Value: row.Value}}})
+	}
+}
+
+// newReader returns a gateway that answers queries of other hosts, with targets that it read in an era of the store.
+func newReader(t *testing.T, era uint64, rows []wire.TargetRow) *Gateway {
+	t.Helper()
+	g := newIdleGateway(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	g.ctx = ctx
+	ended := g.responder.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	require.EqualValues(t, 7, g.takeConfig([]byte(`{"version":7}`), sinceBoot()))
+	g.readAgain(era, rows)
+	return g
+}
+
+// readAgain replaces the targets by those that were read in an era of the store.
+func (g *Gateway) readAgain(era uint64, rows []wire.TargetRow) {
+	g.updateEvacuated(nil, history.Position{Era: era, Version: 1})
+	g.updateTargets(rows, sinceBoot(), (*route.Listing).Relay)
+}
+
+// usedTargets returns the ids of the targets in use.
+func (g *Gateway) usedTargets() []string {
+	ids := []string{}
+	for _, target := range g.storeCache.targets {
+		ids = append(ids, target.ID)
+	}
+	return ids
+}
+
+// TestFirstOwnReadAfterARestoreIsNotTakenForTheNewestList guards against a host that had its targets from other hosts
+// until the store came back from a copy: it drops those that the copy lacks, and uses those again that had gone.
+func TestFirstOwnReadAfterARestoreIsNotTakenForTheNewestList(t *testing.T) {
+	for _, afterRelay := range []bool{false, true} {
+		t.Run(fmt.Sprintf("after relay=%v", afterRelay), func(t *testing.T) { firstReadOfACopy(t, afterRelay) })
+	}
+}
+
+// firstReadOfACopy has a gateway read a copy itself for the first time, after a host that read it before told it the list if
+// afterRelay is set.
+func firstReadOfACopy(t *testing.T, afterRelay bool) {
+	w, store := newStoreWatcher(t)
+	kept, gone := plainTargetRows("kept", 2), plainTargetRows("gone", 9)[8:]
+	putTargets(store, append(kept[:1:1], gone...))
+	copied := store.Copy()
+	reader := newReader(t, store.Era(), append(kept[:2:2], gone...))
+	require.True(t, w.gateway.queryPeer(reader.settings.Peer))
+	require.ElementsMatch(t, []string{"kept0", "kept1", "gone8"}, w.gateway.usedTargets())
+	reader.readAgain(store.Era(), kept)
+	require.True(t, w.gateway.queryPeer(reader.settings.Peer))
+	store.Restore(copied)
+	if afterRelay {
+		reader.readAgain(store.Era(), kept)
+		require.True(t, w.gateway.queryPeer(reader.settings.Peer))
+	}
+
+	w.pollTargets()
+	require.ElementsMatch(t, []string{"kept0", "kept1"}, w.gateway.usedTargets())
+}
+
+// TestRestoreThatOtherHostsHaveReadBeforeIsOver guards against a host that reads the store itself long after a restore,
+// takes its first list for that of a copy, and goes on using a target that has gone since.
+func TestRestoreThatOtherHostsHaveReadBeforeIsOver(t *testing.T) {
+	w, store := newStoreWatcher(t)
+	const heartbeat = 10 * time.Millisecond
+	w.gateway.listing = route.NewListing(heartbeat)
+	rows := plainTargetRows("t", 2)
+	putTargets(store, rows)
+	w.pollTargets()
+	store.Restore(store.Copy())
+	reader := newReader(t, store.Era(), rows)
+	require.True(t, w.gateway.queryPeer(reader.settings.Peer))
+	time.Sleep(time.Second) // entries of the copy have lapsed by then
+	store.Transact(platform.TransactRequest{Removals: []platform.RowItem{{Table: platform.TableTargets, Key: "t1"}}})
+
+	for began := time.Now(); w.targetsPosition.Era != store.Era() && time.Since(began) < time.Second; {
+		w.pollTargets()
+	}
+	require.Equal(t, []string{"t0"}, w.gateway.usedTargets())
+}
