A restore is known also to a host that had its targets from other hosts

What callers would have seen: in a large fleet, no-target or requests to targets that had gone, right after the store came back from a copy, at hosts that read the list themselves for the first time; and requests to a target that has gone, at a host that reads again long after a restore.

Cause: whether a list is the first of another era was told by the era of the host's own last read. The listing now knows the newest era in which the list was read, here or by the host that told it, and since when. An own read of an era that is new to this host is that of a copy if the era began within the time in which entries of the copy lapse; grace and corrections count from the beginning of the era. Listing.Restored goes; its test gives the eras instead and is as strict.

What stays open: a host does not correct the list that another host tells it. One told by a host that started after the restore is taken as it is.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -96,6 +96,7 @@
 	} else {
 		g.updateTargets(v.Targets, asOf, (*route.Listing).Relay)
 	}
+	g.recordTargetsRelayed(position.Era)
 	g.core.keepCold(asOf)
 	return true
 }
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -26,11 +26,18 @@
 	g.listing.ReadFailed()
 }
 
-// recordRestore tells the listing that the next list is the first that is read since the store came back from a copy.
-func (g *Gateway) recordRestore() {
+// recordTargetsRead tells the listing in which era of the store this host has read the next list.
+func (g *Gateway) recordTargetsRead(era uint64) {
 	g.core.mu.Lock()
 	defer g.core.mu.Unlock()
-	g.listing.Restored()
+	g.listing.ReadIn(time.Now(), era)
+}
+
+// recordTargetsRelayed tells the listing which era of the store the host knows that told the list.
+func (g *Gateway) recordTargetsRelayed(era uint64) {
+	g.core.mu.Lock()
+	defer g.core.mu.Unlock()
+	g.listing.RelayedIn(time.Now(), era)
 }
 
 // confirmTargets records that the list of targets known here was still current at asOf, as another host has
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -165,9 +165,7 @@
 		return retryDelay(role)
 	}
 	w.recordPage(read, platform.Page{Position: w.targetsPosition})
-	if read.before.Era != 0 && read.before.Era != w.targetsPosition.Era {
-		w.gateway.recordRestore()
-	}
+	w.gateway.recordTargetsRead(w.targetsPosition.Era)
 	rows := make([]wire.TargetRow, 0, len(w.rows))
 	for _, row := range w.rows {
 		rows = append(rows, row)
--- a/route/listing.go
+++ b/route/listing.go
@@ -26,6 +26,7 @@
 	readFailed  bool                     // the last read of the store failed
 	listedAt    time.Time                // when the list was last known to be current
 	recoveredAt time.Time                // end of the last outage
+	eras        readEras                 // in which the list was read
 	restored    bool                     // the next list is the first that is read since the store came back from a copy
 	outdated    time.Time                // until then entries of the copy that were not renewed may be in the list
 	departed    map[processKey]time.Time // targets that have gone, and when
@@ -50,8 +51,16 @@
 	}
 }
 
-// Restored records that the next list read from the store is the first since it came back from a copy.
-func (l *Listing) Restored() { l.restored = true }
+// ReadIn records the era of the store in which this host has read the next list, 0 if it is not numbered.
+func (l *Listing) ReadIn(now time.Time, era uint64) {
+	l.restored = l.eras.read(now, era, l.copyPeriod()) || l.restored
+}
+
+// RelayedIn records the era of the store that the host knew which has read the last list.
+func (l *Listing) RelayedIn(now time.Time, era uint64) { l.eras.advance(now, era) }
+
+// copyPeriod returns the time after which entries that only a copy of the store has have lapsed.
+func (l *Listing) copyPeriod() time.Duration { return lapseHeartbeats*l.heartbeat + lapseMargin }
 
 // ReadFailed records that a read of the store failed.
 func (l *Listing) ReadFailed() { l.readFailed = true }
@@ -63,8 +72,8 @@
 	}
 	l.readFailed = false
 	if l.restored {
-		l.recoveredAt = now
-		l.outdated = now.Add(lapseHeartbeats*l.heartbeat + lapseMargin)
+		l.recoveredAt = l.eras.began
+		l.outdated = l.eras.began.Add(l.copyPeriod())
 		l.withholdDeparted(now, targets)
 		l.restored = false
 	}
--- a/route/listing_test.go
+++ b/route/listing_test.go
@@ -105,9 +105,10 @@
 	}
 	newRestored := func() *route.Listing {
 		l := route.NewListing(heartbeat)
+		l.ReadIn(now, 1)
 		l.Read(now, []route.Target{a, ready, gone})
 		l.Read(now, []route.Target{a, leaving})
-		l.Restored()
+		l.ReadIn(after(time.Second), 2)
 		require.Equal(t, "a, b leaves", ids(l.Read(after(time.Second), []route.Target{ready, gone})))
 		return l
 	}
