Test: the first configuration counts as current though a host has a newer one

A host that starts confirms its first configuration when it takes it, before confirmRevision looks at what other hosts have in force. If none of the two hosts that it asks answers in 400 ms, but a state report has told of a newer revision, a route that the store's copy lacks gets 404 for up to 1.8 s.

--- a/gateway/restore_internal_test.go
+++ b/gateway/restore_internal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -122,3 +123,15 @@
 	}
 	require.Equal(t, []string{"t0"}, w.gateway.usedTargets())
 }
+
+// TestFirstConfigurationThatAPeerHasANewerOneOfIsNotCurrent guards against 404 at a host that starts while the store
+// shows a copy, and that knows from a state report that another host has a newer configuration.
+func TestFirstConfigurationThatAPeerHasANewerOneOfIsNotCurrent(t *testing.T) {
+	g := newIdleGateway(t)
+	peer := netip.MustParseAddrPort("127.0.0.1:1")
+	_, first := g.peers.update(peer, &wire.HostState{Boot: 1, Number: 1, Revision: 8}, time.Now())
+	require.True(t, first)
+	require.EqualValues(t, 7, g.takeConfig([]byte(`{"version":7}`), sinceBoot()))
+	require.NotNil(t, g.core.table.Load())
+	require.Greater(t, g.core.configAge(), maxDenialAge)
+}
