The first configuration is current only if no host is known to have a newer one

takeConfig applies the rule of confirmRevision to the first configuration as well. TestFirstConfigurationThatAPeerHasANewerOneOfIsNotCurrent failed before and passes in 2 of 2 runs.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -109,7 +109,7 @@
 		g.record.configUnreadable(err)
 		return 0
 	}
-	if g.core.table.Load() == nil {
+	if g.core.table.Load() == nil && table.Version >= g.peers.newestRevision() {
 		g.core.confirmConfig(asOf) // with the first configuration the host is ready, and needs its age
 	}
 	g.applyConfig(table, value)
