Test: all hosts read the store while it shows an older configuration

While a reading host can't confirm its configuration, since the store came back from a copy and the operator has not written it again, the data of all hosts counts as stale. Each host then follows both feeds, as if it were a reader, for as long as the operator takes.

--- a/gateway/restore_internal_test.go
+++ b/gateway/restore_internal_test.go
@@ -135,3 +135,28 @@
 	require.NotNil(t, g.core.table.Load())
 	require.Greater(t, g.core.configAge(), maxDenialAge)
 }
+
+// TestIsolatedHostReadsSeldomWhileTheStoreShowsAnOlderConfiguration guards against all hosts of a large fleet reading the
+// store all the time, and exceeding its rate limits, until the operator has written a lost configuration again.
+func TestIsolatedHostReadsSeldomWhileTheStoreShowsAnOlderConfiguration(t *testing.T) {
+	w, store := newStoreWatcher(t)
+	store.Transact(platform.TransactRequest{Puts: []platform.RowItem{{Table: platform.TableOperator, Key: platform.KeyConfig, Value: []byte(`{"version":7}`)}}})
+	g := w.gateway
+	require.EqualValues(t, 8, g.takeConfig([]byte(`{"version":8}`), sinceBoot()-time.Minute))
+	for port := uint16(1); g.peers.count() < 3*smallFleet; port++ {
+		peer := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.9"), port)
+		if hostRank(peer) < hostRank(g.settings.Peer) {
+			g.peers.update(peer, &wire.HostState{Boot: 1, Number: 1, Revision: 8, Age: ageMillis(time.Minute)}, time.Now())
+		}
+	}
+	require.Equal(t, roleIsolated, g.storeRole())
+
+	const period = 3 * time.Second
+	ctx, stop := context.WithTimeout(g.ctx, period)
+	defer stop()
+	for _, done := range []<-chan struct{}{runLoop(ctx, w.pollConfig), runLoop(ctx, w.pollTargets)} {
+		<-done
+	}
+	require.Equal(t, roleIsolated, g.storeRole())
+	require.LessOrEqual(t, store.Counts().Reads, uint64(2*(1+period/indirectRetryDelay)))
+}
