A host whose configuration stays stale reads the store more seldom

What would have been seen: refusals of the store for its rate limits, and the price of the calls, in a large fleet, from the return of the store until the operator has written the configuration again.

An isolated host whose read does not confirm its configuration waits as after a failed read, 1 s, and 500 ms between two feeds of the targets, so that their list is never older than staleAge. Readers wait as before.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -118,11 +118,11 @@
 
 // confirmRevision records that a revision, 0 for none, was shown as the current one at a time since boot, and by whom.
 // That confirms the configuration in force only if it is the same, and no other host has a newer one: a store that
-// came back from a copy may show an older one, and has lost those that came after it.
-func (g *Gateway) confirmRevision(revision uint64, asOf time.Duration, by confirmation) {
+// came back from a copy may show an older one, and has lost those that came after it. The result is whether it does.
+func (g *Gateway) confirmRevision(revision uint64, asOf time.Duration, by confirmation) bool {
 	table := g.core.table.Load()
 	if table == nil {
-		return
+		return false
 	}
 	by.revision = table.Version
 	newest := max(table.Version, g.peers.newestRevision())
@@ -130,10 +130,11 @@
 		if !by.peer.IsValid() {
 			g.record.configUnconfirmed(revision, table.Version, newest)
 		}
-		return
+		return false
 	}
 	g.core.confirmConfig(asOf)
 	g.record.configConfirmed(by, sinceBoot()-asOf)
+	return true
 }
 
 // askBeforeFirst asks other hosts for what they know of the store. A host that starts calls it before it takes its
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -22,6 +22,7 @@
 	storeRetryDelay       = 200 * time.Millisecond // after a failed read of the store
 	indirectRetryDelay    = time.Second            // the same for a host that does not read for others
 	minFeedInterval       = 200 * time.Millisecond // between two feeds of the list of targets, to collect changes
+	isolatedFeedInterval  = 500 * time.Millisecond // the same for a host whose configuration is stale though it reads the store; the list stays younger than staleAge
 	roleCheckInterval     = 100 * time.Millisecond // between checks whether this host has to read the store
 	storeTimeout          = time.Second            // for one call to the store
 	maxFeedFailures       = 2                      // consecutive failed feeds of the list of targets, after which it is read whole
@@ -93,7 +94,9 @@
 		w.configPosition.Version = 0
 		return storeRetryDelay
 	}
-	w.gateway.confirmRevision(w.shownRevision, asked, confirmation{era: page.Position.Era})
+	if !w.gateway.confirmRevision(w.shownRevision, asked, confirmation{era: page.Position.Era}) && role == roleIsolated {
+		return indirectRetryDelay
+	}
 	return 0
 }
 
@@ -171,6 +174,9 @@
 		rows = append(rows, row)
 	}
 	w.gateway.updateTargets(rows, asked, (*route.Listing).Read)
+	if w.gateway.storeRole() == roleIsolated {
+		return isolatedFeedInterval
+	}
 	return minFeedInterval
 }
 
