Test: 404 for a route whose configuration was lost before any host read it

The copy shows the configuration that all hosts have, so the first read of the new era confirms it, and so do all later ones until the operator has written again. A copy is as old as it is, however fresh the read.

--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -227,3 +227,30 @@
 	stop()
 	require.NoError(t, <-done)
 }
+
+// TestRouteWhoseConfigurationWasLostUnreadIsNotDenied guards against 404 for a route that was acknowledged right before the
+// store came back from a copy: no gateway has read its configuration, and all take the one in the copy for the current one.
+func TestRouteWhoseConfigurationWasLostUnreadIsNotDenied(t *testing.T) {
+	w := newTestEnv(t, newScriptedTarget(t, "a", "plain", answerOK))
+	second, _, _ := w.startSecond(nil)
+	w.waitUntil(func() bool { return second.status("/lookup/x") == fasthttp.StatusOK })
+	kept := w.store.Copy()
+	w.setOutage(true)
+	w.addRoute()
+	w.store.Restore(kept)
+	w.setOutage(false)
+	w.waitUntil(func() bool { return w.logContains(`"event":"store-era","era":2`) })
+	time.Sleep(configApply) // the second gateway learns of the era from the first one
+	for began := time.Now(); time.Since(began) < configApply; time.Sleep(50 * time.Millisecond) {
+		for _, env := range []*testEnv{w, second} {
+			require.Equal(t, fasthttp.StatusServiceUnavailable, env.status("/added/x"))
+			require.Equal(t, fasthttp.StatusOK, env.status("/lookup/x"))
+		}
+	}
+	w.version--
+	w.addRoute()
+	for _, env := range []*testEnv{w, second} {
+		w.waitUntil(func() bool { return env.status("/added/x") == fasthttp.StatusOK })
+		w.waitUntil(func() bool { return env.status("/unknown/x") == fasthttp.StatusNotFound })
+	}
+}
