Routes and keys are not denied while the store may lack the newest configuration

Cause: the configuration that a copy shows counted as the newest one, since the read was fresh. It is as old as the copy. If no host has read the lost one, no comparison of revisions can show it.

When the operator's table is first known as of a later era, by an own read or from another host, unknown routes and keys get 503 for 10 s, the time for which lost evacuations are kept, or until a newer configuration comes into force or a feed shows that the operator has written one. All else goes on; the age of the configuration, which keys depend on, is as before. The evacuations in an answer of another host are taken before its configuration, so that a newer one ends this.

What stays open: a key that the lost configuration took away.

--- a/gateway/core.go
+++ b/gateway/core.go
@@ -26,6 +26,7 @@
 	settings   Settings
 	table      atomic.Pointer[route.Table] // configuration in force, nil before the first
 	configAsOf atomic.Int64                // time since boot, in ns, at which the table was last known to be current
+	copyUntil  atomic.Int64                // time since boot, in ns, until which the store may lack the newest configuration
 
 	heldTraits atomic.Int64 // traits that are held in quarantine
 
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -42,7 +42,11 @@
 func (g *Gateway) updateEvacuated(places []string, position history.Position) {
 	g.core.mu.Lock()
 	defer g.core.mu.Unlock()
+	era := g.storeCache.era()
 	before, newer := g.storeCache.setEvacuated(places, position)
+	if newer && era != 0 && era != position.Era {
+		g.core.noteCopy()
+	}
 	if !newer || slices.Equal(before, places) {
 		return
 	}
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -104,7 +104,7 @@
 	r := table.Match(string(head.Host()), string(path))
 	switch {
 	case r == nil:
-		return nil, "", deny(fasthttp.StatusNotFound, reasonNoRoute, age)
+		return nil, "", g.deny(fasthttp.StatusNotFound, reasonNoRoute, age)
 	case g.outlastsStop(r, eventsAfter(call.LastEvent, g.core.expectedEvents(pickService(r, call), call.MaxOutput)), r.TimeLimit(call.Deadline)):
 		return nil, "", notRun(reasonStopping, rejectedRetryAfter)
 	case r.Public || !table.RequiresKeys():
@@ -114,15 +114,16 @@
 	}
 	team, ok := table.Team(call.Key)
 	if !ok {
-		return nil, "", deny(fasthttp.StatusUnauthorized, reasonNoKey, age)
+		return nil, "", g.deny(fasthttp.StatusUnauthorized, reasonNoKey, age)
 	}
 	return r, team, nil
 }
 
 // deny returns the answer to a request that the configuration does not allow. If the configuration
-// is so old that a newer one may exist, the answer is a refusal that invites a retry instead.
-func deny(status int, reason string, age time.Duration) *problem {
-	if age > maxDenialAge {
+// is so old that a newer one may exist, or the store may have lost a newer one, the answer is a refusal that invites a
+// retry instead.
+func (g *Gateway) deny(status int, reason string, age time.Duration) *problem {
+	if age > maxDenialAge || g.core.configMayBeLost() {
 		return notRun(reasonStale, staleRetryAfter)
 	}
 	return failure(status, reason)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -263,6 +263,9 @@
 	}
 	g.core.board.Configure(table)
 	g.core.table.Store(table)
+	if current != nil {
+		g.core.configIsNew()
+	}
 	g.storeCache.setConfig(value)
 	g.record.configApplied(table)
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -84,11 +84,11 @@
 	}
 	position := history.Unpack(v.EvacuatedAsOf)
 	configAsOf := sent - time.Duration(v.Age)*time.Millisecond
+	g.updateEvacuated(v.Evacuated, position)
 	if v.Revision > q.Revision && len(v.Configuration) > 0 {
 		g.takeConfig(v.Configuration, configAsOf)
 	}
 	g.confirmRevision(v.Revision, configAsOf, confirmation{peer: peer, era: position.Era})
-	g.updateEvacuated(v.Evacuated, position)
 	asOf := sent - time.Duration(v.TargetsAge)*time.Millisecond
 	if v.Digest == q.Digest {
 		g.storeCache.confirmTargets(v.Digest, asOf)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -115,6 +115,9 @@
 		if !row.Removed {
 			read.brought = w.gateway.takeConfig(row.Value, asked)
 		}
+		if !read.whole && read.brought > 0 {
+			w.gateway.core.configIsNew()
+		}
 		w.shownRevision = read.brought
 	}
 	w.recordPage(read, page)
