--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -83,11 +83,11 @@
 	}
 	position := history.Unpack(v.EvacuatedAsOf)
 	configAsOf := sent - time.Duration(v.Age)*time.Millisecond
+	g.updateEvacuated(v.Evacuated, position)
 	if v.Revision > q.Revision && len(v.Configuration) > 0 {
 		g.takeConfig(v.Configuration, configAsOf)
 	}
 	g.confirmRevision(v.Revision, configAsOf, confirmation{peer: peer, era: position.Era})
-	g.updateEvacuated(v.Evacuated, position)
 	asOf := sent - time.Duration(v.TargetsAge)*time.Millisecond
 	if v.Digest == q.Digest {
 		g.storeCache.confirmTargets(v.Digest, asOf)
@@ -95,6 +95,9 @@
 	} else {
 		g.updateTargets(v.Targets, asOf, (*route.Listing).Relay)
 	}
+	if position.Version != 0 { // else the host has read nothing itself, and no host told it
+		g.recordTargetsRelayed(position.Era)
+	}
 	g.core.keepCold(asOf)
 	return true
 }
@@ -107,10 +110,7 @@
 		g.record.configUnreadable(err)
 		return 0
 	}
-	if g.core.table.Load() == nil {
-		if table.Version < g.peers.newestRevision() {
-			asOf -= maxDenialAge // what it lacks is not denied
-		}
+	if g.core.table.Load() == nil && table.Version >= g.peers.newestRevision() {
 		g.core.confirmConfig(asOf) // with the first configuration the host is ready, and needs its age
 	}
 	g.applyConfig(table, value)
@@ -119,11 +119,11 @@
 
 // confirmRevision records that a revision, 0 for none, was shown as the current one at a time since boot, and by whom.
 // That confirms the configuration in force only if it is the same, and no other host has a newer one: a store that
-// came back from a copy may show an older one, and has lost those that came after it.
-func (g *Gateway) confirmRevision(revision uint64, asOf time.Duration, by confirmation) {
+// came back from a copy may show an older one, and has lost those that came after it. The result is whether it does.
+func (g *Gateway) confirmRevision(revision uint64, asOf time.Duration, by confirmation) bool {
 	table := g.core.table.Load()
 	if table == nil {
-		return
+		return false
 	}
 	by.revision = table.Version
 	newest := max(table.Version, g.peers.newestRevision())
@@ -131,10 +131,11 @@
 		if !by.peer.IsValid() {
 			g.record.configUnconfirmed(revision, table.Version, newest)
 		}
-		return
+		return false
 	}
 	g.core.confirmConfig(asOf)
 	g.record.configConfirmed(by, sinceBoot()-asOf)
+	return true
 }
 
 // askBeforeFirst asks other hosts for what they know of the store. A host that starts calls it before it takes its
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -18,11 +18,12 @@
 	hostsInterval         = 10 * time.Second        // between reads of the list of hosts
 	hostsIntervalAlone    = time.Second             // the same while no other host is known
 	hostsIntervalIndirect = time.Minute             // the same where other hosts read the store for this one
-	rewriteGrace          = 2500 * time.Millisecond // after the first read in another era, in which the operator writes again what was lost
+	confirmGrace          = 2500 * time.Millisecond // after the first read in another era, in which what a copy shows confirms nothing
 	eraCheckInterval      = time.Second             // between checks whether the row of this host has to be written again
 	storeRetryDelay       = 200 * time.Millisecond  // after a failed read of the store
 	indirectRetryDelay    = time.Second             // the same for a host that does not read for others
 	minFeedInterval       = 200 * time.Millisecond  // between two feeds of the list of targets, to collect changes
+	isolatedFeedInterval  = 500 * time.Millisecond  // the same for a host whose configuration is stale though it reads the store; the list stays younger than staleAge
 	roleCheckInterval     = 100 * time.Millisecond  // between checks whether this host has to read the store
 	storeTimeout          = time.Second             // for one call to the store
 	maxFeedFailures       = 2                       // consecutive failed feeds of the list of targets, after which it is read whole
@@ -91,7 +92,7 @@
 	}
 	w.applyEvacuations(page)
 	if w.configRead && w.configPosition.Era != page.Position.Era {
-		w.settledAt = asked + rewriteGrace
+		w.settledAt = asked + confirmGrace
 	}
 	w.configRead = true
 	w.takeConfigRow(page, asked)
@@ -100,8 +101,9 @@
 		w.configPosition.Version = 0
 		return storeRetryDelay
 	}
-	if asked >= w.settledAt {
-		w.gateway.confirmRevision(w.shownRevision, asked, confirmation{era: page.Position.Era})
+	confirmed := asked >= w.settledAt && w.gateway.confirmRevision(w.shownRevision, asked, confirmation{era: page.Position.Era})
+	if !confirmed && role == roleIsolated {
+		return indirectRetryDelay
 	}
 	return 0
 }
@@ -125,6 +127,9 @@
 		if !row.Removed {
 			read.brought = w.gateway.takeConfig(row.Value, asked)
 		}
+		if !read.whole && read.brought > 0 {
+			w.gateway.core.configIsNew()
+		}
 		w.shownRevision = read.brought
 	}
 	w.recordPage(read, page)
@@ -178,14 +183,15 @@
 		return retryDelay(role)
 	}
 	w.recordPage(read, platform.Page{Position: w.targetsPosition})
-	if read.before.Era != w.targetsPosition.Era {
-		w.gateway.recordRestore()
-	}
+	w.gateway.recordTargetsRead(w.targetsPosition.Era)
 	rows := make([]wire.TargetRow, 0, len(w.rows))
 	for _, row := range w.rows {
 		rows = append(rows, row)
 	}
 	w.publishTargets(rows, asked)
+	if w.gateway.storeRole() == roleIsolated {
+		return isolatedFeedInterval
+	}
 	return minFeedInterval
 }
 
--- a/history/history.go
+++ b/history/history.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"sync"
+	"time"
 )
 
 // Position is a point in the history of the store. The zero value is before all others.
@@ -44,12 +45,19 @@
 
 // Relations of eras.
 const (
-	Unnumbered Relation = iota // no answer had an era so far
-	First                      // the first era that was seen
-	Same                       // the newest era
-	Newer                      // the store came back from a copy since the newest answer
-	Older                      // the answer was on its way while the store came back
-	Missing                    // the answer has no era, though earlier ones had
+	Unnumbered  Relation = iota // no answer had an era so far
+	First                       // the first era that was seen
+	Same                        // the newest era
+	Newer                       // the store came back from a copy since the newest answer
+	Older                       // the answer was on its way while the store came back
+	Missing                     // the answer has no era, though earlier ones had
+	Implausible                 // the era is too far beyond the newest one
+)
+
+// Limits for eras that contradict the newest one.
+const (
+	maxEraStep   = 1000            // highest rise between two answers that is believed at once
+	eraSettleFor = 5 * time.Second // for which all answers have to name another era until it is believed; no call lasts as long
 )
 
 // Tracker knows the newest era that an answer of the store had. It may be used by several goroutines at once; its
@@ -59,12 +67,36 @@
 	numbered bool // an answer had an era
 	era      uint64
 	restores uint64
+	other    uint64    // era that contradicts the newest one and that the last answers had
+	since    time.Time // when the first of them came, zero if there is none
 }
 
-// Note records the era of an answer, valid if it has one, and returns how it relates to the newest era before.
-func (t *Tracker) Note(era uint64, valid bool) Relation {
+// Note records the era of an answer that came at a time, valid if it has one, and returns how it relates to the
+// newest era before. An era that is lower or implausibly high is believed once no answer had another one for a while:
+// the newest one was wrong then, and the store would not be read any more.
+func (t *Tracker) Note(now time.Time, era uint64, valid bool) Relation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	r := t.relation(era, valid)
+	switch {
+	case r == Missing:
+		return r
+	case r != Older && r != Implausible:
+		t.since = time.Time{}
+		return r
+	case t.other != era || t.since.IsZero():
+		t.other, t.since = era, now
+	}
+	if now.Sub(t.since) < eraSettleFor {
+		return r
+	}
+	t.era, t.since, t.restores = era, time.Time{}, t.restores+1
+	return Newer
+}
+
+// relation returns how the era of an answer relates to the newest one, which it replaces if it is plausible. The caller
+// holds the lock.
+func (t *Tracker) relation(era uint64, valid bool) Relation {
 	switch {
 	case !valid && !t.numbered:
 		return Unnumbered
@@ -77,6 +109,8 @@
 		return Older
 	case era == t.era:
 		return Same
+	case era-t.era > maxEraStep:
+		return Implausible
 	}
 	t.era, t.restores = era, t.restores+1
 	return Newer
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -54,7 +55,7 @@
 		{4, true, history.Newer, 1}, {4, true, history.Same, 1}, {0, false, history.Missing, 1},
 		{6, true, history.Newer, 2}, {5, true, history.Older, 2}, {4, true, history.Older, 2}, {7, true, history.Newer, 3},
 	} {
-		require.Equal(t, step.want, tracker.Note(step.era, step.valid), "%+v", step)
+		require.Equal(t, step.want, tracker.Note(time.Unix(100, 0), step.era, step.valid), "%+v", step)
 		require.Equal(t, step.restores, tracker.Restores(), "%+v", step)
 	}
 	require.EqualValues(t, 7, tracker.Era())
@@ -62,3 +63,21 @@
 	require.Zero(t, tracker.Resume(history.Position{Era: 6, Version: 9}).Version, "another call saw the new era first")
 	require.Zero(t, tracker.Resume(history.Position{Version: 9}).Version, "read before the store numbered its eras")
 }
+
+// TestEraIsCorrectedOnceAllAnswersContradictIt guards against a host that does not read the store any more since one
+// answer had a wrong era, and against answers that were on their way and count as a correction.
+func TestEraIsCorrectedOnceAllAnswersContradictIt(t *testing.T) {
+	var tracker history.Tracker
+	for _, step := range []struct {
+		second int64
+		era    uint64
+		want   history.Relation
+	}{
+		{0, 2, history.First}, {1, 1 << 60, history.Implausible}, {1, 2, history.Same}, {9, 1 << 60, history.Implausible}, {10, 2, history.Same},
+		{20, 3, history.Newer}, {21, 2, history.Older}, {24, 2, history.Older}, {25, 3, history.Same}, {26, 2, history.Older},
+		{30, 2, history.Older}, {30, 0, history.Missing}, {31, 2, history.Newer}, {31, 2, history.Same}, {32, 3, history.Newer},
+	} {
+		require.Equal(t, step.want, tracker.Note(time.Unix(step.second, 0), step.era, step.era != 0), "%+v", step)
+	}
+	require.EqualValues(t, 3, tracker.Era())
+}
