Targets are withheld for their version after the listing, and not while in use

What callers would have seen: no-target at a host that takes over the reads of the store, until it has read and written which versions the store names; and, after a restore, requests to a target that had gone.

Cause: entries of versions that are not named were left out before the listing saw them. A host that had its targets from another host knew no names yet, so its first own list was empty. The first list after a restore was short, so the listing noted nothing of the targets that a copy shows again.

The listing gets all entries; what it returns is filtered. A target in use is not withheld at its version: the store named that before it came into use.

--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -64,6 +64,17 @@
 	c.digest, c.targetsAsOf = hashTargets(list), asOf
 }
 
+// versionsInUse returns the software versions of the targets in use, by ID.
+func (c *storeCache) versionsInUse() map[string]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make(map[string]string, len(c.targets))
+	for _, t := range c.targets {
+		list[t.ID] = t.Version
+	}
+	return list
+}
+
 // targetRows returns the encoded targets. They are encoded from the decoded fields, not copied
 // from the store, since the entries there may hold long data of other writers. The caller
 // holds the lock.
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -175,19 +175,31 @@
 	return err
 }
 
-// admit returns the entries of the list of targets, as this host read it from the store, without those of versions that
-// the store does not name, and the versions of those by key. targets are the valid entries.
-func (o *originTable) admit(rows []wire.TargetRow, targets map[string]route.Target) (admitted []wire.TargetRow, withheld map[string]string) {
-	withheld = map[string]string{}
-	admitted = make([]wire.TargetRow, 0, len(rows))
-	for _, row := range rows {
-		if t, ok := targets[row.Key]; ok && !o.names(t.Service, t.Version) {
-			withheld[row.Key] = t.Version
-			continue
+// unnamed returns the versions of targets that the store does not name, by ID. A target that is in use at its version
+// is not among them: the store named that before it came into use, here or at the host that told it.
+func (o *originTable) unnamed(targets map[string]route.Target) map[string]string {
+	inUse := o.gateway.storeCache.versionsInUse()
+	list := map[string]string{}
+	for id, t := range targets {
+		if version, ok := inUse[id]; (!ok || version != t.Version) && !o.names(t.Service, t.Version) {
+			list[id] = t.Version
+		}
+	}
+	return list
+}
+
+// readNamed returns the update of the list of targets that records all that were read, and uses those whose versions the
+// store names.
+func (o *originTable) readNamed() listingUpdate {
+	return func(l *route.Listing, now time.Time, targets []route.Target) []route.Target {
+		byID := map[string]route.Target{}
+		list := l.Read(now, targets)
+		for _, t := range list {
+			byID[t.ID] = t
 		}
-		admitted = append(admitted, row)
+		withheld := o.unnamed(byID)
+		return slices.DeleteFunc(list, func(t route.Target) bool { _, ok := withheld[t.ID]; return ok })
 	}
-	return admitted, withheld
 }
 
 // nameListed makes the store name the versions in the list of targets, as this host read it from the store. What
--- a/gateway/restore_internal_test.go
+++ b/gateway/restore_internal_test.go
@@ -160,3 +160,17 @@
 	require.Equal(t, roleIsolated, g.storeRole())
 	require.LessOrEqual(t, store.Counts().Reads, uint64(2*(1+period/indirectRetryDelay)))
 }
+
+// TestHostThatBeginsToReadTheStoreKeepsTheTargetsThatItWasTold guards against a host without any target when it takes
+// over the reads of the store, until it has read which versions the store names. The host that told it the list had
+// used these targets already.
+func TestHostThatBeginsToReadTheStoreKeepsTheTargetsThatItWasTold(t *testing.T) {
+	w, store := newStoreWatcher(t)
+	rows := plainTargetRows("t", 2)
+	putTargets(store, rows)
+	reader := newReader(t, store.Era(), rows)
+	require.True(t, w.gateway.queryPeer(reader.settings.Peer))
+	store.SetFaults(standin.Faults{Lose: 1000}) // what this host writes stays unknown to it
+	w.pollTargets()
+	require.ElementsMatch(t, []string{"t0", "t1"}, w.gateway.usedTargets())
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -8,7 +8,6 @@
 
 	"github.com/cassiachute/cassiachute/history"
 	"github.com/cassiachute/cassiachute/platform"
-	"github.com/cassiachute/cassiachute/route"
 	"github.com/cassiachute/cassiachute/wire"
 )
 
@@ -201,13 +200,13 @@
 	g := w.gateway
 	g.origins.noteEra(w.targetsPosition.Era)
 	targets := g.origins.decode(rows)
-	admitted, withheld := g.origins.admit(rows, targets)
+	withheld := g.origins.unnamed(targets)
 	if len(withheld) == 0 || g.storeCache.asOf() > 0 {
-		g.updateTargets(admitted, asked, (*route.Listing).Read)
+		g.updateTargets(rows, asked, g.origins.readNamed())
 	}
 	if g.origins.nameListed(targets) && len(withheld) > 0 {
-		admitted, withheld = g.origins.admit(rows, targets)
-		g.updateTargets(admitted, asked, (*route.Listing).Read)
+		withheld = g.origins.unnamed(targets)
+		g.updateTargets(rows, asked, g.origins.readNamed())
 	}
 	g.origins.recordWithheld(withheld)
 	w.targetsFailed = len(withheld) > 0 // the next read does not wait for a change
