Publish: revisions that a restored store has lost are not given out again

A store that comes back from a copy may lack the newest revisions. The next change got the number of a lost one, and hosts that had the lost one in force ignored it, since they take only higher revisions: the change was acknowledged, and those hosts never had it until more changes than were lost had followed.

Evidence: by reading, then TestChangeAfterRestoreReachesHostsWithLostRevisions, which failed before the change: the host kept the lost revision. The head row now names the era of the store in which it was written. The first revision of a later era leaves out 1,000 numbers, more than a copy that is some seconds old can lack. A head row of before this change names no era and counts as one of era 0. A restore that lost the very first head row goes unnoticed.

--- a/publish/publish.go
+++ b/publish/publish.go
@@ -28,6 +28,7 @@
 	maxPublishAttempts = 8             // attempts to publish a change before ErrConflict is returned
 	tokenBytes         = 8             // random bytes in the name of a snapshot and a step
 	maxStepReads       = 64            // steps to catch up on one by one; beyond it, the snapshot is read
+	skippedRevisions   = 1000          // left out by the first revision after the store came back from a copy; more than a copy that is some seconds old can lack
 )
 
 // ErrConflict marks the error of a change to an object that was modified since the
@@ -40,6 +41,7 @@
 	Snapshot string `json:"snapshot"`
 	Step     string `json:"step"`
 	Token    string `json:"token"` // random and unique to one attempt to publish
+	Era      uint64 `json:"era"`   // era of the store in which the row was written, 0 if the store numbers none
 }
 
 // storedStep is the stored form of a step. Previous is the key of the step
@@ -169,13 +171,13 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	next, err = applyChange(current, change)
+	next, err = applyChange(current, change, current.Revision+1)
 	return current, next, err
 }
 
-// applyChange returns a valid copy of a set with a change applied and the next
+// applyChange returns a valid copy of a set with a change applied and the given
 // revision assigned.
-func applyChange(current *catalog.Set, change ChangeFunc) (*catalog.Set, error) {
+func applyChange(current *catalog.Set, change ChangeFunc, revision uint64) (*catalog.Set, error) {
 	next := current.Clone()
 	if err := change(next); err != nil {
 		return nil, err
@@ -183,7 +185,7 @@
 	if err := next.CheckError(); err != nil {
 		return nil, err
 	}
-	next.Seal(current.Revision + 1)
+	next.Seal(revision)
 	return next, nil
 }
 
@@ -194,7 +196,12 @@
 	if err != nil {
 		return nil, err
 	}
-	next, err := applyChange(current, change)
+	era := s.client.History().Era()
+	revision, err := nextRevision(current, row, era)
+	if err != nil {
+		return nil, err
+	}
+	next, err := applyChange(current, change, revision)
 	if err != nil {
 		return nil, err
 	}
@@ -202,12 +209,30 @@
 	if len(step.Changes) == 0 {
 		return current, nil
 	}
-	return next, s.commit(actor, row, next, step)
+	return next, s.commit(actor, row, next, step, era)
+}
+
+// nextRevision returns the revision after the current one, whose head row is given. The first
+// one in an era of the store is higher than all that the store may have lost, because hosts
+// may have those in force and take only higher ones.
+func nextRevision(current *catalog.Set, row platform.Row, era uint64) (uint64, error) {
+	next := current.Revision + 1
+	if row.Version == 0 {
+		return next, nil
+	}
+	var head headRow
+	if err := json.Unmarshal(row.Value, &head); err != nil {
+		return 0, errors.Wrap(err, "decode head")
+	}
+	if era > head.Era {
+		next += skippedRevisions
+	}
+	return next, nil
 }
 
 // commit writes the snapshot and the step, and then the head row and the audit
-// record in one transaction.
-func (s *Store) commit(actor string, row platform.Row, next *catalog.Set, step catalog.Step) error {
+// record in one transaction. The era is that of the store when the head row was read.
+func (s *Store) commit(actor string, row platform.Row, next *catalog.Set, step catalog.Step, era uint64) error {
 	token, err := newToken()
 	if err != nil {
 		return err
@@ -219,7 +244,7 @@
 		}
 	}
 	name := fmt.Sprintf("%012d-%s", next.Revision, token)
-	h := headRow{Revision: next.Revision, Snapshot: "snapshot/" + name, Step: "step/" + name, Token: token}
+	h := headRow{Revision: next.Revision, Snapshot: "snapshot/" + name, Step: "step/" + name, Token: token, Era: era}
 	if err := s.client.PutObject(h.Snapshot, next.Encode()); err != nil {
 		return err
 	}
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -95,3 +95,30 @@
 	require.Equal(t, uint64(6), set.Revision)
 	require.Equal(t, uint64(6), p.Counts().Reads-before)
 }
+
+// A store that comes back from a copy gives the revisions after it out again. A change that is published then has to
+// reach hosts that have a configuration which the store has lost: they take only higher revisions.
+func TestChangeAfterRestoreReachesHostsWithLostRevisions(t *testing.T) {
+	p, store := startPlatform(t)
+	_, err := store.Publish("ana", putTeam("kept"))
+	require.NoError(t, err)
+	kept := p.Copy()
+	var lost *catalog.Set
+	for _, name := range []string{"lost", "more"} {
+		lost, err = store.Publish("ana", putTeam(name))
+		require.NoError(t, err)
+	}
+	p.Restore(kept)
+	have, err := store.Newest(lost)
+	require.NoError(t, err)
+	require.Same(t, lost, have, "the lost configuration was acknowledged, and stays in force")
+
+	for _, name := range []string{"next", "last"} {
+		published, err := store.Publish("ben", putTeam(name))
+		require.NoError(t, err)
+		have, err = store.Newest(have)
+		require.NoError(t, err)
+		require.Equal(t, string(published.Encode()), string(have.Encode()))
+	}
+	require.Len(t, have.Teams, 3, "kept, next and last")
+}
