Publish: object numbers that a restored store has lost are not given out again

After a restore the next new team got the number of a team that the store had lost. Hosts that had the lost revision in force keep shares and the records of orders by that number, so one team would have had those of the other.

Evidence: TestChangeAfterRestoreReachesHostsWithLostRevisions with the check of the number failed before the change (number 2, where the lost teams had 2 and 3). The revision that leaves out revisions leaves out as many object numbers.

--- a/publish/publish.go
+++ b/publish/publish.go
@@ -28,7 +28,7 @@
 	maxPublishAttempts = 8             // attempts to publish a change before ErrConflict is returned
 	tokenBytes         = 8             // random bytes in the name of a snapshot and a step
 	maxStepReads       = 64            // steps to catch up on one by one; beyond it, the snapshot is read
-	skippedRevisions   = 1000          // left out by the first revision after the store came back from a copy; more than a copy that is some seconds old can lack
+	skippedNumbers     = 1000          // revisions and object numbers that the first revision after the store came back from a copy leaves out; more than a copy that is some seconds old can lack
 )
 
 // ErrConflict marks the error of a change to an object that was modified since the
@@ -171,21 +171,22 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	next, err = applyChange(current, change, current.Revision+1)
+	next, err = applyChange(current, change, 0)
 	return current, next, err
 }
 
-// applyChange returns a valid copy of a set with a change applied and the given
-// revision assigned.
-func applyChange(current *catalog.Set, change ChangeFunc, revision uint64) (*catalog.Set, error) {
+// applyChange returns a valid copy of a set with a change applied and the next revision
+// assigned. It leaves out a number of revisions and object numbers.
+func applyChange(current *catalog.Set, change ChangeFunc, skipped uint32) (*catalog.Set, error) {
 	next := current.Clone()
+	next.LastNumber += skipped
 	if err := change(next); err != nil {
 		return nil, err
 	}
 	if err := next.CheckError(); err != nil {
 		return nil, err
 	}
-	next.Seal(revision)
+	next.Seal(current.Revision + 1 + uint64(skipped))
 	return next, nil
 }
 
@@ -197,11 +198,11 @@
 		return nil, err
 	}
 	era := s.client.History().Era()
-	revision, err := nextRevision(current, row, era)
+	skipped, err := numbersToSkip(row, era)
 	if err != nil {
 		return nil, err
 	}
-	next, err := applyChange(current, change, revision)
+	next, err := applyChange(current, change, skipped)
 	if err != nil {
 		return nil, err
 	}
@@ -212,22 +213,22 @@
 	return next, s.commit(actor, row, next, step, era)
 }
 
-// nextRevision returns the revision after the current one, whose head row is given. The first
-// one in an era of the store is higher than all that the store may have lost, because hosts
-// may have those in force and take only higher ones.
-func nextRevision(current *catalog.Set, row platform.Row, era uint64) (uint64, error) {
-	next := current.Revision + 1
+// numbersToSkip returns how many revisions and object numbers the revision after a head row
+// leaves out. The first one in an era of the store has higher ones than all that the store may
+// have lost, because hosts may have those in force: they take only higher revisions, and know
+// objects by their numbers.
+func numbersToSkip(row platform.Row, era uint64) (uint32, error) {
 	if row.Version == 0 {
-		return next, nil
+		return 0, nil
 	}
 	var head headRow
 	if err := json.Unmarshal(row.Value, &head); err != nil {
 		return 0, errors.Wrap(err, "decode head")
 	}
-	if era > head.Era {
-		next += skippedRevisions
+	if era <= head.Era {
+		return 0, nil
 	}
-	return next, nil
+	return skippedNumbers, nil
 }
 
 // commit writes the snapshot and the step, and then the head row and the audit
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -121,4 +121,5 @@
 		require.Equal(t, string(published.Encode()), string(have.Encode()))
 	}
 	require.Len(t, have.Teams, 3, "kept, next and last")
+	require.Greater(t, have.Teams["next"].Number, lost.Teams["more"].Number, "orders and shares are kept by the number of a team")
 }
