--- a/route/listing_test.go
+++ b/route/listing_test.go
@@ -83,7 +83,7 @@
 // identity is used at once.
 func TestCopyOfTheStoreDoesNotChangeWhichTargetsAreUsed(t *testing.T) {
 	now := time.Unix(100, 0)
-	after := func(d time.Duration) time.Time { return now.Add(d) }
+	after := now.Add
 	a, leaving, gone := targetAt("a", "10.0.0.1:1"), targetAt("b", "10.0.0.2:1"), targetAt("c", "10.0.0.3:1")
 	ready := leaving
 	leaving.Leaving = true
