--- a/gateway/restore_internal_test.go
+++ b/gateway/restore_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"fmt"
 	"net"
 	"net/netip"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"github.com/cassiachute/cassiachute/history"
 	"github.com/cassiachute/cassiachute/platform"
@@ -160,3 +162,37 @@
 	require.Equal(t, roleIsolated, g.storeRole())
 	require.LessOrEqual(t, store.Counts().Reads, uint64(2*(1+period/indirectRetryDelay)))
 }
+
+// TestConfigurationThatArrivedDamagedIsReadAgain guards against one answer with a damaged row of the configuration, after
+// which the position is behind it: the host never has that configuration, and confirms none until the next one.
+func TestConfigurationThatArrivedDamagedIsReadAgain(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	page := func(ver int, config string) string {
+		return fmt.Sprintf(`{"rows":[{"table":"op","key":"config","value":%q,"ver":%d}],"ver":%d}`, base64.StdEncoding.EncodeToString([]byte(config)), ver, ver)
+	}
+	answers := []string{page(1, `{"version":7}`), page(2, `{`), page(2, `{"version":8}`)}
+	server := fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.Set("Store-Era", "1")
+		body := answers[0]
+		if len(answers) > 1 && string(ctx.Path()) == platform.PathFeed {
+			body, answers = answers[1], answers[2:]
+		} else if string(ctx.Path()) == platform.PathFeed {
+			body = `{"rows":[],"ver":2}`
+		}
+		ctx.SetBodyString(body)
+	}}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l) }()
+	g := newIdleGateway(t)
+	g.ctx, g.client = t.Context(), platform.NewClient(l.Addr().(*net.TCPAddr).AddrPort())
+	w := &watcher{gateway: g, client: g.client}
+	for range 3 {
+		w.pollConfig()
+	}
+	require.EqualValues(t, 8, g.revision())
+	require.Less(t, g.core.configAge(), time.Second)
+	g.client.Close()
+	l.Close()
+	require.NoError(t, <-served)
+}
