A configuration that can't be decoded is read again

What callers would have seen: 503 stale-configuration for requests with keys, until the operator's next configuration, after one damaged answer of the store.

While the store shows no configuration that can be decoded, the operator's table is read whole, once a second, in place of feeds from behind the damaged row.

TestConfigurationThatArrivedDamagedIsReadAgain failed before and passes, with all of ./gateway, with -race (1 run).

--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -94,7 +94,12 @@
 		w.configPosition.Version = 0
 		return storeRetryDelay
 	}
-	if !w.gateway.confirmRevision(w.shownRevision, asked, confirmation{era: page.Position.Era}) && role == roleIsolated {
+	confirmed := w.gateway.confirmRevision(w.shownRevision, asked, confirmation{era: page.Position.Era})
+	if w.shownRevision == 0 {
+		w.configPosition.Version = 0 // the row may have been damaged on its way
+		return indirectRetryDelay
+	}
+	if !confirmed && role == roleIsolated {
 		return indirectRetryDelay
 	}
 	return 0
