--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -101,6 +101,10 @@
 		return storeRetryDelay
 	}
 	confirmed := asked >= w.settledAt && w.gateway.confirmRevision(w.shownRevision, asked, confirmation{era: page.Position.Era})
+	if w.shownRevision == 0 {
+		w.configPosition.Version = 0 // the row may have been damaged on its way
+		return indirectRetryDelay
+	}
 	if !confirmed && role == roleIsolated {
 		return indirectRetryDelay
 	}
