The window of versions follows the longest stream of a service

By reading: a stream that lasts longer than 40 s could be taken up at another version. The version that began it had left the list more than 40 s before, so it no longer counted, and the only one listed was taken for certain.

The window of a service is the longest time limit of its resumable routes and 10 s for hosts that are cut off, at least 40 s. Rows keep versions that left for an hour, so that a longer limit set later finds them. Streams that the memory of a host no longer has, and that have no row, are refused as before.

--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -20,6 +20,7 @@
 	historyMismatchPeriod = time.Second            // between reads of a history that names more versions than are listed
 	historyMixedPeriod    = 5 * time.Second        // between reads of the history of a mixed service; another host may have marked a version as gone
 	historyConflicts      = 4                      // tries to write a history that other hosts write as well
+	originMargin          = 10 * time.Second       // added to the longest stream of a service, for hosts that are cut off from the store
 	firstEra              = 1                      // highest number of the era of a store that never came back from a copy
 	unknownRetryAfter     = 500 * time.Millisecond // Retry-After of a take-up of unknown origin, whose row may just be on its way
 	unreadRetryAfter      = 300 * time.Millisecond // the same if the store can't be read
@@ -66,9 +67,25 @@
 func (o *originTable) fetchHistory(service string) (platform.HistoryRow, error) {
 	row, err := o.gateway.client.VersionHistory(service)
 	o.gateway.recordStoreCall("versions", err)
+	row.At.Window = o.gateway.core.originWindow(service)
 	return row, err
 }
 
+// originWindow returns the time for which clients may take up streams of a service that began before: the longest time
+// limit of its streams, and a margin for hosts that are cut off from the store.
+func (c *core) originWindow(service string) time.Duration {
+	longest := time.Duration(0)
+	if table := c.table.Load(); table != nil {
+		for i := range table.Routes {
+			r := &table.Routes[i]
+			if r.Resumable && slices.ContainsFunc(r.Shares, func(s route.Share) bool { return s.Service == service }) {
+				longest = max(longest, r.TimeLimit(0))
+			}
+		}
+	}
+	return longest + originMargin
+}
+
 // readHistory reads the history of a service from the store and keeps it.
 func (o *originTable) readHistory(service string) (platform.HistoryRow, error) {
 	asked := sinceBoot()
@@ -106,7 +123,7 @@
 
 // moment returns the present time by the store.
 func (s *serviceVersions) moment(era uint64) origin.Moment {
-	return origin.Moment{Era: era, Now: s.row.At.Now + sinceBoot() - s.readAt}
+	return origin.Moment{Era: era, Now: s.row.At.Now + sinceBoot() - s.readAt, Window: s.row.At.Window}
 }
 
 // mixed returns whether the origins of a service's streams are kept in the store.
--- a/origin/history.go
+++ b/origin/history.go
@@ -12,20 +12,27 @@
 	"time"
 )
 
-// Window is the time after which a version that is not listed any more has no streams that a client could take up. It
-// covers a client's deadline, and the time for which a host that is cut off from the store may still begin streams at
-// a target that left.
+// Window is the least time after which a version that is not listed any more has no streams that a client could take up.
+// It covers a client's deadline, and the time for which a host that is cut off from the store may still begin streams at
+// a target that left. Services with longer streams have a longer window.
 const Window = 40 * time.Second
 
+// retention is the time for which a row keeps a version that is not listed any more. It bounds the window of a service.
+const retention = time.Hour
+
 // maxVersions bounds the versions that a row keeps. More are only listed if the entries of targets are wrong.
 const maxVersions = 64
 
 // Moment is a point in time by the store: its era, 0 if it does not number its eras, and its clock.
 type Moment struct {
-	Era uint64
-	Now time.Duration
+	Era    uint64
+	Now    time.Duration
+	Window time.Duration // that of the service, Window if it is shorter
 }
 
+// window returns the window that applies to a history.
+func (m Moment) window() time.Duration { return max(Window, m.Window) }
+
 // Listing is a version of a service as its History names it.
 type Listing struct {
 	Version string
@@ -40,13 +47,13 @@
 	Listings  []Listing     // ordered by version
 }
 
-// Certain returns whether the history names all versions that were listed within Window.
+// Certain returns whether the history names all versions that were listed within the window.
 func (h *History) Certain(at Moment) bool { return h.Era == at.Era && at.Now >= h.Uncertain }
 
-// recent returns the number of versions that were listed within Window, and one of them.
-func (h *History) recent(now time.Duration) (count int, version string) {
+// recent returns the number of versions that were listed within the window, and one of them.
+func (h *History) recent(at Moment) (count int, version string) {
 	for _, l := range h.Listings {
-		if l.Gone == 0 || now-l.Gone < Window {
+		if l.Gone == 0 || at.Now-l.Gone < at.window() {
 			count, version = count+1, l.Version
 		}
 	}
@@ -55,13 +62,13 @@
 
 // Only returns the version that all streams of the service began at, if there is only one that is possible.
 func (h *History) Only(at Moment) (version string, ok bool) {
-	count, version := h.recent(at.Now)
+	count, version := h.recent(at)
 	return version, count == 1 && h.Certain(at)
 }
 
 // Mixed returns whether the origin of each stream has to be kept.
 func (h *History) Mixed(at Moment) bool {
-	count, _ := h.recent(at.Now)
+	count, _ := h.recent(at)
 	return count > 1 || !h.Certain(at)
 }
 
@@ -87,7 +94,7 @@
 func NewHistory(at Moment, restored bool) History {
 	h := History{Era: at.Era}
 	if restored {
-		h.Uncertain = at.Now + Window
+		h.Uncertain = at.Now + at.window()
 	}
 	return h
 }
@@ -97,7 +104,7 @@
 func (h *History) Update(versions []string, at Moment, dropGone bool) History {
 	next := History{Era: at.Era, Uncertain: h.Uncertain}
 	if h.Era != at.Era {
-		next.Uncertain = at.Now + Window
+		next.Uncertain = at.Now + at.window()
 	}
 	for _, l := range h.Listings {
 		switch {
@@ -105,7 +112,7 @@
 			continue
 		case l.Gone == 0 && dropGone:
 			l.Gone = max(1, at.Now)
-		case l.Gone != 0 && at.Now-l.Gone >= Window:
+		case l.Gone != 0 && at.Now-l.Gone >= retention:
 			continue
 		}
 		next.Listings = append(next.Listings, l)
@@ -121,7 +128,7 @@
 func (h History) bounded(at Moment) History {
 	if len(h.Listings) > maxVersions {
 		slices.SortStableFunc(h.Listings, func(a, b Listing) int { return cmp.Compare(min(a.Gone, 1), min(b.Gone, 1)) })
-		h.Listings, h.Uncertain = h.Listings[:maxVersions], at.Now+Window
+		h.Listings, h.Uncertain = h.Listings[:maxVersions], at.Now+at.window()
 	}
 	slices.SortFunc(h.Listings, func(a, b Listing) int { return strings.Compare(a.Version, b.Version) })
 	return h
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -26,6 +26,7 @@
 	lost := origin.NewHistory(at(2, 30*time.Second), true)
 	lost = lost.Update([]string{"v1"}, at(2, 30*time.Second), true)
 	window := origin.Window
+	long := func(now time.Duration) origin.Moment { return origin.Moment{Era: 1, Now: now, Window: 3 * window} }
 	for _, c := range []struct {
 		name    string
 		history origin.History
@@ -39,6 +40,8 @@
 		{"two versions", both, at(1, 10*window), "", true},
 		{"one left", left, at(1, 9*time.Second+window), "", true},
 		{"one left long ago", left, at(1, 10*time.Second+window), "v2", false},
+		{"one left long ago, longer streams", left.Update([]string{"v2"}, long(9*time.Second+2*window), true), long(9*time.Second + 3*window), "", true},
+		{"one left long before longer streams", left, long(10*time.Second + 3*window), "v2", false},
 		{"the clock of the store went back", left, at(1, time.Second), "", true},
 		{"missing in one list", doubted, at(1, 10*window), "", true},
 		{"back in the list", again, at(1, 10*window), "", true},
