TestFirstOwnReadAfterARestoreIsNotTakenForTheNewestList waits between two lists

Traced: ages in replies are whole milliseconds, rounded down, so a second list that was read and asked for within a millisecond counted as older than the first and was not taken, as another check in the same test shows: 80 of 7,200 plays, twelve processes at once, all at that check. Hosts ask every 250 ms.

The test waits 2 ms before the second list, and checks that it is in use before the restore, which it did not. 3,600 plays of each case pass in the same way.

--- a/gateway/restore_internal_test.go
+++ b/gateway/restore_internal_test.go
@@ -60,8 +60,10 @@
 	return g
 }
 
-// readAgain replaces the targets by those that were read in an era of the store.
+// readAgain replaces the targets by those that were read in an era of the store. It waits until other hosts can tell
+// the read from the one before, as ages in replies are whole milliseconds.
 func (g *Gateway) readAgain(era uint64, rows []wire.TargetRow) {
+	time.Sleep(2 * time.Millisecond)
 	g.updateEvacuated(nil, history.Position{Era: era, Version: 1})
 	g.updateTargets(rows, sinceBoot(), (*route.Listing).Relay)
 }
@@ -95,6 +97,7 @@
 	require.ElementsMatch(t, []string{"kept0", "kept1", "gone8"}, w.gateway.usedTargets())
 	reader.readAgain(store.Era(), kept)
 	require.True(t, w.gateway.queryPeer(reader.settings.Peer))
+	require.ElementsMatch(t, []string{"kept0", "kept1"}, w.gateway.usedTargets(), "before the restore")
 	store.Restore(copied)
 	if afterRelay {
 		reader.readAgain(store.Era(), kept)
